--- /dev/null
+++ b/src/lagoontide/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line: ``python -m lagoontide``."""
+
+from lagoontide.cli import main
+
+main()
--- /dev/null
+++ b/src/lagoontide/admission/__init__.py
@@ -0,0 +1,1 @@
+"""What is refused at the door, before any work starts."""
--- /dev/null
+++ b/src/lagoontide/admission/accounts.py
@@ -0,0 +1,104 @@
+"""Who a caller is, what it may ask for and how often."""
+
+import hashlib
+from dataclasses import dataclass
+
+from lagoontide.configuration.document import Account, Document, Priority, Route
+from lagoontide.errors import RequestError
+
+__all__ = ["Accounts", "Bucket"]
+
+STATUS_UNAUTHORIZED = 401
+STATUS_FORBIDDEN = 403
+STATUS_TOO_MANY = 429
+
+
+@dataclass(slots=True)
+class Bucket:
+    """A token bucket.
+
+    Attributes
+    ----------
+    rate : float
+        Tokens a second.
+    burst : float
+        Tokens it holds at most.
+    """
+
+    rate: float
+    burst: float
+    level: float
+    at: float
+
+    def take(self, now: float) -> float:
+        """Take a token; return 0, or the seconds until there is one."""
+        self.level = min(self.burst, self.level + (now - self.at) * self.rate)
+        self.at = now
+        if self.level >= 1:
+            self.level -= 1
+            return 0.0
+        return (1 - self.level) / self.rate
+
+
+class Accounts:
+    """Client accounts of the document in force and their buckets."""
+
+    def __init__(self) -> None:
+        self._by_hash: dict[str, Account] = {}
+        self._buckets: dict[str, Bucket] = {}
+
+    def update(self, document: Document) -> None:
+        """Take the accounts of a new document; levels of buckets stay."""
+        self._by_hash = {
+            digest: account
+            for account in document.accounts.values()
+            for digest in account.token_hashes
+        }
+        self._buckets = {
+            name: self._make_bucket(account)
+            for name, account in document.accounts.items()
+        }
+
+    def _make_bucket(self, account: Account) -> Bucket:
+        burst = float(account.burst)
+        old = self._buckets.get(account.name)
+        if old is None:
+            return Bucket(account.requests_per_second, burst, burst, 0.0)
+        level = min(old.level, burst)
+        return Bucket(account.requests_per_second, burst, level, old.at)
+
+    def identify(self, token: str) -> Account:
+        """Return the account of a bearer token; raises RequestError 401."""
+        account = self._by_hash.get(hashlib.sha256(token.encode()).hexdigest())
+        if account is None:
+            raise RequestError(
+                STATUS_UNAUTHORIZED,
+                "the bearer token is missing or belongs to no client account",
+                step="sign-in",
+            )
+        return account
+
+    def admit(
+        self, account: Account, route: Route, priority: Priority, now: float
+    ) -> None:
+        """Raise RequestError if the account may not ask for this now."""
+        if route.name not in account.routes:
+            raise RequestError(
+                STATUS_FORBIDDEN,
+                f"account {account.name!r} may not use route {route.name!r}",
+                step="admission",
+            )
+        if priority not in account.priorities:
+            raise RequestError(
+                STATUS_FORBIDDEN,
+                f"account {account.name!r} may not use priority {priority.value!r}",
+                step="admission",
+            )
+        wait = self._buckets[account.name].take(now)
+        if wait:
+            raise RequestError(
+                STATUS_TOO_MANY,
+                f"account {account.name!r} is over its rate",
+                step="admission",
+                retry_after=wait,
+            )
--- /dev/null
+++ b/src/lagoontide/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon beside each target."""
--- /dev/null
+++ b/src/lagoontide/agent/service.py
@@ -0,0 +1,265 @@
+"""The only door to a target: queue, limit, record of attempts and drain."""
+
+import asyncio
+import uuid
+from dataclasses import dataclass
+
+from loguru import logger
+
+from lagoontide.dispatch.attempts import AttemptLog, AttemptState, Final, Record
+from lagoontide.dispatch.messages import (
+    Call,
+    Cancel,
+    Done,
+    Failed,
+    NotRun,
+    Pending,
+    Settle,
+    Tokens,
+    Unknown,
+    digest,
+    is_whole,
+)
+from lagoontide.errors import TargetFailed, TargetUnreachable
+from lagoontide.membership.messages import Hello, Welcome
+from lagoontide.metrics import Metrics
+from lagoontide.platform.targets import Target, Work
+from lagoontide.scheduling.load import Load
+from lagoontide.scheduling.queue import Queue, Waiting
+from lagoontide.wire.server import Send
+
+__all__ = ["Agent"]
+
+RECORD_WINDOW_S = 120.0
+RECORD_BYTES = 4 << 20
+SERVICE_TIME_WEIGHT = 0.1
+PEER_SILENCE_S = 10.0
+
+
+@dataclass(slots=True)
+class Job:
+    """A call that waits or runs, and where its replies go."""
+
+    call: Call
+    send: Send
+    record: Record
+    deadline: float
+    queued_at: float
+
+
+class Agent:
+    """Serves calls at one target.
+
+    Parameters
+    ----------
+    name, service : str
+        Of the instance and of its target's pool.
+    target : Target
+        The back end.
+    limit : int
+        Calls that the target has at the same time.
+    metrics : Metrics
+        Where counters and timings go.
+    """
+
+    def __init__(
+        self, name: str, service: str, target: Target, limit: int, metrics: Metrics
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.incarnation = uuid.uuid4().hex
+        self.is_leaving = False
+        self._target = target
+        self._limit = limit
+        self._metrics = metrics
+        self._queue = Queue()
+        self._log = AttemptLog(RECORD_WINDOW_S, RECORD_BYTES)
+        self._jobs: dict[str, Job] = {}
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self._peers: dict[str, Send] = {}
+        self._service_time = 0.0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def load(self) -> Load:
+        """The load at this moment."""
+        return Load(
+            len(self._queue), len(self._running), self._limit, self._service_time
+        )
+
+    async def handle(self, peer: str, message: object, send: Send) -> None:
+        """Answer one message of a peer."""
+        match message:
+            case Hello():
+                self._peers[peer] = send
+                await send(self._welcome())
+            case Call():
+                await self._take(message, send)
+            case Settle():
+                await send(self._settle(message))
+            case Cancel(attempt=attempt):
+                await self._cancel(attempt)
+            case _:
+                logger.bind(peer=peer).warning("unexpected {!r:.80}", message)
+
+    async def drain(self, bound: float) -> bool:
+        """Take no more work and wait until all is done; return whether it was.
+
+        Parameters
+        ----------
+        bound : float
+            Seconds to wait at most.
+        """
+        self.is_leaving = True
+        for send in tuple(self._peers.values()):
+            await send(self._welcome())
+        try:
+            async with asyncio.timeout(bound):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _welcome(self) -> Welcome:
+        return Welcome(self.incarnation, self.service, self.is_leaving, self.load)
+
+    async def _take(self, call: Call, send: Send) -> None:
+        refusal = self._find_refusal(call)
+        if refusal:
+            self._metrics.count(f"agent.not_run.{refusal.replace(' ', '_')}")
+            await send(NotRun(call.attempt, refusal, self.load))
+            return
+        record = self._log.get(call.attempt)
+        if record is None:
+            record = self._enqueue(call, send)
+        await send(await asyncio.shield(record.final))
+
+    def _find_refusal(self, call: Call) -> str:
+        """Return why a call is not taken, or an empty string."""
+        if call.incarnation != self.incarnation:
+            return "other incarnation"
+        if self._log.get(call.attempt) is not None:
+            return ""
+        if not is_whole(call):
+            return "cut call"
+        if self.is_leaving:
+            return "leaving"
+        if call.budget <= 0:
+            return "deadline"
+        return ""
+
+    def _enqueue(self, call: Call, send: Send) -> Record:
+        now = asyncio.get_running_loop().time()
+        record = self._log.add(call.attempt)
+        job = Job(call, send, record, now + call.budget, now)
+        self._jobs[call.attempt] = job
+        self._queue.push(
+            Waiting(call.attempt, call.account, call.priority, job.deadline)
+        )
+        self._idle.clear()
+        self._start_next()
+        return record
+
+    def _settle(self, question: Settle) -> Final | Pending:
+        record = self._log.get(question.attempt)
+        if record is not None and record.final.done():
+            return record.final.result()
+        if record is not None:
+            return Pending(question.attempt, self.load)
+        if question.incarnation != self.incarnation:
+            return Unknown(question.attempt, "the agent was replaced")
+        now = asyncio.get_running_loop().time()
+        return self._log.bury(question.attempt, "never seen", now).final.result()
+
+    async def _cancel(self, attempt: str) -> None:
+        job = self._jobs.get(attempt)
+        if job is None:
+            return
+        if self._queue.remove(attempt) is not None:
+            self._end(job, NotRun(attempt, "cancelled", self.load))
+        elif job.call.repeatable:
+            await self._target.cancel(attempt)
+
+    def _start_next(self) -> None:
+        loop = asyncio.get_running_loop()
+        while len(self._running) < self._limit:
+            item = self._queue.pop()
+            if item is None:
+                return
+            job = self._jobs[item.attempt]
+            if loop.time() >= job.deadline:
+                self._end(job, NotRun(item.attempt, "deadline", self.load))
+                continue
+            job.record.state = AttemptState.RUNNING
+            self._running[item.attempt] = asyncio.create_task(self._run(job))
+
+    async def _run(self, job: Job) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        result = await self._execute(job, started)
+        elapsed = loop.time() - started
+        del self._running[job.call.attempt]
+        if isinstance(result, Done):
+            self._note_service_time(elapsed)
+        self._metrics.time(f"agent.target.{self.service}", elapsed)
+        self._end(job, result)
+        self._start_next()
+
+    async def _execute(self, job: Job, started: float) -> Final:
+        call = job.call
+        loop = asyncio.get_running_loop()
+        try:
+            body = await self._call_target(job, started)
+        except TargetUnreachable as exc:
+            return NotRun(call.attempt, str(exc), self.load)
+        except TargetFailed as exc:
+            if not exc.ran:
+                return NotRun(call.attempt, str(exc), self.load)
+            if call.repeatable:
+                return Failed(call.attempt, str(exc), self.load)
+            return Unknown(call.attempt, str(exc))
+        return Done(
+            call.attempt,
+            body,
+            digest(body),
+            self.load,
+            waited=started - job.queued_at,
+            ran=loop.time() - started,
+        )
+
+    async def _call_target(self, job: Job, started: float) -> bytes:
+        call = job.call
+        work = Work(
+            attempt=call.attempt,
+            request=call.request,
+            operation=call.operation,
+            body=call.body,
+            budget=max(0.001, job.deadline - started),
+            priority=call.priority,
+            streams=call.streams,
+            resume=call.resume,
+        )
+        if not call.streams:
+            return await self._target.run(work)
+
+        def on_tokens(offset: int, tokens: list[str]) -> None:
+            message = Tokens(call.attempt, offset, tokens)
+            task = asyncio.ensure_future(job.send(message))
+            sends.add(task)
+            task.add_done_callback(sends.discard)
+
+        sends: set[asyncio.Future[None]] = set()
+        return await self._target.stream(work, on_tokens)
+
+    def _note_service_time(self, elapsed: float) -> None:
+        if self._service_time == 0.0:
+            self._service_time = elapsed
+        self._service_time += SERVICE_TIME_WEIGHT * (elapsed - self._service_time)
+
+    def _end(self, job: Job, result: Final) -> None:
+        now = asyncio.get_running_loop().time()
+        self._log.end(job.record, result, now)
+        del self._jobs[job.call.attempt]
+        if not self._jobs:
+            self._idle.set()
--- /dev/null
+++ b/src/lagoontide/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, failures and measurements; not part of a running system."""
--- /dev/null
+++ b/src/lagoontide/bench/fleet.py
@@ -0,0 +1,280 @@
+"""A deployment with its stand-ins as separate processes.
+
+The system's own processes start no others; this is the harness around them,
+which takes the place of the platform that would start them.
+"""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import urllib3
+
+from lagoontide.configuration.document import Document, ServiceKind, encode_document
+from lagoontide.deployments import (
+    Placement,
+    load_deployment,
+    place_replicas,
+)
+from lagoontide.errors import PeerError
+from lagoontide.platform.instances import Instance, Role
+
+__all__ = ["Fleet", "Process", "run_fleet", "start_fleet"]
+
+HOST = "127.0.0.1"
+FIRST_PORT = 21000
+READY_BOUND_S = 30.0
+READY_POLL_S = 0.05
+STOP_BOUND_S = 10.0
+STATUS_OK = 200
+UNLIMITED_PER_S = 1_000_000
+
+
+@dataclass(slots=True)
+class Process:
+    """A process of the fleet and the ports it listens at."""
+
+    name: str
+    arguments: list[str]
+    address: str
+    control: str = ""
+    child: subprocess.Popen[bytes] | None = None
+
+    def start(self, folder: Path) -> None:
+        """Start it; its output goes to a file named after it."""
+        with (folder / f"{self.name}.log").open("ab") as out:
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", "lagoontide", *self.arguments],
+                stdout=out,
+                stderr=out,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal if it still runs."""
+        if self.child is not None and self.child.poll() is None:
+            self.child.send_signal(number)
+
+    @property
+    def resident_bytes(self) -> int:
+        """Resident memory."""
+        assert self.child is not None
+        status = Path(f"/proc/{self.child.pid}/status").read_text()
+        line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+        return int(line.split()[1]) * 1024
+
+
+@dataclass(slots=True)
+class Fleet:
+    """All processes of a deployment, by name."""
+
+    document: Document
+    folder: Path
+    store: Process
+    instances: Process
+    targets: dict[str, Process] = field(default_factory=dict)
+    agents: dict[str, Process] = field(default_factory=dict)
+    entries: dict[str, Process] = field(default_factory=dict)
+
+    @property
+    def processes(self) -> list[Process]:
+        """All processes, in the order of their start."""
+        platform = [self.store, self.instances, *self.targets.values()]
+        return [*platform, *self.agents.values(), *self.entries.values()]
+
+    def start(self) -> None:
+        """Start all processes and wait until every entry is ready."""
+        for process in self.processes:
+            process.start(self.folder)
+        http = urllib3.PoolManager(retries=False)
+        for process in self.entries.values():
+            _wait_ready(http, process)
+
+    def stop(self) -> None:
+        """Stop all processes, by force if they do not end in time."""
+        for process in reversed(self.processes):
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + STOP_BOUND_S
+        for process in self.processes:
+            if process.child is None:
+                continue
+            try:
+                process.child.wait(max(0.0, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.child.kill()
+                process.child.wait()
+
+
+def _wait_ready(http: urllib3.PoolManager, process: Process) -> None:
+    end = time.monotonic() + READY_BOUND_S
+    while time.monotonic() < end:
+        try:
+            response = http.request("GET", f"http://{process.address}/readyz")
+            if response.status == STATUS_OK:
+                return
+        except urllib3.exceptions.HTTPError:
+            pass
+        time.sleep(READY_POLL_S)
+    raise PeerError(f"{process.name} is not ready", step="start", peer=process.address)
+
+
+class _Ports:
+    """Hands out addresses on this machine, one after the other."""
+
+    def __init__(self, first: int) -> None:
+        self._next = first
+
+    def take(self) -> str:
+        self._next += 1
+        return f"{HOST}:{self._next - 1}"
+
+
+def make_fleet(
+    deployment: str,
+    seed: int,
+    folder: Path,
+    *,
+    entries: int = 2,
+    instant: bool = False,
+    limited: bool = True,
+    first_port: int = FIRST_PORT,
+) -> Fleet:
+    """Write the settings of a fleet and return it, not yet started.
+
+    Parameters
+    ----------
+    instant : bool
+        Whether the stand-in targets take no time.
+    limited : bool
+        Whether the accounts keep the deployment's rate limits.
+    """
+    document = load_deployment(deployment)
+    if not limited:
+        document = _lift_limits(document)
+    ports = _Ports(first_port)
+    path = folder / "document.msgpack"
+    path.write_bytes(encode_document(document))
+    store = _make_platform("store", ports, f"--document={path}")
+    listed = folder / "instances.json"
+    instances = _make_platform("instances", ports, f"--file={listed}", "--lag=2")
+    fleet = Fleet(document, folder, store, instances)
+    items = []
+    for place in place_replicas(document):
+        target = _make_target(place, ports, seed, instant)
+        agent = _make_agent(place, ports, target, folder)
+        fleet.targets[target.name] = target
+        fleet.agents[agent.name] = agent
+        items.append(
+            Instance(
+                place.name,
+                Role.AGENT,
+                f"tcp://{agent.address}",
+                place.failure_domain,
+                place.service.name,
+            )
+        )
+    listed.write_bytes(msgspec.json.encode(items))
+    for number in range(1, entries + 1):
+        entry = _make_entry(number, document, ports, fleet, folder)
+        fleet.entries[entry.name] = entry
+    return fleet
+
+
+def _lift_limits(document: Document) -> Document:
+    accounts = {
+        name: msgspec.structs.replace(
+            account, requests_per_second=UNLIMITED_PER_S, burst=UNLIMITED_PER_S
+        )
+        for name, account in document.accounts.items()
+    }
+    return msgspec.structs.replace(document, accounts=accounts)
+
+
+def _make_platform(kind: str, ports: _Ports, *options: str) -> Process:
+    listen, control = ports.take(), ports.take()
+    arguments = ["standin", kind, f"--listen={listen}", f"--control={control}"]
+    return Process(kind, [*arguments, *options], listen, control)
+
+
+def _make_target(place: Placement, ports: _Ports, seed: int, instant: bool) -> Process:
+    listen, control = ports.take(), ports.take()
+    service = place.service
+    arguments = [
+        "standin",
+        "target",
+        f"--listen={listen}",
+        f"--control={control}",
+        f"--kind={ServiceKind(service.kind).value}",
+        f"--name={place.name}",
+        f"--slots={service.slots}",
+        f"--seed={seed}",
+        f"--instant={instant}",
+    ]
+    return Process(f"target-{place.name}", arguments, listen, control)
+
+
+def _make_agent(
+    place: Placement, ports: _Ports, target: Process, folder: Path
+) -> Process:
+    listen = ports.take()
+    path = folder / f"agent-{place.name}.toml"
+    path.write_text(
+        f'name = "{place.name}"\n'
+        f'failure_domain = "{place.failure_domain}"\n'
+        f'service = "{place.service.name}"\n'
+        f'listen = "{listen}"\n'
+        f'target = "http://{target.address}"\n'
+        f"slots = {place.service.slots}\n"
+    )
+    return Process(f"agent-{place.name}", ["agent", f"--settings={path}"], listen)
+
+
+def _make_entry(
+    number: int, document: Document, ports: _Ports, fleet: Fleet, folder: Path
+) -> Process:
+    callers, operators = ports.take(), ports.take()
+    domain = document.failure_domains[(number - 1) % len(document.failure_domains)]
+    path = folder / f"entry-{number}.toml"
+    path.write_text(
+        f'name = "entry-{number}"\n'
+        f'failure_domain = "{domain}"\n'
+        f'callers = "{callers}"\n'
+        f'operators = "{operators}"\n'
+        f'store = "http://{fleet.store.address}"\n'
+        f'instances = "http://{fleet.instances.address}"\n'
+    )
+    return Process(f"entry-{number}", ["entry", f"--settings={path}"], callers)
+
+
+@contextlib.contextmanager
+def start_fleet(deployment: str, seed: int, **options: Any) -> Iterator[Fleet]:
+    """Run a deployment as processes for the length of a ``with`` block."""
+    with tempfile.TemporaryDirectory(prefix="lagoontide-") as folder:
+        fleet = make_fleet(deployment, seed, Path(folder), **options)
+        try:
+            fleet.start()
+            yield fleet
+        finally:
+            fleet.stop()
+
+
+def run_fleet(deployment: str, seed: int) -> int:
+    """Run a deployment as processes until Ctrl-C and print where it answers."""
+    with start_fleet(deployment, seed) as fleet:
+        print(f"{len(fleet.processes)} processes; settings and logs: {fleet.folder}")
+        for entry in fleet.entries.values():
+            print(f"{entry.name}: callers at http://{entry.address}/v1/routes/ROUTE")
+        with contextlib.suppress(KeyboardInterrupt):
+            signal.pause()
+        print("stopping")
+    return 0
--- /dev/null
+++ b/src/lagoontide/bench/path.py
@@ -0,0 +1,133 @@
+"""Overhead of the whole path with instant targets, as processes."""
+
+import itertools
+import threading
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+import urllib3
+
+from lagoontide.bench.fleet import Fleet, start_fleet
+from lagoontide.configuration.document import Document
+from lagoontide.deployments import SampleRequest, make_requests, make_token
+from lagoontide.standins.compute import compute_answer
+
+__all__ = ["PathFigures", "run_path"]
+
+STAGES = 4
+WARM_UP = 100
+LOAD_CALLERS = 16
+STATUS_OK = 200
+MB = 1 << 20
+
+
+class PathFigures(msgspec.Struct):
+    """What the bench prints; times in seconds, memory in MB."""
+
+    p50_one_caller: float
+    p99_one_caller: float
+    requests_per_s_entry: float
+    wrong: int
+    agent_idle_mb: float
+    entry_idle_mb: float
+
+
+@dataclass(slots=True)
+class Tally:
+    """Times of right answers and the number of wrong ones."""
+
+    times: list[float] = field(default_factory=list)
+    wrong: int = 0
+
+
+def run_path(deployment: str, seed: int, seconds: float, as_json: bool) -> int:
+    """Measure and print; return 1 if an answer was wrong."""
+    with start_fleet(deployment, seed, instant=True, limited=False) as fleet:
+        agent_mb = max(item.resident_bytes for item in fleet.agents.values()) / MB
+        entry_mb = max(item.resident_bytes for item in fleet.entries.values()) / MB
+        addresses = [entry.address for entry in fleet.entries.values()]
+        _load(fleet, addresses[:1], 1, seconds=2.0, seed=seed)
+        one = _load(fleet, addresses[:1], 1, seconds, seed + 1)
+        many = _load(fleet, addresses, LOAD_CALLERS * len(addresses), seconds, seed + 2)
+    one.times.sort()
+    figures = PathFigures(
+        p50_one_caller=one.times[len(one.times) // 2],
+        p99_one_caller=one.times[len(one.times) * 99 // 100],
+        requests_per_s_entry=len(many.times) / seconds / len(addresses),
+        wrong=one.wrong + many.wrong,
+        agent_idle_mb=agent_mb,
+        entry_idle_mb=entry_mb,
+    )
+    _print(figures, as_json)
+    return 1 if figures.wrong else 0
+
+
+def _print(figures: PathFigures, as_json: bool) -> None:
+    if as_json:
+        print(msgspec.json.encode(figures).decode())
+        return
+    for name in figures.__struct_fields__:
+        print(f"{name:24} {getattr(figures, name):.4f}")
+
+
+def _load(
+    fleet: Fleet, addresses: list[str], callers: int, seconds: float, seed: int
+) -> Tally:
+    """Let callers ask for four-stage routes, each one request after the other."""
+    tallies = [Tally() for _ in range(callers)]
+    end = time.monotonic() + seconds
+    threads = [
+        threading.Thread(
+            target=_call_until,
+            args=(end, fleet.document, address, f"{seed}-{number}", tally),
+        )
+        for number, (address, tally) in enumerate(
+            zip(itertools.cycle(addresses), tallies, strict=False)
+        )
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return Tally(
+        list(itertools.chain.from_iterable(tally.times for tally in tallies)),
+        sum(tally.wrong for tally in tallies),
+    )
+
+
+def _call_until(
+    end: float, document: Document, address: str, run: str, tally: Tally
+) -> None:
+    http = urllib3.PoolManager(maxsize=1, retries=False)
+    samples = (
+        sample
+        for sample in make_requests(document, run)
+        if len(sample.route.stages) == STAGES
+    )
+    while time.monotonic() < end:
+        sample = next(samples)
+        started = time.monotonic()
+        response = http.request(
+            "POST",
+            f"http://{address}/v1/routes/{sample.route.name}",
+            headers={
+                "Authorization": f"Bearer {make_token(sample.account.name)}",
+                "Priority": sample.priority.value,
+            },
+            body=msgspec.json.encode(sample.body),
+        )
+        elapsed = time.monotonic() - started
+        if _is_right(document, sample, response):
+            tally.times.append(elapsed)
+        else:
+            tally.wrong += 1
+
+
+def _is_right(
+    document: Document, sample: SampleRequest, response: urllib3.BaseHTTPResponse
+) -> bool:
+    if response.status != STATUS_OK:
+        return False
+    wanted = compute_answer(document, sample.route, sample.body)
+    return response.data == msgspec.json.encode(wanted)
--- /dev/null
+++ b/src/lagoontide/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At most once across a caller's own retries."""
--- /dev/null
+++ b/src/lagoontide/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The one configuration document: its models, validation and version in force."""
--- /dev/null
+++ b/src/lagoontide/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that callers reach."""
--- /dev/null
+++ b/src/lagoontide/entry/daemon.py
@@ -0,0 +1,107 @@
+"""Wiring of an entry process."""
+
+import asyncio
+import random
+
+import zmq.asyncio
+from loguru import logger
+
+from lagoontide.claims.baseline import SimpleClaims
+from lagoontide.configuration.holder import Holder
+from lagoontide.configuration.source import follow
+from lagoontide.dispatch.caller import Dispatcher
+from lagoontide.entry.http import make_app
+from lagoontide.entry.service import Entry
+from lagoontide.httpd import Bridge, HttpServer
+from lagoontide.lifecycle import run_until_signal
+from lagoontide.logs import set_up_logs
+from lagoontide.membership.directory import Directory
+from lagoontide.metrics import make_metrics
+from lagoontide.platform.httpstore import HttpStore
+from lagoontide.platform.instances import HttpInstances, Instances
+from lagoontide.platform.store import Store
+from lagoontide.protocol import make_protocol
+from lagoontide.routing.choose import Default, Policy, make_choose
+from lagoontide.settings import EntrySettings
+from lagoontide.wire.conn import Identity, connect
+
+__all__ = ["EntryParts", "make_entry", "run_entry"]
+
+
+class EntryParts:
+    """An entry with what it stands on, before it is served.
+
+    Attributes
+    ----------
+    http : HttpServer
+        The callers' port.
+    """
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        ctx: zmq.asyncio.Context,
+        store: Store,
+        instances: Instances,
+        policy: Policy,
+    ) -> None:
+        codec = make_protocol()
+        self.identity = Identity(cfg.name)
+        self.holder = Holder()
+        self.directory = Directory(
+            instances, lambda address: connect(ctx, address, codec, self.identity)
+        )
+        choose = make_choose(policy, random.Random(cfg.name))
+        dispatcher = Dispatcher(self.directory, choose)
+        metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
+        self.entry = Entry(self.holder, dispatcher, SimpleClaims(store), metrics)
+        bridge = Bridge(asyncio.get_running_loop())
+        self.http = HttpServer(
+            cfg.callers,
+            make_app(self.entry, bridge, cfg.max_body),
+            threads=cfg.threads,
+            max_header=cfg.max_header,
+            max_body=2 * cfg.max_body,
+            timeout=cfg.silence,
+        )
+        self._store = store
+
+    async def follow_configuration(self) -> None:
+        """Keep to the store's newest document until cancelled."""
+        await follow(self._store, self.holder)
+
+    async def close(self) -> None:
+        """Close both sides; the callers' port in a thread, as it joins its own."""
+        await asyncio.to_thread(self.http.stop)
+        self.directory.close()
+
+
+def make_entry(
+    cfg: EntrySettings,
+    ctx: zmq.asyncio.Context,
+    store: Store,
+    instances: Instances,
+    policy: Policy | None = None,
+) -> EntryParts:
+    """Return an entry that is wired but not yet started."""
+    return EntryParts(cfg, ctx, store, instances, policy or Default())
+
+
+async def run_entry(cfg: EntrySettings) -> int:
+    """Serve until a signal; return the exit code."""
+    set_up_logs(cfg.log, cfg.name)
+    store = HttpStore(cfg.store)
+    instances = HttpInstances(cfg.instances)
+    with zmq.asyncio.Context() as ctx:
+        parts = make_entry(cfg, ctx, store, instances)
+        parts.http.start()
+        logger.info("callers at http://{}", parts.http.address)
+        try:
+            return await run_until_signal(
+                [parts.directory.follow(), parts.follow_configuration()],
+                lambda: parts.entry.drain(cfg.drain),
+            )
+        finally:
+            await parts.close()
+            store.close()
+            instances.close()
--- /dev/null
+++ b/src/lagoontide/entry/http.py
@@ -0,0 +1,252 @@
+"""The callers' side of an entry: HTTP in, JSON or problem+json out."""
+
+import queue
+import re
+from collections.abc import Callable, Iterator
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+
+from lagoontide.configuration.document import Priority
+from lagoontide.entry.service import CallerRequest, Entry
+from lagoontide.errors import LagoontideError, RequestError, RequestFailed
+from lagoontide.httpd import Bridge, read_body
+from lagoontide.pipeline.walk import Answer, Fields
+
+__all__ = ["Problem", "make_app", "to_problem"]
+
+ROUTE_PREFIX = "/v1/routes/"
+NDJSON = "application/x-ndjson"
+MAX_TIMEOUT_S = 60.0
+MIN_TIMEOUT_S = 0.001
+KEY_PATTERN = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
+OUTCOME_STATUS = {
+    "not_run": HTTPStatus.SERVICE_UNAVAILABLE,
+    "failed": HTTPStatus.BAD_GATEWAY,
+    "unknown": HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+StartResponse = Callable[..., Any]
+Environ = dict[str, Any]
+
+
+class Problem(msgspec.Struct, omit_defaults=True):
+    """An error as the caller gets it (RFC 9457).
+
+    Attributes
+    ----------
+    outcome : str
+        ``not_run``, ``failed`` or ``unknown``.
+    repeat_safe : bool
+        Whether the caller may send the request again without a key.
+    """
+
+    title: str
+    status: int
+    detail: str
+    outcome: str
+    repeat_safe: bool
+    step: str = ""
+    peer: str = ""
+
+
+class StreamLine(msgspec.Struct, omit_defaults=True):
+    """A line of a streamed answer: tokens, the answer or a problem."""
+
+    offset: int | None = None
+    tokens: list[str] | None = None
+    answer: Fields | None = None
+    problem: Problem | None = None
+
+
+def to_problem(exc: LagoontideError) -> Problem:
+    """Return what the caller is told of an error."""
+    outcome, safe = "failed", False
+    status = HTTPStatus.INTERNAL_SERVER_ERROR
+    match exc:
+        case RequestError():
+            outcome, safe, status = "not_run", True, HTTPStatus(exc.status)
+        case RequestFailed():
+            outcome, safe = exc.outcome, exc.repeat_safe
+            status = OUTCOME_STATUS[outcome]
+    return Problem(
+        status.phrase, status.value, exc.message, outcome, safe, exc.step, exc.peer
+    )
+
+
+class CallersApp:
+    """WSGI application of the callers' port.
+
+    Parameters
+    ----------
+    entry : Entry
+        Lives on the loop of the bridge.
+    max_body : int
+        Bytes of a request's body at most.
+    """
+
+    def __init__(self, entry: Entry, bridge: Bridge, max_body: int) -> None:
+        self._entry = entry
+        self._bridge = bridge
+        self._max_body = max_body
+
+    def __call__(self, environ: Environ, start: StartResponse) -> Iterator[bytes]:
+        path = environ["PATH_INFO"]
+        try:
+            if path == "/livez":
+                return _send_text(start, HTTPStatus.OK, "live")
+            if path == "/readyz":
+                return self._send_ready(start)
+            if not path.startswith(ROUTE_PREFIX):
+                raise RequestError(HTTPStatus.NOT_FOUND, f"no path {path!r}")
+            if environ["REQUEST_METHOD"] != "POST":
+                raise RequestError(HTTPStatus.METHOD_NOT_ALLOWED, "use POST")
+            call = self._parse(environ, path.removeprefix(ROUTE_PREFIX))
+            if NDJSON in environ.get("HTTP_ACCEPT", ""):
+                return self._send_stream(start, call)
+            return _send_answer(start, self._bridge.call(self._entry.serve(call)))
+        except LagoontideError as exc:
+            return _send_problem(start, exc)
+
+    def _send_ready(self, start: StartResponse) -> Iterator[bytes]:
+        if self._entry.is_ready:
+            return _send_text(start, HTTPStatus.OK, "ready")
+        return _send_text(start, HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
+
+    def _parse(self, environ: Environ, route: str) -> CallerRequest:
+        return CallerRequest(
+            route=route,
+            token=_parse_token(environ.get("HTTP_AUTHORIZATION", "")),
+            body=self._read_body(environ),
+            timeout=_parse_timeout(environ.get("HTTP_REQUEST_TIMEOUT")),
+            priority=_parse_priority(environ.get("HTTP_PRIORITY")),
+            key=_parse_key(environ.get("HTTP_IDEMPOTENCY_KEY")),
+        )
+
+    def _read_body(self, environ: Environ) -> bytes:
+        try:
+            body = read_body(environ, self._max_body + 1)
+        except (OSError, ValueError) as exc:
+            raise RequestError(
+                HTTPStatus.REQUEST_TIMEOUT, f"the body did not arrive: {exc}"
+            ) from exc
+        if len(body) > self._max_body:
+            raise RequestError(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f"the body is over {self._max_body} bytes",
+            )
+        return body
+
+    def _send_stream(
+        self, start: StartResponse, call: CallerRequest
+    ) -> Iterator[bytes]:
+        """Send tokens as they come, then the answer or the problem."""
+        lines: queue.SimpleQueue[StreamLine | None] = queue.SimpleQueue()
+
+        def on_tokens(offset: int, tokens: list[str]) -> None:
+            lines.put(StreamLine(offset=offset, tokens=tokens))
+
+        async def run() -> None:
+            try:
+                answer = await self._entry.serve(call, on_tokens)
+                lines.put(StreamLine(answer=answer.fields))
+            except LagoontideError as exc:
+                lines.put(StreamLine(problem=to_problem(exc)))
+            finally:
+                lines.put(None)
+
+        self._bridge.submit(run())
+        start(_status_line(HTTPStatus.OK), [("Content-Type", NDJSON)])
+        return (msgspec.json.encode(line) + b"\n" for line in iter(lines.get, None))
+
+
+def make_app(entry: Entry, bridge: Bridge, max_body: int) -> CallersApp:
+    """Return the WSGI application of the callers' port."""
+    return CallersApp(entry, bridge, max_body)
+
+
+def _parse_token(header: str) -> str:
+    scheme, _, token = header.partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
+
+
+def _parse_timeout(header: str | None) -> float | None:
+    if header is None:
+        return None
+    try:
+        seconds = float(header)
+    except ValueError:
+        seconds = -1.0
+    if not MIN_TIMEOUT_S <= seconds <= MAX_TIMEOUT_S:
+        raise RequestError(
+            HTTPStatus.BAD_REQUEST,
+            f"Request-Timeout is {header!r}; allowed are seconds from "
+            f"{MIN_TIMEOUT_S} to {MAX_TIMEOUT_S}",
+        )
+    return seconds
+
+
+def _parse_priority(header: str | None) -> Priority | None:
+    if header is None:
+        return None
+    try:
+        return Priority(header)
+    except ValueError:
+        allowed = ", ".join(Priority)
+        raise RequestError(
+            HTTPStatus.BAD_REQUEST, f"Priority is {header!r}; allowed are {allowed}"
+        ) from None
+
+
+def _parse_key(header: str | None) -> str:
+    if header is None:
+        return ""
+    if not KEY_PATTERN.fullmatch(header):
+        raise RequestError(
+            HTTPStatus.BAD_REQUEST,
+            f"Idempotency-Key is {header[:140]!r}; allowed are 1 to 128 letters, "
+            "digits and _.:-",
+        )
+    return header
+
+
+def _status_line(status: HTTPStatus) -> str:
+    return f"{status.value} {status.phrase}"
+
+
+def _send(
+    start: StartResponse,
+    status: HTTPStatus,
+    kind: str,
+    body: bytes,
+    *headers: tuple[str, str],
+) -> Iterator[bytes]:
+    length = ("Content-Length", str(len(body)))
+    start(_status_line(status), [("Content-Type", kind), length, *headers])
+    return iter((body,))
+
+
+def _send_text(start: StartResponse, status: HTTPStatus, text: str) -> Iterator[bytes]:
+    return _send(start, status, "text/plain", f"{text}\n".encode())
+
+
+def _send_answer(start: StartResponse, answer: Answer) -> Iterator[bytes]:
+    body = msgspec.json.encode(answer.fields)
+    header = ("X-Request-Id", answer.request)
+    return _send(start, HTTPStatus.OK, "application/json", body, header)
+
+
+def _send_problem(start: StartResponse, exc: LagoontideError) -> Iterator[bytes]:
+    problem = to_problem(exc)
+    headers = []
+    retry_after = getattr(exc, "retry_after", None)
+    if retry_after is not None:
+        headers.append(("Retry-After", f"{retry_after:.3f}"))
+    return _send(
+        start,
+        HTTPStatus(problem.status),
+        "application/problem+json",
+        msgspec.json.encode(problem),
+        *headers,
+    )
--- /dev/null
+++ b/src/lagoontide/entry/service.py
@@ -0,0 +1,171 @@
+"""What an entry does with a request, from the body to the answer."""
+
+import asyncio
+import uuid
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+from loguru import logger
+
+from lagoontide.admission.accounts import Accounts
+from lagoontide.claims.baseline import Claim, SimpleClaims
+from lagoontide.configuration.document import Document, Priority, Service
+from lagoontide.configuration.holder import Holder
+from lagoontide.dispatch.caller import Dispatcher, OnTokens
+from lagoontide.errors import LagoontideError, RequestError, RequestFailed
+from lagoontide.metrics import Metrics
+from lagoontide.pipeline.walk import Answer, Fields, Request, check_body, walk
+
+__all__ = ["CallerRequest", "Entry"]
+
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request as it came over HTTP.
+
+    Attributes
+    ----------
+    timeout : float or None
+        Seconds the caller waits, from ``Request-Timeout``.
+    """
+
+    route: str
+    token: str
+    body: bytes
+    timeout: float | None = None
+    priority: Priority | None = None
+    key: str = ""
+
+
+class Entry:
+    """Serves callers' requests."""
+
+    def __init__(
+        self,
+        holder: Holder,
+        dispatcher: Dispatcher,
+        claims: SimpleClaims,
+        metrics: Metrics,
+    ) -> None:
+        self._holder = holder
+        self._dispatcher = dispatcher
+        self._claims = claims
+        self._metrics = metrics
+        self._accounts = Accounts()
+        self._under_way = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.is_leaving = False
+        holder.subscribe(self._accounts.update)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self._holder.is_ready and not self.is_leaving
+
+    async def drain(self, bound: float) -> bool:
+        """Turn unready and wait for what is under way; return whether all ended."""
+        self.is_leaving = True
+        try:
+            async with asyncio.timeout(bound):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def serve(
+        self, call: CallerRequest, on_tokens: OnTokens | None = None
+    ) -> Answer:
+        """Return the whole answer of a request.
+
+        Raises
+        ------
+        RequestError
+            If the request is not acceptable; nothing ran.
+        RequestFailed
+            If it ended without its answer.
+        """
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._under_way += 1
+        self._idle.clear()
+        answer = Answer(uuid.uuid4().hex)
+        outcome = "done"
+        try:
+            request = self._accept(call, answer.request, started, on_tokens)
+            if call.key:
+                await self._claim(call, request)
+            return await walk(request, self._dispatcher, self._find_service, answer)
+        except LagoontideError as exc:
+            outcome = exc.outcome if isinstance(exc, RequestFailed) else "refused"
+            logger.bind(request=answer.request, stage=exc.step, peer=exc.peer).info(
+                "{}: {}", outcome, exc.message
+            )
+            raise
+        finally:
+            self._record(call.route, outcome, loop.time() - started, answer)
+            self._under_way -= 1
+            if not self._under_way:
+                self._idle.set()
+
+    def _record(self, route: str, outcome: str, elapsed: float, answer: Answer) -> None:
+        known = self._holder.is_ready and route in self._holder.document.routes
+        name = route if known else "unknown"
+        self._metrics.count(f"entry.request.{name}.{outcome}")
+        self._metrics.time(f"entry.request.{name}", elapsed)
+        for report in answer.stages:
+            stage = f"entry.stage.{name}.{report.stage}"
+            self._metrics.time(stage, report.ended - report.started)
+
+    def _find_service(self, name: str) -> Service:
+        return self._holder.document.services[name]
+
+    def _accept(
+        self,
+        call: CallerRequest,
+        request_id: str,
+        now: float,
+        on_tokens: OnTokens | None,
+    ) -> Request:
+        if not self._holder.is_ready:
+            raise RequestError(
+                STATUS_UNAVAILABLE,
+                "no configuration is in force yet",
+                step="admission",
+                retry_after=RETRY_AFTER_S,
+            )
+        document: Document = self._holder.document
+        account = self._accounts.identify(call.token)
+        route = document.routes.get(call.route)
+        if route is None:
+            raise RequestError(STATUS_NOT_FOUND, f"no route {call.route!r}")
+        body = _parse_body(call.body)
+        check_body(route, body)
+        priority = call.priority or route.priority
+        self._accounts.admit(account, route, priority, now)
+        budget = min(route.deadline, call.timeout or route.deadline)
+        return Request(
+            request_id, route, account, priority, now + budget, body, on_tokens
+        )
+
+    async def _claim(self, call: CallerRequest, request: Request) -> None:
+        digest = xxhash.xxh3_64_intdigest(call.route.encode() + b"\0" + call.body)
+        left = request.deadline - asyncio.get_running_loop().time()
+        await self._claims.claim(
+            request.account.name, call.key, Claim(request.id, digest), left
+        )
+
+
+def _parse_body(body: bytes) -> Fields:
+    try:
+        return msgspec.json.decode(body, type=Fields)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise RequestError(
+            STATUS_BAD_REQUEST, f"the body is no JSON object: {exc}", step="body"
+        ) from None
--- /dev/null
+++ b/src/lagoontide/local.py
@@ -0,0 +1,258 @@
+"""A whole deployment in one process: store, stand-ins, agents and entries."""
+
+import asyncio
+import contextlib
+import itertools
+from collections import defaultdict
+from collections.abc import AsyncIterator, Iterator
+from dataclasses import dataclass
+
+import msgspec
+import urllib3
+import zmq.asyncio
+from loguru import logger
+
+from lagoontide.agent.service import Agent
+from lagoontide.configuration.document import Document
+from lagoontide.configuration.source import publish
+from lagoontide.deployments import (
+    SampleRequest,
+    make_requests,
+    make_token,
+    place_replicas,
+)
+from lagoontide.entry.daemon import EntryParts, make_entry
+from lagoontide.metrics import NoMetrics
+from lagoontide.platform.instances import Instance, Role
+from lagoontide.platform.pool import HttpPool
+from lagoontide.protocol import make_protocol
+from lagoontide.settings import EntrySettings
+from lagoontide.standins.compute import compute_answer
+from lagoontide.standins.http import StandIn
+from lagoontide.standins.instances import LaggingList
+from lagoontide.standins.process import make_target
+from lagoontide.standins.store import MemoryStore
+from lagoontide.wire.conn import Identity
+from lagoontide.wire.server import Server, bind
+
+__all__ = ["LocalDeployment", "Sent", "run_local", "start_local"]
+
+ENTRIES = 2
+FREE_PORT = "127.0.0.1:0"
+READY_POLL_S = 0.02
+READY_BOUND_S = 15.0
+CALL_TIMEOUT_S = 10.0
+CALLERS = 8
+STATUS_OK = 200
+
+
+@dataclass(slots=True)
+class LocalDeployment:
+    """The parts of a deployment that runs in this process."""
+
+    document: Document
+    store: MemoryStore
+    instances: LaggingList
+    targets: dict[str, StandIn]
+    agents: dict[str, Agent]
+    entries: list[EntryParts]
+
+    async def wait_ready(self) -> None:
+        """Wait until every entry knows the configuration and every agent.
+
+        Raises
+        ------
+        TimeoutError
+            If that takes too long.
+        """
+        async with asyncio.timeout(READY_BOUND_S):
+            while not all(map(self._is_ready, self.entries)):
+                await asyncio.sleep(READY_POLL_S)
+
+    def _is_ready(self, parts: EntryParts) -> bool:
+        links = parts.directory.links
+        known = len(links) == len(self.agents)
+        return parts.holder.is_ready and known and all(x.is_usable for x in links)
+
+
+@contextlib.asynccontextmanager
+async def start_local(document: Document, seed: int) -> AsyncIterator[LocalDeployment]:
+    """Run a deployment for the length of a ``with`` block."""
+    with zmq.asyncio.Context() as ctx:
+        store = MemoryStore()
+        await publish(store, document, 0)
+        local = LocalDeployment(document, store, LaggingList(()), {}, {}, [])
+        servers = list(_start_agents(local, ctx, seed))
+        tasks = [asyncio.create_task(server.serve()) for server in servers]
+        for number in range(1, ENTRIES + 1):
+            parts = _start_entry(local, ctx, number)
+            tasks.append(asyncio.create_task(parts.directory.follow()))
+            tasks.append(asyncio.create_task(parts.follow_configuration()))
+        try:
+            yield local
+        finally:
+            for parts in local.entries:
+                await parts.close()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for server in servers:
+                server.close()
+
+
+def _start_agents(
+    local: LocalDeployment, ctx: zmq.asyncio.Context, seed: int
+) -> Iterator[Server]:
+    codec = make_protocol()
+    for place in place_replicas(local.document):
+        service = place.service
+        target = make_target(place.name, service.kind, service.slots, seed)
+        agent = Agent(place.name, service.name, target, service.slots, NoMetrics())
+        server = bind(
+            ctx, f"tcp://{FREE_PORT}", codec, Identity(place.name), agent.handle
+        )
+        local.targets[place.name] = target
+        local.agents[place.name] = agent
+        local.instances.put(
+            Instance(
+                place.name,
+                Role.AGENT,
+                server.address,
+                place.failure_domain,
+                service.name,
+            )
+        )
+        yield server
+
+
+def _start_entry(
+    local: LocalDeployment, ctx: zmq.asyncio.Context, number: int
+) -> EntryParts:
+    domains = local.document.failure_domains
+    cfg = EntrySettings(
+        name=f"entry-{number}",
+        failure_domain=domains[(number - 1) % len(domains)],
+        callers=FREE_PORT,
+        operators=FREE_PORT,
+        store="http://127.0.0.1:1",
+        instances="http://127.0.0.1:1",
+    )
+    parts = make_entry(cfg, ctx, local.store, local.instances)
+    parts.http.start()
+    local.entries.append(parts)
+    return parts
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request that was sent and what came back."""
+
+    sample: SampleRequest
+    status: int
+    body: bytes
+    elapsed: float
+    is_right: bool
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the right answer came within the route's deadline."""
+        return self.is_right and self.elapsed <= self.sample.route.deadline
+
+
+async def send(
+    pool: HttpPool, address: str, sample: SampleRequest, document: Document
+) -> Sent:
+    """Send a request to an entry and check the answer."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    headers = {
+        "Authorization": f"Bearer {make_token(sample.account.name)}",
+        "Priority": sample.priority.value,
+        "Content-Type": "application/json",
+    }
+    try:
+        response = await pool.request(
+            "POST",
+            f"http://{address}/v1/routes/{sample.route.name}",
+            CALL_TIMEOUT_S,
+            headers=headers,
+            body=msgspec.json.encode(sample.body),
+        )
+        status, body = response.status, response.data
+    except urllib3.exceptions.HTTPError as exc:
+        status, body = 0, str(exc).encode()
+    elapsed = loop.time() - started
+    wanted = compute_answer(document, sample.route, sample.body)
+    is_right = status == STATUS_OK and msgspec.json.decode(body) == wanted
+    return Sent(sample, status, body, elapsed, is_right)
+
+
+async def run_local(document: Document, requests: int, seed: int, keep: bool) -> int:
+    """Run a deployment, send requests and print how it went; return exit code."""
+    logger.remove()
+    async with start_local(document, seed) as local:
+        print(
+            f"{len(local.agents)} agents and {len(local.entries)} entries in "
+            f"{len(document.failure_domains)} failure domains: starting"
+        )
+        await local.wait_ready()
+        addresses = [parts.http.address for parts in local.entries]
+        sent = await _send_all(local, addresses, requests, seed)
+        _print_answers(sent)
+        _print_accounts(sent)
+        _print_stages(local)
+        for address in addresses:
+            print(f"callers: http://{address}/v1/routes/ROUTE")
+        if keep:
+            print("running until Ctrl-C")
+            await asyncio.Event().wait()
+    return 0 if all(item.is_right for item in sent) else 1
+
+
+async def _send_all(
+    local: LocalDeployment, addresses: list[str], requests: int, seed: int
+) -> list[Sent]:
+    pool = HttpPool(CALLERS)
+    samples = make_requests(local.document, f"demo{seed}")
+    waiting = itertools.islice(samples, requests)
+    sent: list[Sent] = []
+
+    async def call(number: int) -> None:
+        address = addresses[number % len(addresses)]
+        for sample in waiting:
+            sent.append(await send(pool, address, sample, local.document))
+            if len(sent) % max(1, requests // 10) == 0:
+                print(f"{len(sent)} of {requests} answered")
+
+    await asyncio.gather(*(call(number) for number in range(CALLERS)))
+    pool.close()
+    return sent
+
+
+def _print_answers(sent: list[Sent]) -> None:
+    print("\nan answer of each route:")
+    first = {item.sample.route.name: item for item in reversed(sent)}
+    for name, item in first.items():
+        text = item.body.decode("utf-8", "replace")
+        print(f"  {name:22} {item.status} {item.elapsed:.3f} s {text:.90}")
+
+
+def _print_accounts(sent: list[Sent]) -> None:
+    print("\nright and in time, by client account:")
+    groups: dict[str, list[Sent]] = defaultdict(list)
+    for item in sent:
+        groups[item.sample.account.name].append(item)
+    for name, items in groups.items():
+        good = sum(item.in_time for item in items)
+        print(f"  {name:22} {good} of {len(items)}")
+    good = sum(item.in_time for item in sent)
+    print(f"  attainment             {100 * good / max(1, len(sent)):.1f}%")
+
+
+def _print_stages(local: LocalDeployment) -> None:
+    print("\nservice time at the targets, by service:")
+    groups: dict[str, list[float]] = defaultdict(list)
+    for agent in local.agents.values():
+        groups[agent.service].append(agent.load.service_time)
+    for name, times in groups.items():
+        print(f"  {name:22} {1000 * sum(times) / len(times):.1f} ms")
--- /dev/null
+++ b/src/lagoontide/logs.py
@@ -0,0 +1,36 @@
+"""Logs by loguru, as text or JSON lines."""
+
+import sys
+from typing import Any
+
+from loguru import logger
+
+from lagoontide.settings import LogSettings
+
+__all__ = ["set_up_logs"]
+
+CONTEXT = ("request", "stage", "step", "peer")
+
+
+def set_up_logs(settings: LogSettings, process: str) -> None:
+    """Send this process's logs to standard error as the settings say."""
+    logger.remove()
+    logger.configure(extra={"process_name": process})
+    if settings.format == "json":
+        logger.add(sys.stderr, level=settings.level, serialize=True, backtrace=False)
+        return
+    logger.add(
+        sys.stderr,
+        level=settings.level,
+        format=_format_text,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def _format_text(record: Any) -> str:
+    context = " ".join(
+        f"{name}={{extra[{name}]}}" for name in CONTEXT if record["extra"].get(name)
+    )
+    head = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[process_name]}"
+    return f"{head} {context} {{message}}\n{{exception}}".replace("  ", " ")
--- /dev/null
+++ b/src/lagoontide/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: store, instance list and targets."""
--- /dev/null
+++ b/src/lagoontide/platform/httpstore.py
@@ -0,0 +1,112 @@
+"""The store over HTTP."""
+
+import base64
+from typing import Any
+
+import msgspec
+import urllib3
+
+from lagoontide.errors import StoreConflict, StoreUnavailable
+from lagoontide.platform.pool import HttpPool
+from lagoontide.platform.store import Entry
+
+__all__ = ["HttpStore"]
+
+CALL_TIMEOUT_S = 2.0
+POOL_THREADS = 8
+STATUS_CONFLICT = 409
+STATUS_NONE = 404
+STATUS_OK = 200
+
+
+class EntryJson(msgspec.Struct):
+    """An entry as the store's JSON gives it; the value is base64."""
+
+    key: str
+    version: int
+    value: str
+
+    def to_entry(self) -> Entry:
+        """Return the entry with its value decoded."""
+        return Entry(self.key, self.version, base64.b64decode(self.value))
+
+
+class HttpStore:
+    """A client of the platform's store.
+
+    Parameters
+    ----------
+    url : str
+        Where the store answers, for example ``http://10.0.0.2:2379``.
+    """
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._pool = HttpPool(POOL_THREADS)
+
+    async def get(self, key: str) -> Entry | None:
+        """See Store."""
+        return self._to_entry(await self._call("get", key=key))
+
+    async def swap(
+        self, key: str, expected: int, value: bytes, lease: str = ""
+    ) -> Entry:
+        """See Store."""
+        text = base64.b64encode(value).decode()
+        body = await self._call(
+            "swap", key=key, expected=expected, value=text, lease=lease
+        )
+        return msgspec.json.decode(body, type=EntryJson).to_entry()
+
+    async def delete(self, key: str, expected: int) -> None:
+        """See Store."""
+        await self._call("delete", key=key, expected=expected)
+
+    async def scan(self, prefix: str) -> list[Entry]:
+        """See Store."""
+        body = await self._call("scan", prefix=prefix)
+        return [
+            item.to_entry() for item in msgspec.json.decode(body, type=list[EntryJson])
+        ]
+
+    async def grant(self, ttl: float) -> str:
+        """See Store."""
+        return msgspec.json.decode(await self._call("grant", ttl=ttl), type=str)
+
+    async def renew(self, lease: str) -> None:
+        """See Store."""
+        await self._call("renew", lease=lease)
+
+    async def watch(self, key: str, after: int, wait: float) -> Entry | None:
+        """See Store."""
+        body = await self._call(
+            "watch", key=key, after=after, wait=wait, _timeout=wait + CALL_TIMEOUT_S
+        )
+        return self._to_entry(body)
+
+    def close(self) -> None:
+        """Let go of threads and connections."""
+        self._pool.close()
+
+    @staticmethod
+    def _to_entry(body: bytes) -> Entry | None:
+        found = msgspec.json.decode(body, type=EntryJson | None)
+        return None if found is None else found.to_entry()
+
+    async def _call(
+        self, step: str, _timeout: float = CALL_TIMEOUT_S, **fields: Any
+    ) -> bytes:
+        try:
+            response = await self._pool.request(
+                "POST",
+                f"{self._url}/v1/{step}",
+                _timeout,
+                body=msgspec.json.encode(fields),
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise StoreUnavailable(f"no answer: {exc}", step=step) from exc
+        if response.status == STATUS_CONFLICT:
+            raise StoreConflict(response.data.decode("utf-8", "replace"), step=step)
+        if response.status != STATUS_OK:
+            raise StoreUnavailable(f"status {response.status}", step=step)
+        return response.data
--- /dev/null
+++ b/src/lagoontide/platform/pool.py
@@ -0,0 +1,49 @@
+"""Blocking HTTP calls through urllib3 in a bounded pool of threads."""
+
+import asyncio
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import urllib3
+
+__all__ = ["HttpPool"]
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class HttpPool:
+    """An HTTP client whose calls run in threads, never on the loop.
+
+    Parameters
+    ----------
+    threads : int
+        Calls under way at the same time.
+    """
+
+    def __init__(self, threads: int) -> None:
+        self._http = urllib3.PoolManager(maxsize=threads, retries=False, block=False)
+        self._threads = ThreadPoolExecutor(threads, thread_name_prefix="http")
+
+    def send(
+        self, method: str, url: str, timeout: float, **options: Any
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request from the current thread; see ``urllib3.PoolManager``."""
+        limits = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout), read=timeout)
+        return self._http.request(method, url, timeout=limits, **options)
+
+    async def run(self, work: Any, *args: Any) -> Any:
+        """Run a blocking callable in the pool."""
+        return await asyncio.get_running_loop().run_in_executor(
+            self._threads, work, *args
+        )
+
+    async def request(
+        self, method: str, url: str, timeout: float, **options: Any
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request and return its response, read whole."""
+        return await self.run(lambda: self.send(method, url, timeout, **options))
+
+    def close(self) -> None:
+        """Let go of threads and connections."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
+        self._http.clear()
--- /dev/null
+++ b/src/lagoontide/protocol.py
@@ -0,0 +1,12 @@
+"""The messages that the system's own processes exchange, of all slices."""
+
+from lagoontide.dispatch.messages import MESSAGES as DISPATCH
+from lagoontide.membership.messages import MESSAGES as MEMBERSHIP
+from lagoontide.wire.codec import Codec, make_codec
+
+__all__ = ["make_protocol"]
+
+
+def make_protocol() -> Codec:
+    """Return the codec of the system."""
+    return make_codec(DISPATCH, MEMBERSHIP)
--- /dev/null
+++ b/src/lagoontide/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which target a stage call goes to."""
--- /dev/null
+++ b/src/lagoontide/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The agent's queue: order of work and concurrency limit."""
--- /dev/null
+++ b/src/lagoontide/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces: store, instance list and targets."""
--- /dev/null
+++ b/src/lagoontide/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the system's own processes, over pyzmq."""
--- /dev/null
+++ b/src/lagoontide/wire/conn.py
@@ -0,0 +1,169 @@
+"""The asking side: one connection and one reader task for each peer."""
+
+import asyncio
+from collections.abc import Callable
+from itertools import count
+from types import TracebackType
+from typing import Any
+
+import msgspec
+import zmq
+import zmq.asyncio
+from loguru import logger
+
+from lagoontide.errors import PeerError, PeerTimeout, WireError
+from lagoontide.wire.codec import Codec, Header
+
+__all__ = ["Conn", "Exchange", "Identity", "connect"]
+
+SEND_QUEUE_MESSAGES = 10_000
+KEEPALIVE_IDLE_S = 10
+
+
+class Identity(msgspec.Struct):
+    """Who this process is towards its peers.
+
+    Attributes
+    ----------
+    name : str
+        Name of the process.
+    version : int
+        Configuration version in force, sent with every message.
+    on_version : callable or None
+        Called with the peer's name and its version for every message received.
+    """
+
+    name: str
+    version: int = 0
+    on_version: Callable[[str, int], None] | None = None
+
+    def observe(self, header: Header) -> None:
+        """Take note of the version that a peer has in force."""
+        if self.on_version is not None:
+            self.on_version(header.sender, header.version)
+
+
+class Exchange:
+    """One message sent and the replies to it, in order of arrival."""
+
+    def __init__(self, conn: "Conn", number: int) -> None:
+        self._conn = conn
+        self.number = number
+        self._replies: asyncio.Queue[msgspec.Struct] = asyncio.Queue()
+
+    def __enter__(self) -> "Exchange":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._conn.forget(self.number)
+
+    def put(self, message: msgspec.Struct) -> None:
+        """Add a reply that has arrived."""
+        self._replies.put_nowait(message)
+
+    async def next(self, timeout: float) -> Any:
+        """Return the next reply.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds to wait.
+
+        Raises
+        ------
+        PeerTimeout
+            If no reply arrives in time.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._replies.get()
+        except TimeoutError:
+            raise PeerTimeout(
+                f"no reply within {timeout:.3f} s", step="reply", peer=self._conn.peer
+            ) from None
+
+
+class Conn:
+    """A connection to the server socket of one peer."""
+
+    def __init__(
+        self, sock: zmq.asyncio.Socket, peer: str, codec: Codec, identity: Identity
+    ) -> None:
+        self.peer = peer
+        self._sock = sock
+        self._codec = codec
+        self._identity = identity
+        self._numbers = count(1)
+        self._exchanges: dict[int, Exchange] = {}
+        self._reader = asyncio.create_task(self._read(), name=f"read {peer}")
+        self.dropped = 0
+
+    async def open(self, message: msgspec.Struct) -> Exchange:
+        """Send a message and return the exchange of its replies."""
+        number = next(self._numbers)
+        exchange = Exchange(self, number)
+        self._exchanges[number] = exchange
+        await self._send(number, message)
+        return exchange
+
+    async def ask(self, message: msgspec.Struct, timeout: float) -> Any:
+        """Send a message and return its first reply, waiting ``timeout`` seconds."""
+        with await self.open(message) as exchange:
+            return await exchange.next(timeout)
+
+    async def tell(self, message: msgspec.Struct) -> None:
+        """Send a message to which no reply is expected."""
+        await self._send(0, message)
+
+    def forget(self, number: int) -> None:
+        """Drop the replies of an exchange that arrive from now on."""
+        self._exchanges.pop(number, None)
+
+    def close(self) -> None:
+        """Stop the reader and close the socket; unsent messages are dropped."""
+        self._reader.cancel()
+        self._sock.close(linger=0)
+
+    async def _send(self, number: int, message: msgspec.Struct) -> None:
+        header = Header(self._identity.name, number, self._identity.version)
+        try:
+            await self._sock.send_multipart(
+                self._codec.encode(header, message), flags=zmq.DONTWAIT
+            )
+        except zmq.ZMQError as exc:
+            self.forget(number)
+            raise PeerError(f"cannot send: {exc}", step="send", peer=self.peer) from exc
+
+    async def _read(self) -> None:
+        while True:
+            frames = await self._sock.recv_multipart()
+            try:
+                header, message = self._codec.decode(frames)
+            except WireError as exc:
+                self.dropped += 1
+                logger.bind(peer=self.peer).warning("dropped a reply: {}", exc)
+                continue
+            self._identity.observe(header)
+            exchange = self._exchanges.get(header.exchange)
+            if exchange is None:
+                self.dropped += 1
+                continue
+            exchange.put(message)
+
+
+def connect(
+    ctx: zmq.asyncio.Context, address: str, codec: Codec, identity: Identity
+) -> Conn:
+    """Return a connection to ``address``, for example ``tcp://10.0.0.7:7101``."""
+    sock = ctx.socket(zmq.DEALER)
+    sock.set(zmq.LINGER, 0)
+    sock.set(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+    sock.set(zmq.TCP_KEEPALIVE, 1)
+    sock.set(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
+    sock.connect(address)
+    return Conn(sock, address, codec, identity)
--- /dev/null
+++ b/src/lagoontide/wire/server.py
@@ -0,0 +1,113 @@
+"""The answering side: a server socket that hands messages to a handler."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import zmq
+import zmq.asyncio
+from loguru import logger
+
+from lagoontide.errors import LagoontideError, WireError
+from lagoontide.wire.codec import Codec, Header
+from lagoontide.wire.conn import Identity
+
+__all__ = ["Handler", "Send", "Server", "bind"]
+
+MAX_MESSAGE_BYTES = 64 << 20
+
+Send = Callable[[msgspec.Struct], Awaitable[None]]
+Handler = Callable[[str, Any, Send], Awaitable[None]]
+
+
+class Server:
+    """A bound socket; each message is handled in a task of its own.
+
+    Attributes
+    ----------
+    address : str
+        Where peers connect, with the port that was taken.
+    rejected : int
+        Messages that could not be decoded.
+    """
+
+    def __init__(
+        self,
+        sock: zmq.asyncio.Socket,
+        codec: Codec,
+        identity: Identity,
+        handler: Handler,
+    ) -> None:
+        self._sock = sock
+        self._codec = codec
+        self._identity = identity
+        self._handler = handler
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address: str = sock.get_string(zmq.LAST_ENDPOINT)
+        self.rejected = 0
+
+    async def serve(self) -> None:
+        """Receive messages until cancelled."""
+        while True:
+            route, *frames = await self._sock.recv_multipart()
+            try:
+                header, message = self._codec.decode(frames)
+            except WireError as exc:
+                self.rejected += 1
+                logger.bind(step="decode").warning("rejected a message: {}", exc)
+                continue
+            self._identity.observe(header)
+            task = asyncio.create_task(self._handle(route, header, message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _handle(
+        self, route: bytes, header: Header, message: msgspec.Struct
+    ) -> None:
+        async def send(reply: msgspec.Struct) -> None:
+            back = Header(self._identity.name, header.exchange, self._identity.version)
+            try:
+                await self._sock.send_multipart(
+                    [route, *self._codec.encode(back, reply)]
+                )
+            except zmq.ZMQError as exc:
+                logger.bind(peer=header.sender).debug("peer is gone: {}", exc)
+
+        try:
+            await self._handler(header.sender, message, send)
+        except LagoontideError as exc:
+            logger.bind(peer=header.sender).warning("{}", exc)
+        except Exception:
+            logger.bind(peer=header.sender).exception("handler failed")
+
+    def close(self) -> None:
+        """Cancel what is being handled and close the socket."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        self._sock.close(linger=0)
+
+
+def bind(
+    ctx: zmq.asyncio.Context,
+    address: str,
+    codec: Codec,
+    identity: Identity,
+    handler: Handler,
+) -> Server:
+    """Return a server bound to ``address``; port 0 takes a free one.
+
+    Raises
+    ------
+    WireError
+        If the address cannot be bound.
+    """
+    sock = ctx.socket(zmq.ROUTER)
+    sock.set(zmq.LINGER, 0)
+    sock.set(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    try:
+        sock.bind(address)
+    except zmq.ZMQError as exc:
+        sock.close()
+        raise WireError(f"cannot bind {address!r}: {exc}", step="bind") from exc
+    return Server(sock, codec, identity, handler)
