--- /dev/null
+++ b/src/lagoontide/bench/commands.py
@@ -0,0 +1,27 @@
+"""Commands that measure."""
+
+import sys
+
+__all__ = ["BenchCommands"]
+
+
+class BenchCommands:
+    """Measurements."""
+
+    def path(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        seconds: float = 5.0,
+        json: bool = False,
+    ) -> None:
+        """Measure the overhead of a four-stage request with instant targets."""
+        from lagoontide.bench.path import run_path
+
+        sys.exit(run_path(deployment, seed, seconds, json))
+
+    def fleet(self, deployment: str = "swanreach", seed: int = 1) -> None:
+        """Run a deployment with stand-ins as separate processes until Ctrl-C."""
+        from lagoontide.bench.fleet import run_fleet
+
+        sys.exit(run_fleet(deployment, seed))
--- a/src/lagoontide/bench/fleet.py
+++ b/src/lagoontide/bench/fleet.py
@@ -21,7 +21,9 @@
 
 from lagoontide.configuration.document import Document, ServiceKind, encode_document
 from lagoontide.deployments import (
+    OPERATOR_TOKEN,
     Placement,
+    hash_token,
     load_deployment,
     place_replicas,
 )
@@ -41,7 +43,15 @@
 
 @dataclass(slots=True)
 class Process:
-    """A process of the fleet and the ports it listens at."""
+    """A process of the fleet.
+
+    Attributes
+    ----------
+    address : str
+        ``IP:PORT`` of its work.
+    control : str
+        ``IP:PORT`` of a stand-in's control port or an entry's operators' port.
+    """
 
     name: str
     arguments: list[str]
@@ -252,8 +262,12 @@
         f'operators = "{operators}"\n'
         f'store = "http://{fleet.store.address}"\n'
         f'instances = "http://{fleet.instances.address}"\n'
+        "[operator_tokens]\n"
+        f'{hash_token(OPERATOR_TOKEN)} = "operator"\n'
+    )
+    return Process(
+        f"entry-{number}", ["entry", f"--settings={path}"], callers, operators
     )
-    return Process(f"entry-{number}", ["entry", f"--settings={path}"], callers)
 
 
 @contextlib.contextmanager
--- a/src/lagoontide/cli.py
+++ b/src/lagoontide/cli.py
@@ -6,88 +6,16 @@
 
 import fire
 
+from lagoontide.bench.commands import BenchCommands
+from lagoontide.configuration.commands import ConfigCommands
 from lagoontide.errors import DocumentError, LagoontideError
+from lagoontide.standins.commands import StandinCommands
 
 __all__ = ["main"]
 
 EXIT_ERROR = 2
 
 
-class StandinCommands:
-    """Stand-ins of the platform and of targets, each as a process."""
-
-    def store(self, listen: str, control: str = "", document: str = "") -> None:
-        """Serve a key-value store at ``--listen=IP:PORT``."""
-        from lagoontide.standins.process import run_store
-
-        path = Path(document) if document else None
-        sys.exit(asyncio.run(run_store(listen, control, path)))
-
-    def instances(
-        self, listen: str, file: str, control: str = "", lag: float = 2.0
-    ) -> None:
-        """Serve the list of instances of a JSON file, changes ``--lag`` s late."""
-        from lagoontide.standins.process import run_instances
-
-        sys.exit(asyncio.run(run_instances(listen, control, Path(file), lag)))
-
-    def target(
-        self,
-        listen: str,
-        kind: str,
-        name: str = "target",
-        slots: int = 8,
-        seed: int = 1,
-        control: str = "",
-        instant: bool = False,
-    ) -> None:
-        """Serve a target of ``--kind`` engine, encoder, retriever, reranker, plain."""
-        from lagoontide.configuration.document import ServiceKind
-        from lagoontide.standins.process import make_target, run_target
-
-        async def run() -> int:
-            target = make_target(name, ServiceKind(kind), slots, seed, instant=instant)
-            return await run_target(target, listen, control)
-
-        sys.exit(asyncio.run(run()))
-
-
-class BenchCommands:
-    """Measurements."""
-
-    def path(
-        self,
-        deployment: str = "swanreach",
-        seed: int = 1,
-        seconds: float = 5.0,
-        json: bool = False,
-    ) -> None:
-        """Measure the overhead of a four-stage request with instant targets."""
-        from lagoontide.bench.path import run_path
-
-        sys.exit(run_path(deployment, seed, seconds, json))
-
-    def fleet(self, deployment: str = "swanreach", seed: int = 1) -> None:
-        """Run a deployment with stand-ins as separate processes until Ctrl-C."""
-        from lagoontide.bench.fleet import run_fleet
-
-        sys.exit(run_fleet(deployment, seed))
-
-
-class ConfigCommands:
-    """The configuration document."""
-
-    def validate(self, file: str) -> None:
-        """Check a document and print every problem in it."""
-        from lagoontide.configuration.model import load_document
-
-        document = load_document(Path(file))
-        print(
-            f"{file}: valid; {len(document.routes)} routes, "
-            f"{len(document.services)} services, {len(document.accounts)} accounts"
-        )
-
-
 class Commands:
     """A serving system for multi-stage model pipelines.
 
--- a/src/lagoontide/deployments.py
+++ b/src/lagoontide/deployments.py
@@ -1,5 +1,6 @@
 """The deployments that come with the project, and requests that fit them."""
 
+import hashlib
 import itertools
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -18,14 +19,17 @@
 
 __all__ = [
     "Placement",
+    "OPERATOR_TOKEN",
     "SampleRequest",
     "find_deployment",
+    "hash_token",
     "load_deployment",
     "make_requests",
     "make_token",
     "place_replicas",
 ]
 
+OPERATOR_TOKEN = "demo-operator"
 FOLDER = Path(__file__).resolve().parents[2] / "deployments"
 
 
@@ -79,6 +83,11 @@
     )
 
 
+def hash_token(token: str) -> str:
+    """Return the SHA-256 hex digest by which a token is known."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
 def make_token(account: str) -> str:
     """Return the bearer token of an account in a demo."""
     return f"demo-{account}"
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -17,6 +17,7 @@
 from lagoontide.logs import set_up_logs
 from lagoontide.membership.directory import Directory
 from lagoontide.metrics import make_metrics
+from lagoontide.operators.app import OperatorsApp
 from lagoontide.platform.httpstore import HttpStore
 from lagoontide.platform.instances import HttpInstances, Instances
 from lagoontide.platform.store import Store
@@ -27,14 +28,18 @@
 
 __all__ = ["EntryParts", "make_entry", "run_entry"]
 
+OPERATOR_THREADS = 8
+
 
 class EntryParts:
     """An entry with what it stands on, before it is served.
 
     Attributes
     ----------
-    http : HttpServer
-        The callers' port.
+    http, operators_http : HttpServer
+        The callers' and the operators' port.
+    operators : OperatorsApp
+        Where slices mount their pages.
     """
 
     def __init__(
@@ -64,15 +69,27 @@
             max_body=2 * cfg.max_body,
             timeout=cfg.silence,
         )
+        self.operators = OperatorsApp(cfg.operator_tokens)
+        self.operators_http = HttpServer(
+            cfg.operators, self.operators, threads=OPERATOR_THREADS
+        )
         self._store = store
 
+    def start_http(self) -> None:
+        """Begin to serve callers and operators."""
+        self.http.start()
+        self.operators_http.start()
+
     async def follow_configuration(self) -> None:
         """Keep to the store's newest document until cancelled."""
         await follow(self._store, self.holder)
 
     async def close(self) -> None:
-        """Close both sides; the callers' port in a thread, as it joins its own."""
-        await asyncio.to_thread(self.http.stop)
+        """Close both sides; the HTTP servers in threads, as they join their own."""
+        await asyncio.gather(
+            asyncio.to_thread(self.http.stop),
+            asyncio.to_thread(self.operators_http.stop),
+        )
         self.directory.close()
 
 
@@ -94,8 +111,9 @@
     instances = HttpInstances(cfg.instances)
     with zmq.asyncio.Context() as ctx:
         parts = make_entry(cfg, ctx, store, instances)
-        parts.http.start()
+        parts.start_http()
         logger.info("callers at http://{}", parts.http.address)
+        logger.info("operators at http://{}", parts.operators_http.address)
         try:
             return await run_until_signal(
                 [parts.directory.follow(), parts.follow_configuration()],
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -13,6 +13,7 @@
 from lagoontide.configuration.document import Document, Priority, Service
 from lagoontide.configuration.holder import Holder
 from lagoontide.dispatch.caller import Dispatcher, OnTokens
+from lagoontide.entry.story import Listener, Story
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.metrics import Metrics
 from lagoontide.pipeline.walk import Answer, Fields, Request, check_body, walk
@@ -58,6 +59,7 @@
         self._claims = claims
         self._metrics = metrics
         self._accounts = Accounts()
+        self._listeners: list[Listener] = []
         self._under_way = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -96,32 +98,39 @@
         self._under_way += 1
         self._idle.clear()
         answer = Answer(uuid.uuid4().hex)
-        outcome = "done"
+        request: Request | None = None
+        error: LagoontideError | None = None
         try:
             request = self._accept(call, answer.request, started, on_tokens)
             if call.key:
                 await self._claim(call, request)
             return await walk(request, self._dispatcher, self._find_service, answer)
         except LagoontideError as exc:
-            outcome = exc.outcome if isinstance(exc, RequestFailed) else "refused"
-            logger.bind(request=answer.request, stage=exc.step, peer=exc.peer).info(
-                "{}: {}", outcome, exc.message
-            )
+            error = exc
             raise
         finally:
-            self._record(call.route, outcome, loop.time() - started, answer)
-            self._under_way -= 1
-            if not self._under_way:
-                self._idle.set()
-
-    def _record(self, route: str, outcome: str, elapsed: float, answer: Answer) -> None:
-        known = self._holder.is_ready and route in self._holder.document.routes
-        name = route if known else "unknown"
-        self._metrics.count(f"entry.request.{name}.{outcome}")
-        self._metrics.time(f"entry.request.{name}", elapsed)
-        for report in answer.stages:
+            self._finish(_tell(call, request, answer, error, started, loop.time()))
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` with the story of each request that has ended."""
+        self._listeners.append(listener)
+
+    def _finish(self, story: Story) -> None:
+        """Log, count and pass on how a request ended."""
+        logger.bind(request=story.request, stage=story.step, peer=story.peer).debug(
+            "{} {} {}", story.route, story.outcome, story.reason
+        )
+        name = story.route if story.account else "unaccepted"
+        self._metrics.count(f"entry.request.{name}.{story.outcome}")
+        self._metrics.time(f"entry.request.{name}", story.ended - story.started)
+        for report in story.stages:
             stage = f"entry.stage.{name}.{report.stage}"
             self._metrics.time(stage, report.ended - report.started)
+        for listener in self._listeners:
+            listener(story)
+        self._under_way -= 1
+        if not self._under_way:
+            self._idle.set()
 
     def _find_service(self, name: str) -> Service:
         return self._holder.document.services[name]
@@ -162,6 +171,37 @@
         )
 
 
+def _tell(
+    call: CallerRequest,
+    request: Request | None,
+    answer: Answer,
+    error: LagoontideError | None,
+    started: float,
+    ended: float,
+) -> Story:
+    match error:
+        case None:
+            outcome = "done"
+        case RequestFailed():
+            outcome = error.outcome
+        case _:
+            outcome = "refused"
+    return Story(
+        request=answer.request,
+        route=call.route,
+        account=request.account.name if request else "",
+        priority=request.priority if request else None,
+        outcome=outcome,
+        started=started,
+        ended=ended,
+        budget=request.deadline - started if request else 0.0,
+        stages=tuple(answer.stages),
+        step=error.step if error else "",
+        peer=error.peer if error else "",
+        reason=error.message if error else "",
+    )
+
+
 def _parse_body(body: bytes) -> Fields:
     try:
         return msgspec.json.decode(body, type=Fields)
--- a/src/lagoontide/local.py
+++ b/src/lagoontide/local.py
@@ -16,7 +16,9 @@
 from lagoontide.configuration.document import Document
 from lagoontide.configuration.source import publish
 from lagoontide.deployments import (
+    OPERATOR_TOKEN,
     SampleRequest,
+    hash_token,
     make_requests,
     make_token,
     place_replicas,
@@ -91,8 +93,7 @@
         try:
             yield local
         finally:
-            for parts in local.entries:
-                await parts.close()
+            await asyncio.gather(*(parts.close() for parts in local.entries))
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -136,9 +137,10 @@
         operators=FREE_PORT,
         store="http://127.0.0.1:1",
         instances="http://127.0.0.1:1",
+        operator_tokens={hash_token(OPERATOR_TOKEN): "operator"},
     )
     parts = make_entry(cfg, ctx, local.store, local.instances)
-    parts.http.start()
+    parts.start_http()
     local.entries.append(parts)
     return parts
 
@@ -203,6 +205,8 @@
         _print_stages(local)
         for address in addresses:
             print(f"callers: http://{address}/v1/routes/ROUTE")
+        for parts in local.entries:
+            print(f"operators: http://{parts.operators_http.address}/")
         if keep:
             print("running until Ctrl-C")
             await asyncio.Event().wait()
--- a/src/lagoontide/settings.py
+++ b/src/lagoontide/settings.py
@@ -25,6 +25,7 @@
 Address = Annotated[str, Meta(pattern=IP_PORT)]
 OptionalAddress = Annotated[str, Meta(pattern=rf"^$|{IP_PORT}")]
 Url = Annotated[str, Meta(pattern=HTTP_URL)]
+TokenHash = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
 Threads = Annotated[int, Meta(ge=1, le=1024)]
 Bytes = Annotated[int, Meta(ge=1024, le=1 << 30)]
@@ -55,6 +56,8 @@
         ``IP:PORT`` of the two HTTP ports.
     store, instances : str
         URLs of the platform's services.
+    operator_tokens : dict of str to str
+        Operators' names by the SHA-256 hex digest of their bearer token.
     max_body : int
         Bytes of a caller's body.
     silence : float
@@ -69,6 +72,7 @@
     operators: Address
     store: Url
     instances: Url
+    operator_tokens: dict[TokenHash, Name] = {}
     threads: Threads = 64
     max_body: Bytes = 1 << 20
     max_header: Bytes = 16 << 10
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,69 @@
+"""Imports point downward only."""
+
+import ast
+from pathlib import Path
+
+SOURCE = Path(__file__).resolve().parent.parent / "src" / "lagoontide"
+
+# From the bottom up; a module may import from its own layer and those below.
+LAYERS = [
+    {"errors", "settings", "__init__"},
+    {"logs", "metrics", "lifecycle", "httpd", "wire"},
+    {"platform"},
+    {"scheduling", "configuration"},
+    {"routing", "operators"},
+    {"membership"},
+    {"dispatch"},
+    {"claims", "admission"},
+    {"pipeline"},
+    {"protocol"},
+    {"report", "console"},
+    {"agent", "entry"},
+    {"standins", "deployments"},
+    {"local"},
+    {"bench"},
+    {"cli", "__main__"},
+]
+RANK = {name: rank for rank, names in enumerate(LAYERS) for name in names}
+
+# Commands belong to their slice but are run by the command line.
+COMMANDS = "commands"
+
+
+def _slice_of(module):
+    parts = module.split(".")
+    return parts[1] if len(parts) > 1 else "__init__"
+
+
+def _imports(path):
+    tree = ast.parse(path.read_text("utf-8"))
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+        elif isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+
+
+def test_imports_point_downward():
+    wrong = []
+    for path in SOURCE.rglob("*.py"):
+        if path.stem == COMMANDS:
+            continue
+        top = path.relative_to(SOURCE).parts[0].removesuffix(".py")
+        for module in _imports(path):
+            if module.split(".")[0] != "lagoontide":
+                continue
+            if RANK[_slice_of(module)] > RANK[top]:
+                wrong.append(f"{path.relative_to(SOURCE)} imports {module}")
+    assert wrong == []
+
+
+def test_no_process_starts_another():
+    banned = {"subprocess", "multiprocessing"}
+    wrong = [
+        str(path.relative_to(SOURCE))
+        for path in SOURCE.rglob("*.py")
+        if "bench" not in path.parts
+        and any(module.split(".")[0] in banned for module in _imports(path))
+    ]
+    assert wrong == []
--- a/tools/ci.py
+++ b/tools/ci.py
@@ -1,5 +1,6 @@
 """Run every check of the project and print one closing line."""
 
+import os
 import subprocess
 import sys
 import tempfile
@@ -30,7 +31,8 @@
 
 def run(command):
     """Run one command in the root and return its exit code."""
-    return subprocess.run([str(part) for part in command], cwd=ROOT).returncode
+    env = os.environ | {"PYTHONPATH": str(ROOT)}
+    return subprocess.run([str(part) for part in command], cwd=ROOT, env=env).returncode
 
 
 def read_cases(folder):
