--- a/src/lagoontide/bench/fleet.py
+++ b/src/lagoontide/bench/fleet.py
@@ -282,9 +282,9 @@
             fleet.stop()
 
 
-def run_fleet(deployment: str, seed: int) -> int:
+def run_fleet(deployment: str, seed: int, first_port: int) -> int:
     """Run a deployment as processes until Ctrl-C and print where it answers."""
-    with start_fleet(deployment, seed) as fleet:
+    with start_fleet(deployment, seed, first_port=first_port) as fleet:
         print(f"{len(fleet.processes)} processes; settings and logs: {fleet.folder}")
         for entry in fleet.entries.values():
             print(f"{entry.name}: callers at http://{entry.address}/v1/routes/ROUTE")
--- a/src/lagoontide/bench/path.py
+++ b/src/lagoontide/bench/path.py
@@ -41,9 +41,13 @@
     wrong: int = 0
 
 
-def run_path(deployment: str, seed: int, seconds: float, as_json: bool) -> int:
+def run_path(
+    deployment: str, seed: int, seconds: float, as_json: bool, first_port: int
+) -> int:
     """Measure and print; return 1 if an answer was wrong."""
-    with start_fleet(deployment, seed, instant=True, limited=False) as fleet:
+    with start_fleet(
+        deployment, seed, instant=True, limited=False, first_port=first_port
+    ) as fleet:
         agent_mb = max(item.resident_bytes for item in fleet.agents.values()) / MB
         entry_mb = max(item.resident_bytes for item in fleet.entries.values()) / MB
         addresses = [entry.address for entry in fleet.entries.values()]
--- a/tools/ci.py
+++ b/tools/ci.py
@@ -31,7 +31,7 @@
 
 def run(command):
     """Run one command in the root and return its exit code."""
-    env = os.environ | {"PYTHONPATH": str(ROOT)}
+    env = os.environ | {"PYTHONPATH": f"{ROOT}{os.pathsep}{ROOT / 'src'}"}
     return subprocess.run([str(part) for part in command], cwd=ROOT, env=env).returncode
 
 
