Give entries a socket for other entries

Claims and the spreading of the configuration need entries to talk to each other, and they had no server socket. Settings take `peers` (IP:PORT), the list of instances has the entries with it, Router hands messages to the slices that registered for their type, and Directory.peers keeps connections to the listed entries.

--- a/src/lagoontide/bench/fleet.py
+++ b/src/lagoontide/bench/fleet.py
@@ -193,10 +193,11 @@
                 place.service.name,
             )
         )
-    listed.write_bytes(msgspec.json.encode(items))
     for number in range(1, entries + 1):
-        entry = _make_entry(number, document, ports, fleet, folder)
+        entry, item = _make_entry(number, document, ports, fleet, folder)
         fleet.entries[entry.name] = entry
+        items.append(item)
+    listed.write_bytes(msgspec.json.encode(items))
     return fleet
 
 
@@ -251,8 +252,8 @@
 
 def _make_entry(
     number: int, document: Document, ports: _Ports, fleet: Fleet, folder: Path
-) -> Process:
-    callers, operators = ports.take(), ports.take()
+) -> tuple[Process, Instance]:
+    callers, operators, peers = ports.take(), ports.take(), ports.take()
     domain = document.failure_domains[(number - 1) % len(document.failure_domains)]
     path = folder / f"entry-{number}.toml"
     path.write_text(
@@ -260,14 +261,15 @@
         f'failure_domain = "{domain}"\n'
         f'callers = "{callers}"\n'
         f'operators = "{operators}"\n'
+        f'peers = "{peers}"\n'
         f'store = "http://{fleet.store.address}"\n'
         f'instances = "http://{fleet.instances.address}"\n'
         "[operator_tokens]\n"
         f'{hash_token(OPERATOR_TOKEN)} = "operator"\n'
     )
-    return Process(
-        f"entry-{number}", ["entry", f"--settings={path}"], callers, operators
-    )
+    name = f"entry-{number}"
+    process = Process(name, ["entry", f"--settings={path}"], callers, operators)
+    return process, Instance(name, Role.ENTRY, f"tcp://{peers}", domain)
 
 
 @contextlib.contextmanager
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -25,6 +25,8 @@
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
 from lagoontide.wire.conn import Identity, connect
+from lagoontide.wire.router import Router
+from lagoontide.wire.server import bind
 
 __all__ = ["EntryParts", "make_entry", "run_entry"]
 
@@ -40,6 +42,8 @@
         The callers' and the operators' port.
     operators : OperatorsApp
         Where slices mount their pages.
+    router : Router
+        Where slices register for messages of other entries.
     """
 
     def __init__(
@@ -56,6 +60,10 @@
         self.directory = Directory(
             instances, lambda address: connect(ctx, address, codec, self.identity)
         )
+        self.router = Router()
+        self.peers_server = bind(
+            ctx, f"tcp://{cfg.peers}", codec, self.identity, self.router.handle
+        )
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
@@ -80,6 +88,10 @@
         self.http.start()
         self.operators_http.start()
 
+    async def serve_peers(self) -> None:
+        """Answer other entries until cancelled."""
+        await self.peers_server.serve()
+
     async def follow_configuration(self) -> None:
         """Keep to the store's newest document until cancelled."""
         await follow(self._store, self.holder)
@@ -91,6 +103,7 @@
             asyncio.to_thread(self.operators_http.stop),
         )
         self.directory.close()
+        self.peers_server.close()
 
 
 def make_entry(
@@ -116,7 +129,11 @@
         logger.info("operators at http://{}", parts.operators_http.address)
         try:
             return await run_until_signal(
-                [parts.directory.follow(), parts.follow_configuration()],
+                [
+                    parts.directory.follow(),
+                    parts.follow_configuration(),
+                    parts.serve_peers(),
+                ],
                 lambda: parts.entry.drain(cfg.drain),
             )
         finally:
--- a/src/lagoontide/local.py
+++ b/src/lagoontide/local.py
@@ -90,6 +90,7 @@
             parts = _start_entry(local, ctx, number)
             tasks.append(asyncio.create_task(parts.directory.follow()))
             tasks.append(asyncio.create_task(parts.follow_configuration()))
+            tasks.append(asyncio.create_task(parts.serve_peers()))
         try:
             yield local
         finally:
@@ -135,6 +136,7 @@
         failure_domain=domains[(number - 1) % len(domains)],
         callers=FREE_PORT,
         operators=FREE_PORT,
+        peers=FREE_PORT,
         store="http://127.0.0.1:1",
         instances="http://127.0.0.1:1",
         operator_tokens={hash_token(OPERATOR_TOKEN): "operator"},
@@ -142,6 +144,9 @@
     parts = make_entry(cfg, ctx, local.store, local.instances)
     parts.start_http()
     local.entries.append(parts)
+    local.instances.put(
+        Instance(cfg.name, Role.ENTRY, parts.peers_server.address, cfg.failure_domain)
+    )
     return parts
 
 
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -7,6 +7,7 @@
 
 from lagoontide.errors import PeerError, StoreError
 from lagoontide.membership.messages import Hello, Welcome
+from lagoontide.membership.peers import Peers
 from lagoontide.platform.instances import Instance, Instances, InstanceState, Role
 from lagoontide.routing.choose import Candidate
 from lagoontide.scheduling.load import Load
@@ -116,12 +117,19 @@
 
 
 class Directory:
-    """The links of an entry, by service."""
+    """The links of an entry, by service.
+
+    Attributes
+    ----------
+    peers : Peers
+        The other entries.
+    """
 
     def __init__(self, instances: Instances, connect: Connect) -> None:
         self._instances = instances
         self._connect = connect
         self._links: dict[str, Link] = {}
+        self.peers = Peers(connect)
 
     @property
     def links(self) -> tuple[Link, ...]:
@@ -158,9 +166,11 @@
             if link is not None:
                 link.close()
             self._links[name] = Link(instance, self._connect(instance.address))
+        self.peers.apply(instances)
 
     def close(self) -> None:
         """Close all links."""
+        self.peers.close()
         for link in self._links.values():
             link.close()
         self._links.clear()
--- a/src/lagoontide/settings.py
+++ b/src/lagoontide/settings.py
@@ -54,6 +54,8 @@
     ----------
     callers, operators : str
         ``IP:PORT`` of the two HTTP ports.
+    peers : str
+        ``IP:PORT`` for other entries.
     store, instances : str
         URLs of the platform's services.
     operator_tokens : dict of str to str
@@ -70,6 +72,7 @@
     failure_domain: Name
     callers: Address
     operators: Address
+    peers: Address
     store: Url
     instances: Url
     operator_tokens: dict[TokenHash, Name] = {}
