--- a/src/lagoontide/agent/service.py
+++ b/src/lagoontide/agent/service.py
@@ -6,14 +6,25 @@
 
 from loguru import logger
 
-from lagoontide.dispatch.attempts import AttemptLog, AttemptState, Final, Record
+from lagoontide.agent.peers import PeerTable
+from lagoontide.dispatch.attempts import (
+    EPOCH_S,
+    AttemptLog,
+    AttemptState,
+    Final,
+    Record,
+    is_stale,
+)
+from lagoontide.dispatch.kept import AnswerStore
 from lagoontide.dispatch.messages import (
     Call,
     Cancel,
     Done,
     Failed,
+    Keep,
     NotRun,
     Pending,
+    Recall,
     Settle,
     Tokens,
     Unknown,
@@ -33,18 +44,25 @@
 RECORD_WINDOW_S = 120.0
 RECORD_BYTES = 4 << 20
 SERVICE_TIME_WEIGHT = 0.1
-PEER_SILENCE_S = 10.0
+RESULT_GRACE_S = 10.0  # For the result of work that may not be repeated.
 
 
 @dataclass(slots=True)
 class Job:
-    """A call that waits or runs, and where its replies go."""
+    """A call that waits or runs, and where its replies go.
+
+    Attributes
+    ----------
+    owner : str
+        The entry process that waits for it.
+    """
 
     call: Call
     send: Send
     record: Record
     deadline: float
     queued_at: float
+    owner: str = ""
 
 
 class Agent:
@@ -76,7 +94,9 @@
         self._log = AttemptLog(RECORD_WINDOW_S, RECORD_BYTES)
         self._jobs: dict[str, Job] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
-        self._peers: dict[str, Send] = {}
+        self._peers = PeerTable()
+        self._answers = AnswerStore()
+        self._started_at = asyncio.get_running_loop().time()
         self._service_time = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -91,15 +111,19 @@
     async def handle(self, peer: str, message: object, send: Send) -> None:
         """Answer one message of a peer."""
         match message:
-            case Hello():
-                self._peers[peer] = send
+            case Hello(incarnation=incarnation):
+                self._peers.hear(peer, incarnation, send, self._now())
                 await send(self._welcome())
             case Call():
-                await self._take(message, send)
+                await self._take(peer, message, send)
             case Settle():
                 await send(self._settle(message))
-            case Cancel(attempt=attempt):
-                await self._cancel(attempt)
+            case Cancel():
+                await self._cancel(message)
+            case Keep():
+                self._answers.keep(message, self._now())
+            case Recall(request=request):
+                await send(self._answers.recall(request, self._now()))
             case _:
                 logger.bind(peer=peer).warning("unexpected {!r:.80}", message)
 
@@ -112,7 +136,7 @@
             Seconds to wait at most.
         """
         self.is_leaving = True
-        for send in tuple(self._peers.values()):
+        for send in self._peers.sends():
             await send(self._welcome())
         try:
             async with asyncio.timeout(bound):
@@ -121,38 +145,65 @@
             return False
         return True
 
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+    @property
+    def epoch(self) -> int:
+        """The count of time that calls have to name."""
+        return int((self._now() - self._started_at) / EPOCH_S)
+
     def _welcome(self) -> Welcome:
-        return Welcome(self.incarnation, self.service, self.is_leaving, self.load)
+        return Welcome(
+            self.incarnation, self.service, self.is_leaving, self.load, self.epoch
+        )
 
-    async def _take(self, call: Call, send: Send) -> None:
-        refusal = self._find_refusal(call)
-        if refusal:
-            self._metrics.count(f"agent.not_run.{refusal.replace(' ', '_')}")
-            await send(NotRun(call.attempt, refusal, self.load))
+    async def _take(self, peer: str, call: Call, send: Send) -> None:
+        if not self._is_mine(call):
+            # An earlier copy may have run, with its record gone by now.
+            await send(Unknown(call.attempt, "for an agent that is gone"))
             return
         record = self._log.get(call.attempt)
         if record is None:
-            record = self._enqueue(call, send)
+            record = self._enqueue_or_refuse(peer, call, send)
+        else:
+            self._metrics.count("agent.doubled_call")
         await send(await asyncio.shield(record.final))
 
+    def _is_mine(self, message: Call | Settle | Cancel) -> bool:
+        """Whether this process would still know of the attempt."""
+        return message.incarnation == self.incarnation and not is_stale(
+            message.epoch, self.epoch
+        )
+
+    def _enqueue_or_refuse(self, peer: str, call: Call, send: Send) -> Record:
+        """Take a call, or see to it that no copy of it is taken later."""
+        refusal = self._find_refusal(call)
+        if not refusal:
+            return self._enqueue(peer, call, send)
+        self._metrics.count(f"agent.not_run.{refusal.replace(' ', '_')}")
+        record = self._log.add(call.attempt)
+        self._log.end(record, NotRun(call.attempt, refusal, self.load), self._now())
+        return record
+
     def _find_refusal(self, call: Call) -> str:
         """Return why a call is not taken, or an empty string."""
-        if call.incarnation != self.incarnation:
-            return "other incarnation"
-        if self._log.get(call.attempt) is not None:
-            return ""
         if not is_whole(call):
             return "cut call"
         if self.is_leaving:
             return "leaving"
         if call.budget <= 0:
             return "deadline"
+        if not call.repeatable and self._log.is_full:
+            return "no room to keep the result"
         return ""
 
-    def _enqueue(self, call: Call, send: Send) -> Record:
-        now = asyncio.get_running_loop().time()
-        record = self._log.add(call.attempt)
-        job = Job(call, send, record, now + call.budget, now)
+    def _enqueue(self, peer: str, call: Call, send: Send) -> Record:
+        now = self._now()
+        record = self._log.add(call.attempt, call.repeatable, len(call.resume))
+        owner = self._peers.owner(peer)
+        job = Job(call, send, record, now + call.budget, now, owner)
         self._jobs[call.attempt] = job
         self._queue.push(
             Waiting(call.attempt, call.account, call.priority, job.deadline)
@@ -161,20 +212,26 @@
         self._start_next()
         return record
 
-    def _settle(self, question: Settle) -> Final | Pending:
-        record = self._log.get(question.attempt)
-        if record is not None and record.final.done():
+    def _settle(self, question: Settle) -> Final | Pending | Tokens:
+        attempt = question.attempt
+        record = self._log.get(attempt)
+        if record is None and not self._is_mine(question):
+            return Unknown(attempt, "the agent does not know of it any more")
+        if record is None:
+            record = self._log.bury(attempt, "never seen", self._now())
+        missing = record.tokens_from(question.have)
+        if missing and question.have >= record.first:
+            return Tokens(attempt, question.have, missing)
+        if record.final.done():
             return record.final.result()
-        if record is not None:
-            return Pending(question.attempt, self.load)
-        if question.incarnation != self.incarnation:
-            return Unknown(question.attempt, "the agent was replaced")
-        now = asyncio.get_running_loop().time()
-        return self._log.bury(question.attempt, "never seen", now).final.result()
+        return Pending(attempt, self.load, record.state is AttemptState.RUNNING)
 
-    async def _cancel(self, attempt: str) -> None:
+    async def _cancel(self, message: Cancel) -> None:
+        attempt = message.attempt
         job = self._jobs.get(attempt)
         if job is None:
+            if self._log.get(attempt) is None and self._is_mine(message):
+                self._log.bury(attempt, "cancelled", self._now())
             return
         if self._queue.remove(attempt) is not None:
             self._end(job, NotRun(attempt, "cancelled", self.load))
@@ -191,6 +248,9 @@
             if loop.time() >= job.deadline:
                 self._end(job, NotRun(item.attempt, "deadline", self.load))
                 continue
+            if self._peers.is_gone(job.owner, loop.time()):
+                self._end(job, NotRun(item.attempt, "entry gone", self.load))
+                continue
             job.record.state = AttemptState.RUNNING
             self._running[item.attempt] = asyncio.create_task(self._run(job))
 
@@ -219,6 +279,11 @@
             if call.repeatable:
                 return Failed(call.attempt, str(exc), self.load)
             return Unknown(call.attempt, str(exc))
+        except Exception as exc:
+            logger.bind(stage=call.stage).exception("target call broke")
+            if call.repeatable:
+                return Failed(call.attempt, repr(exc), self.load)
+            return Unknown(call.attempt, repr(exc))
         return Done(
             call.attempt,
             body,
@@ -226,16 +291,19 @@
             self.load,
             waited=started - job.queued_at,
             ran=loop.time() - started,
+            tokens=job.record.tokens,
+            offset=job.record.first,
         )
 
     async def _call_target(self, job: Job, started: float) -> bytes:
         call = job.call
+        grace = 0.0 if call.repeatable else RESULT_GRACE_S
         work = Work(
             attempt=call.attempt,
             request=call.request,
             operation=call.operation,
             body=call.body,
-            budget=max(0.001, job.deadline - started),
+            budget=max(0.001, job.deadline - started) + grace,
             priority=call.priority,
             streams=call.streams,
             resume=call.resume,
@@ -244,6 +312,7 @@
             return await self._target.run(work)
 
         def on_tokens(offset: int, tokens: list[str]) -> None:
+            job.record.tokens.extend(tokens)
             message = Tokens(call.attempt, offset, tokens)
             task = asyncio.ensure_future(job.send(message))
             sends.add(task)
--- a/src/lagoontide/claims/baseline.py
+++ b/src/lagoontide/claims/baseline.py
@@ -1,6 +1,7 @@
 """One write a claim: the first version, kept to compare with."""
 
 import asyncio
+from typing import Protocol
 
 import msgspec
 
@@ -12,71 +13,114 @@
 )
 from lagoontide.platform.store import Entry, Store
 
-__all__ = ["Claim", "SimpleClaims"]
+__all__ = ["Claim", "Claims", "SimpleClaims", "judge"]
 
-RETENTION_S = 3600.0
+RETENTION_S = 900.0
+RETRY_S = 0.1
 STATUS_CONFLICT = 409
 
 
 class Claim(msgspec.Struct, frozen=True):
-    """Who claimed a key and for which body."""
+    """Who claimed a key and for which body.
+
+    Attributes
+    ----------
+    request : str
+        Id of the request, in hex digits.
+    digest : int
+        Hash of route and body.
+    """
 
     request: str
     digest: int
 
 
-class SimpleClaims:
-    """Creates one key in the store for each claim."""
+class Claims(Protocol):
+    """At most once for a key, across entries and the requests that repeat it."""
 
-    def __init__(self, store: Store) -> None:
-        self._store = store
-
-    async def claim(
-        self, account: str, key: str, wanted: Claim, timeout: float
-    ) -> None:
-        """Return once the key belongs to this request.
+    async def claim(self, account: str, key: str, wanted: Claim, timeout: float) -> str:
+        """Return "" once the key is this request's, or the id of its holder.
 
         Raises
         ------
         RequestError
             409, if the key was used with another body.
         RequestFailed
-            "not_run" if the store does not answer in time; "unknown" if the key
-            was claimed before.
+            "not_run" if the claim is not confirmed in time.
         """
-        place = f"lagoontide/claims/{account}/{key}"
+
+    async def release(self, account: str, key: str, wanted: Claim) -> None:
+        """Give a key back; to be called only if its request never runs."""
+
+
+def judge(wanted: Claim, held: Claim) -> str:
+    """Return the id of the request that holds a key; "" if it is the same one.
+
+    Raises
+    ------
+    RequestError
+        409, if the key was used with another body.
+    """
+    if held.digest != wanted.digest:
+        raise RequestError(
+            STATUS_CONFLICT,
+            "the idempotency key was used with another body",
+            step="claim",
+        )
+    return "" if held.request == wanted.request else held.request
+
+
+class SimpleClaims:
+    """Creates one key in the store for each claim."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def claim(self, account: str, key: str, wanted: Claim, timeout: float) -> str:
+        """See Claims."""
+        place = _place(account, key)
         try:
             async with asyncio.timeout(timeout):
-                lease = await self._store.grant(RETENTION_S)
-                value = msgspec.msgpack.encode(wanted)
-                await self._store.swap(place, 0, value, lease)
-                return
-        except StoreConflict:
-            pass
-        except (StoreError, TimeoutError):
-            # The claim may stand, but no stage was started under it.
+                while True:
+                    held = await self._try(place, wanted)
+                    if held is not None:
+                        return judge(wanted, held)
+                    await asyncio.sleep(RETRY_S)
+        except TimeoutError:
             raise RequestFailed(
-                "not_run", "the store did not confirm the claim", step="claim"
+                "not_run", "the store gave no answer in time", step="claim"
             ) from None
-        self._judge(wanted, await self._read(place))
 
-    async def _read(self, place: str) -> Entry | None:
+    async def release(self, account: str, key: str, wanted: Claim) -> None:
+        """See Claims."""
+        place = _place(account, key)
+        try:
+            entry = await self._store.get(place)
+            if entry is not None and _decode(entry) == wanted:
+                await self._store.delete(place, entry.version)
+        except StoreError:
+            return  # The key then stays taken until its retention is over.
+
+    async def _try(self, place: str, wanted: Claim) -> Claim | None:
+        """Return who holds the key, or None if the store does not say."""
+        try:
+            lease = await self._store.grant(RETENTION_S)
+            await self._store.swap(place, 0, msgspec.msgpack.encode(wanted), lease)
+            return wanted
+        except StoreConflict:
+            pass
+        except StoreError:
+            return None
         try:
-            return await self._store.get(place)
+            entry = await self._store.get(place)
         except StoreError:
             return None
+        return _decode(entry) if entry is not None else None
 
-    @staticmethod
-    def _judge(wanted: Claim, entry: Entry | None) -> None:
-        held = msgspec.msgpack.decode(entry.value, type=Claim) if entry else None
-        if held == wanted:
-            return
-        if held is not None and held.digest != wanted.digest:
-            raise RequestError(
-                STATUS_CONFLICT,
-                "the idempotency key was used with another body",
-                step="claim",
-            )
-        raise RequestFailed(
-            "unknown", "the idempotency key was claimed before", step="claim"
-        )
+
+def _place(account: str, key: str) -> str:
+    return f"lagoontide/claims/{account}/{key}"
+
+
+def _decode(entry: Entry) -> Claim:
+    return msgspec.msgpack.decode(entry.value, type=Claim)
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -1,63 +1,27 @@
 """The entry's side of a stage call: attempts until an outcome is certain."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from loguru import logger
 
-from lagoontide.configuration.document import Priority, Stage
-from lagoontide.dispatch.messages import (
-    Call,
-    Cancel,
-    Done,
-    Failed,
-    NotRun,
-    Pending,
-    Settle,
-    Tokens,
-    Unknown,
-    digest,
-    is_whole,
+from lagoontide.dispatch.budget import RetryBudget
+from lagoontide.dispatch.follow import (
+    Follower,
+    OnTokens,
+    Result,
+    StageCall,
+    make_message,
 )
-from lagoontide.errors import PeerError, PeerTimeout
+from lagoontide.dispatch.messages import Done, NotRun
 from lagoontide.membership.directory import Directory, Link
 from lagoontide.routing.choose import Choose
-from lagoontide.wire.conn import Exchange
 
-__all__ = ["Attempt", "Dispatcher", "Outcome", "StageCall"]
+__all__ = ["Attempt", "Dispatcher", "OnTokens", "Outcome", "StageCall"]
 
 MAX_ATTEMPTS = 4
-SILENCE_S = 0.5
-SETTLE_S = 0.5
 NO_TARGET_PAUSE_S = 0.05
 
-OnTokens = Callable[[int, list[str]], None]
-
-
-@dataclass(slots=True)
-class StageCall:
-    """What an entry wants of a service.
-
-    Attributes
-    ----------
-    deadline : float
-        Loop time by which the outcome is due.
-    tokens : list of str
-        Tokens received so far, over all attempts.
-    """
-
-    request: str
-    stage: Stage
-    account: str
-    weight: float
-    priority: Priority
-    deadline: float
-    body: bytes
-    streams: bool = False
-    on_tokens: OnTokens | None = None
-    tokens: list[str] = field(default_factory=list)
-
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
@@ -75,7 +39,7 @@
 class Outcome:
     """How a stage call ended, at which peer and after which attempts."""
 
-    result: Done | NotRun | Failed | Unknown
+    result: Result
     peer: str
     attempts: tuple[Attempt, ...]
 
@@ -94,12 +58,13 @@
     def __init__(self, directory: Directory, choose: Choose) -> None:
         self._directory = directory
         self._choose = choose
+        self._retries = RetryBudget()
 
     async def call(self, call: StageCall) -> Outcome:
         """Try targets until the outcome is final or the deadline has passed."""
         loop = asyncio.get_running_loop()
         attempts: list[Attempt] = []
-        result: Done | NotRun | Failed | Unknown = NotRun("", "no target is known")
+        result: Result = NotRun("", "no target is known")
         peer = ""
         while len(attempts) < MAX_ATTEMPTS and loop.time() < call.deadline:
             link = self._pick(call.stage.service, {item.target for item in attempts})
@@ -111,7 +76,7 @@
             started = loop.time()
             peer = link.name
             attempt = f"{call.request}.{call.stage.name}.{len(attempts)}"
-            result = await self._attempt(call, link, attempt)
+            result = await self._attempt(call, link, attempt, attempts)
             reason = "" if isinstance(result, Done) else result.reason
             kind = type(result).__name__
             attempts.append(Attempt(attempt, peer, kind, started, loop.time(), reason))
@@ -122,15 +87,15 @@
             )
         return Outcome(result, peer, tuple(attempts))
 
-    @staticmethod
-    def _may_go_on(call: StageCall, result: Done | NotRun | Failed | Unknown) -> bool:
+    def _may_go_on(self, call: StageCall, result: Result) -> bool:
         match result:
             case Done():
+                self._retries.note_success()
                 return False
             case NotRun():
                 return True
             case _:
-                return call.stage.repeatable
+                return call.stage.repeatable and self._retries.take()
 
     def _pick(self, service: str, tried: set[str]) -> Link | None:
         links = self._directory.usable(service)
@@ -142,82 +107,13 @@
         return fresh[index]
 
     async def _attempt(
-        self, call: StageCall, link: Link, attempt: str
-    ) -> Done | NotRun | Failed | Unknown:
-        message = self._make_message(call, link, attempt)
-        link.sent += 1
-        try:
-            with await link.conn.open(message) as exchange:
-                return await self._follow(call, link, message, exchange)
-        except PeerError as exc:
-            return NotRun(attempt, str(exc))
-        finally:
-            link.sent -= 1
-
-    @staticmethod
-    def _make_message(call: StageCall, link: Link, attempt: str) -> Call:
-        return Call(
-            attempt=attempt,
-            request=call.request,
-            stage=call.stage.name,
-            incarnation=link.incarnation,
-            operation=call.stage.operation,
-            account=call.account,
-            weight=call.weight,
-            priority=call.priority,
-            budget=call.deadline - asyncio.get_running_loop().time(),
-            repeatable=call.stage.repeatable,
-            streams=call.streams,
-            body=call.body,
-            digest=digest(call.body),
-            resume=tuple(call.tokens),
-        )
-
-    async def _follow(
-        self, call: StageCall, link: Link, message: Call, exchange: Exchange
-    ) -> Done | NotRun | Failed | Unknown:
-        """Wait for the last reply; ask about the attempt after each silence."""
-        loop = asyncio.get_running_loop()
-        while (left := call.deadline - loop.time()) > 0:
-            try:
-                reply = await exchange.next(min(left, SILENCE_S))
-            except PeerTimeout:
-                reply = await self._settle(link, message, left)
-            match reply:
-                case Tokens(offset=offset, tokens=tokens):
-                    self._take_tokens(call, offset, tokens)
-                case Pending(load=load):
-                    link.observe(load)
-                case Done() if not is_whole(reply):
-                    return Failed(reply.attempt, "the result arrived cut", reply.load)
-                case Done(load=load) | NotRun(load=load) | Failed(load=load):
-                    link.observe(load)
-                    return reply
-                case Unknown():
-                    return reply
-        await link.conn.tell(Cancel(message.attempt))
-        final = await self._settle(link, message, SETTLE_S)
-        if isinstance(final, Done | NotRun | Failed):
-            return final
-        return Unknown(message.attempt, "no answer by the deadline")
-
-    @staticmethod
-    async def _settle(
-        link: Link, message: Call, left: float
-    ) -> Done | NotRun | Failed | Unknown | Pending | None:
-        question = Settle(message.attempt, message.incarnation)
-        try:
-            return await link.conn.ask(question, min(SETTLE_S, left))
-        except PeerError:
-            return None
+        self, call: StageCall, link: Link, attempt: str, before: list[Attempt]
+    ) -> Result:
+        tried = {link.name, *(item.target for item in before)}
 
-    @staticmethod
-    def _take_tokens(call: StageCall, offset: int, tokens: list[str]) -> None:
-        """Keep the tokens that are new; a repeated one is passed on once."""
-        have = len(call.tokens)
-        fresh = tokens[have - offset :] if offset <= have else []
-        if not fresh:
-            return
-        call.tokens.extend(fresh)
-        if call.on_tokens is not None:
-            call.on_tokens(have, fresh)
+        def can_move() -> bool:
+            links = self._directory.usable(call.stage.service)
+            return any(item.name not in tried for item in links)
+
+        message = make_message(call, link, attempt)
+        return await Follower(call, link, message, can_move).run()
--- /dev/null
+++ b/src/lagoontide/dispatch/follow.py
@@ -0,0 +1,231 @@
+"""One attempt, from the message that is sent to an outcome that is certain."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lagoontide.configuration.document import Priority, Stage
+from lagoontide.dispatch.messages import (
+    Call,
+    Cancel,
+    Done,
+    Failed,
+    NotRun,
+    Pending,
+    Reply,
+    Settle,
+    Tokens,
+    Unknown,
+    digest,
+    is_whole,
+)
+from lagoontide.errors import PeerError, PeerTimeout
+from lagoontide.membership.directory import Link
+from lagoontide.wire.conn import Exchange
+
+__all__ = ["Follower", "OnTokens", "Result", "StageCall", "make_message"]
+
+SILENCE_S = 0.5
+SETTLE_S = 0.5
+SETTLE_TRIES = 3
+STALL_S = 1.0
+
+OnTokens = Callable[[int, list[str]], None]
+Result = Done | NotRun | Failed | Unknown
+
+
+@dataclass(slots=True)
+class StageCall:
+    """What an entry wants of a service.
+
+    Attributes
+    ----------
+    deadline : float
+        Loop time by which the outcome is due.
+    tokens : list of str
+        Tokens received so far, over all attempts.
+    """
+
+    request: str
+    stage: Stage
+    account: str
+    weight: float
+    priority: Priority
+    deadline: float
+    body: bytes
+    streams: bool = False
+    on_tokens: OnTokens | None = None
+    tokens: list[str] = field(default_factory=list)
+
+    def take_tokens(self, offset: int, tokens: list[str]) -> bool:
+        """Keep the tokens that are new; return False if some before are missing."""
+        have = len(self.tokens)
+        if offset > have:
+            return False
+        fresh = tokens[have - offset :]
+        self.tokens.extend(fresh)
+        if fresh and self.on_tokens is not None:
+            self.on_tokens(have, fresh)
+        return True
+
+
+def make_message(call: StageCall, link: Link, attempt: str) -> Call:
+    """Return the message of an attempt at the agent of a link."""
+    return Call(
+        attempt=attempt,
+        request=call.request,
+        stage=call.stage.name,
+        incarnation=link.incarnation,
+        operation=call.stage.operation,
+        account=call.account,
+        weight=call.weight,
+        priority=call.priority,
+        budget=call.deadline - asyncio.get_running_loop().time(),
+        repeatable=call.stage.repeatable,
+        streams=call.streams,
+        body=call.body,
+        digest=digest(call.body),
+        resume=tuple(call.tokens),
+        epoch=link.epoch,
+    )
+
+
+class Follower:
+    """Waits for the last reply of one attempt and asks when it stays away.
+
+    Parameters
+    ----------
+    can_move : callable
+        Whether another target could go on with a stalled generation.
+    """
+
+    def __init__(
+        self, call: StageCall, link: Link, message: Call, can_move: Callable[[], bool]
+    ) -> None:
+        self._call = call
+        self._link = link
+        self._message = message
+        self._can_move = can_move
+        self._ask_now = False
+        self._running = False
+        self._moved_at = 0.0
+        self.dropped = 0
+
+    async def run(self) -> Result:
+        """Send the message and return how the attempt ended."""
+        message = self._message
+        if message.budget <= 0:
+            return NotRun(message.attempt, "the deadline passed before it was sent")
+        try:
+            exchange = await self._link.conn.open(message)
+        except PeerError as exc:
+            # The socket took nothing, so nothing can arrive.
+            return NotRun(message.attempt, str(exc))
+        self._link.sent += 1
+        try:
+            with exchange:
+                return await self._follow(exchange)
+        except asyncio.CancelledError:
+            await self._cancel()
+            raise
+        finally:
+            self._link.sent -= 1
+
+    async def _follow(self, exchange: Exchange) -> Result:
+        loop = asyncio.get_running_loop()
+        self._moved_at = loop.time()
+        while (left := self._call.deadline - loop.time()) > 0:
+            reply = await self._next(exchange, left)
+            final = None if reply is None else self._take(reply)
+            if final is not None:
+                return final
+            if self._is_stalled() and self._can_move():
+                await self._cancel()
+                count = len(self._call.tokens)
+                return Failed(self._message.attempt, f"stalled after {count} tokens")
+        return await self._give_up()
+
+    async def _next(self, exchange: Exchange, left: float) -> Reply | None:
+        """Return the next reply, or what the agent says after a silence."""
+        if not self._ask_now:
+            try:
+                return await exchange.next(min(left, SILENCE_S))
+            except PeerTimeout:
+                pass
+        self._ask_now = False
+        return await self._settle(min(left, SETTLE_S))
+
+    async def _settle(self, timeout: float) -> Reply | None:
+        message = self._message
+        have = len(self._call.tokens)
+        question = Settle(message.attempt, message.incarnation, message.epoch, have)
+        try:
+            return await self._link.conn.ask(question, timeout)
+        except PeerTimeout:
+            return None
+        except PeerError:
+            # It cannot be sent; without a pause this would be asked in a loop.
+            await asyncio.sleep(timeout)
+            return None
+
+    def _take(self, reply: Reply) -> Result | None:
+        """Return the outcome if this reply decides it."""
+        if reply.attempt != self._message.attempt:
+            self.dropped += 1
+            return None
+        match reply:
+            case Tokens(offset=offset, tokens=tokens):
+                self._moved_at = asyncio.get_running_loop().time()
+                self._ask_now = not self._call.take_tokens(offset, tokens)
+                return None
+            case Pending(load=load, running=running):
+                self._running = running
+                self._link.observe(load)
+                return None
+            case Done():
+                return self._take_done(reply)
+            case NotRun(load=load) | Failed(load=load):
+                self._link.observe(load)
+        return reply
+
+    def _take_done(self, reply: Done) -> Result | None:
+        self._link.observe(reply.load)
+        if not is_whole(reply):
+            # The agent has it whole; the next silence ends in asking for it.
+            self.dropped += 1
+            return None
+        if reply.tokens:
+            self._call.take_tokens(reply.offset, reply.tokens)
+        return reply
+
+    def _is_stalled(self) -> bool:
+        """Whether a generation that had begun gives no tokens any more."""
+        started = self._running or bool(self._call.tokens)
+        silent = asyncio.get_running_loop().time() - self._moved_at
+        return (
+            self._call.streams
+            and self._call.stage.repeatable
+            and started
+            and silent >= STALL_S
+        )
+
+    async def _give_up(self) -> Result:
+        """Say that nobody waits any more, and what is known of the attempt."""
+        attempt = self._message.attempt
+        await self._cancel()
+        if not self._call.stage.repeatable:
+            for _ in range(SETTLE_TRIES):
+                reply = await self._settle(SETTLE_S / SETTLE_TRIES)
+                final = None if reply is None else self._take(reply)
+                if final is not None:
+                    return final
+        return Unknown(attempt, "no answer by the deadline")
+
+    async def _cancel(self) -> None:
+        message = self._message
+        try:
+            await self._link.conn.tell(
+                Cancel(message.attempt, message.incarnation, message.epoch)
+            )
+        except PeerError:
+            return  # It then ends by itself.
--- /dev/null
+++ b/src/lagoontide/dispatch/kept.py
@@ -0,0 +1,113 @@
+"""Whole answers, kept at agents for callers that repeat a request."""
+
+import asyncio
+from collections import OrderedDict
+
+import xxhash
+
+from lagoontide.dispatch.messages import Keep, Kept, Recall, digest, is_whole
+from lagoontide.errors import PeerError
+from lagoontide.membership.directory import Directory, Link
+
+__all__ = ["AnswerStore", "Keepers"]
+
+KEEP_S = 120.0
+KEEP_BYTES = 2 << 20
+KEEPERS = 2
+RECALL_S = 0.25
+
+
+def _rank(request: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{request} {name}".encode())
+
+
+class AnswerStore:
+    """The agent's side: answers by request, the oldest let go of first.
+
+    Parameters
+    ----------
+    window : float
+        Seconds that an answer is kept.
+    max_bytes : int
+        Bytes of answers.
+    """
+
+    def __init__(self, window: float = KEEP_S, max_bytes: int = KEEP_BYTES) -> None:
+        self._window = window
+        self._max_bytes = max_bytes
+        self._answers: OrderedDict[str, tuple[float, Keep]] = OrderedDict()
+        self._bytes = 0
+
+    def keep(self, message: Keep, now: float) -> None:
+        """Keep an answer that arrived whole; the first one stays."""
+        if message.request in self._answers or not is_whole(message):
+            return
+        self._answers[message.request] = (now, message)
+        self._bytes += len(message.body)
+        self._evict(now)
+
+    def recall(self, request: str, now: float) -> Kept:
+        """Return the answer of a request if it is kept."""
+        self._evict(now)
+        found = self._answers.get(request)
+        if found is None:
+            return Kept(request)
+        return Kept(request, found[1].body, found[1].digest)
+
+    def _evict(self, now: float) -> None:
+        while self._answers:
+            request, (kept_at, message) = next(iter(self._answers.items()))
+            if now - kept_at < self._window and self._bytes <= self._max_bytes:
+                return
+            del self._answers[request]
+            self._bytes -= len(message.body)
+
+
+class Keepers:
+    """The entry's side: which agents keep an answer is told by the request's id."""
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+
+    async def keep(self, request: str, body: bytes) -> None:
+        """Have an answer kept; best effort."""
+        message = Keep(request, body, digest(body))
+        for link in self._find(request):
+            try:
+                await link.conn.tell(message)
+            except PeerError:
+                continue
+
+    async def recall(self, request: str, deadline: float) -> bytes | None:
+        """Return the answer of an earlier request, waiting while it may still run.
+
+        Parameters
+        ----------
+        deadline : float
+            Loop time until which to ask.
+        """
+        loop = asyncio.get_running_loop()
+        while (left := deadline - loop.time()) > 0:
+            for link in self._find(request):
+                body = await self._ask(link, request, min(left, RECALL_S))
+                if body is not None:
+                    return body
+            await asyncio.sleep(min(RECALL_S, max(0.0, deadline - loop.time())))
+        return None
+
+    @staticmethod
+    async def _ask(link: Link, request: str, timeout: float) -> bytes | None:
+        try:
+            reply = await link.conn.ask(Recall(request), timeout)
+        except PeerError:
+            return None
+        match reply:
+            case Kept() if reply.request == request and is_whole(reply):
+                return reply.body
+        return None
+
+    def _find(self, request: str) -> list[Link]:
+        """Return the agents for a request, by rendezvous hashing."""
+        links = [link for link in self._directory.links if link.is_usable]
+        links.sort(key=lambda link: _rank(request, link.name))
+        return links[:KEEPERS]
--- a/src/lagoontide/dispatch/messages.py
+++ b/src/lagoontide/dispatch/messages.py
@@ -11,9 +11,12 @@
     "Cancel",
     "Done",
     "Failed",
+    "Keep",
+    "Kept",
     "MESSAGES",
     "NotRun",
     "Pending",
+    "Recall",
     "Reply",
     "Settle",
     "Tokens",
@@ -43,6 +46,8 @@
         Hash of the body.
     resume : tuple of str
         Tokens of a generation that earlier attempts gave.
+    epoch : int
+        Newest epoch of the agent that the sender had heard of.
     """
 
     attempt: str
@@ -59,19 +64,36 @@
     body: bytes
     digest: int
     resume: tuple[str, ...] = ()
+    epoch: int = 0
 
 
 class Settle(msgspec.Struct, frozen=True, tag="settle"):
-    """Asks what became of an attempt; one not seen will never run afterwards."""
+    """Asks what became of an attempt; one not seen will never run afterwards.
+
+    Attributes
+    ----------
+    epoch : int
+        Of the call that is asked about.
+    have : int
+        Tokens of the whole generation that have arrived.
+    """
 
     attempt: str
     incarnation: str
+    epoch: int = 0
+    have: int = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
-    """Says that nobody waits for an attempt any more."""
+    """Says that nobody waits for an attempt any more.
+
+    With the incarnation and epoch of its call, one that has not arrived yet
+    will not run.
+    """
 
     attempt: str
+    incarnation: str = ""
+    epoch: int = 0
 
 
 class Tokens(msgspec.Struct, frozen=True, tag="tokens"):
@@ -89,6 +111,11 @@
     ----------
     waited, ran : float
         Seconds in the agent's queue and at the target.
+    tokens : list of str
+        Tokens of a generation that this attempt gave, once more, so that none is
+        missing when a message with some of them was lost.
+    offset : int
+        Position of the first of them in the whole.
     """
 
     attempt: str
@@ -97,6 +124,8 @@
     load: Load
     waited: float = 0.0
     ran: float = 0.0
+    tokens: list[str] = []
+    offset: int = 0
 
 
 class NotRun(msgspec.Struct, frozen=True, tag="not_run"):
@@ -127,6 +156,29 @@
 
     attempt: str
     load: Load
+    running: bool = False
+
+
+class Keep(msgspec.Struct, frozen=True, tag="keep"):
+    """Asks an agent to keep a request's whole answer for a while."""
+
+    request: str
+    body: bytes
+    digest: int
+
+
+class Recall(msgspec.Struct, frozen=True, tag="recall"):
+    """Asks for the answer of an earlier request."""
+
+    request: str
+
+
+class Kept(msgspec.Struct, frozen=True, tag="kept"):
+    """The answer that is kept, or no body if there is none."""
+
+    request: str
+    body: bytes | None = None
+    digest: int = 0
 
 
 Reply = Done | NotRun | Failed | Unknown | Pending | Tokens
@@ -141,9 +193,13 @@
     Failed,
     Unknown,
     Pending,
+    Keep,
+    Recall,
+    Kept,
 )
 
 
-def is_whole(message: Call | Done) -> bool:
+def is_whole(message: Call | Done | Keep | Kept) -> bool:
     """Whether a body arrived as it was sent."""
-    return digest(message.body) == message.digest
+    body = message.body
+    return body is not None and digest(body) == message.digest
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -6,10 +6,12 @@
 import zmq.asyncio
 from loguru import logger
 
-from lagoontide.claims.baseline import SimpleClaims
+from lagoontide.claims.messages import ClaimAsk, ReleaseAsk
+from lagoontide.claims.service import PartitionClaims
 from lagoontide.configuration.holder import Holder
 from lagoontide.configuration.source import follow
 from lagoontide.dispatch.caller import Dispatcher
+from lagoontide.dispatch.kept import Keepers
 from lagoontide.entry.http import make_app
 from lagoontide.entry.service import Entry
 from lagoontide.httpd import Bridge, HttpServer
@@ -67,7 +69,13 @@
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
-        self.entry = Entry(self.holder, dispatcher, SimpleClaims(store), metrics)
+        self.claims = PartitionClaims(
+            store, self.directory.peers, lambda: self.peers_server.address
+        )
+        for kind in (ClaimAsk, ReleaseAsk):
+            self.router.register(kind, self.claims.handle)
+        keepers = Keepers(self.directory)
+        self.entry = Entry(self.holder, dispatcher, self.claims, metrics, keepers)
         bridge = Bridge(asyncio.get_running_loop())
         self.http = HttpServer(
             cfg.callers,
@@ -102,6 +110,7 @@
             asyncio.to_thread(self.http.stop),
             asyncio.to_thread(self.operators_http.stop),
         )
+        self.claims.close()
         self.directory.close()
         self.peers_server.close()
 
@@ -133,6 +142,7 @@
                     parts.directory.follow(),
                     parts.follow_configuration(),
                     parts.serve_peers(),
+                    parts.claims.keep_lease(),
                 ],
                 lambda: parts.entry.drain(cfg.drain),
             )
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -9,10 +9,11 @@
 from loguru import logger
 
 from lagoontide.admission.accounts import Accounts
-from lagoontide.claims.baseline import Claim, SimpleClaims
+from lagoontide.claims.baseline import Claim, Claims
 from lagoontide.configuration.document import Document, Priority, Service
 from lagoontide.configuration.holder import Holder
 from lagoontide.dispatch.caller import Dispatcher, OnTokens
+from lagoontide.dispatch.kept import Keepers
 from lagoontide.entry.story import Listener, Story
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.metrics import Metrics
@@ -24,6 +25,7 @@
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
 RETRY_AFTER_S = 1.0
+REPEATABLE_CLAIM_SHARE = 0.2  # Of the time left.
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,12 +53,14 @@
         self,
         holder: Holder,
         dispatcher: Dispatcher,
-        claims: SimpleClaims,
+        claims: Claims,
         metrics: Metrics,
+        keepers: Keepers,
     ) -> None:
         self._holder = holder
         self._dispatcher = dispatcher
         self._claims = claims
+        self._keepers = keepers
         self._metrics = metrics
         self._accounts = Accounts()
         self._listeners: list[Listener] = []
@@ -103,7 +107,7 @@
         try:
             request = self._accept(call, answer.request, started, on_tokens)
             if call.key:
-                await self._claim(call, request)
+                return await self._serve_keyed(call, request, answer)
             return await walk(request, self._dispatcher, self._find_service, answer)
         except LagoontideError as exc:
             error = exc
@@ -163,12 +167,57 @@
             request_id, route, account, priority, now + budget, body, on_tokens
         )
 
-    async def _claim(self, call: CallerRequest, request: Request) -> None:
+    async def _serve_keyed(
+        self, call: CallerRequest, request: Request, answer: Answer
+    ) -> Answer:
+        """Run the request unless an earlier one has its key."""
         digest = xxhash.xxh3_64_intdigest(call.route.encode() + b"\0" + call.body)
+        claim = Claim(request.id, digest)
+        account = request.account.name
+        holder = await self._claim(account, call.key, claim, request)
+        if holder and await self._repeat(request, holder, answer):
+            return answer
+        try:
+            await walk(request, self._dispatcher, self._find_service, answer)
+        except RequestFailed as exc:
+            if exc.repeat_safe:
+                await self._claims.release(account, call.key, claim)
+            raise
+        await self._keepers.keep(request.id, msgspec.json.encode(answer.fields))
+        return answer
+
+    async def _claim(
+        self, account: str, key: str, claim: Claim, request: Request
+    ) -> str:
+        """Return the id of an earlier request with this key, or "" if it is new."""
         left = request.deadline - asyncio.get_running_loop().time()
-        await self._claims.claim(
-            request.account.name, call.key, Claim(request.id, digest), left
-        )
+        if not request.route.is_repeatable:
+            return await self._claims.claim(account, key, claim, left)
+        try:
+            return await self._claims.claim(
+                account, key, claim, left * REPEATABLE_CLAIM_SHARE
+            )
+        except RequestFailed:
+            return ""  # Nothing is lost if such a request runs twice.
+
+    async def _repeat(self, request: Request, holder: str, answer: Answer) -> bool:
+        """Take the first request's answer; return False if this one may run too."""
+        now = asyncio.get_running_loop().time()
+        left = request.deadline - now
+        if request.route.is_repeatable:
+            left *= REPEATABLE_CLAIM_SHARE
+        body = await self._keepers.recall(holder, now + left)
+        if body is None and request.route.is_repeatable:
+            return False
+        if body is None:
+            raise RequestFailed(
+                "unknown",
+                "the key was used before and its answer is not kept",
+                step="claim",
+                repeat_safe=False,
+            )
+        answer.fields = msgspec.json.decode(body, type=Fields)
+        return True
 
 
 def _tell(
--- a/src/lagoontide/local.py
+++ b/src/lagoontide/local.py
@@ -91,6 +91,7 @@
             tasks.append(asyncio.create_task(parts.directory.follow()))
             tasks.append(asyncio.create_task(parts.follow_configuration()))
             tasks.append(asyncio.create_task(parts.serve_peers()))
+            tasks.append(asyncio.create_task(parts.claims.keep_lease()))
         try:
             yield local
         finally:
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -1,6 +1,7 @@
 """The agents that an entry knows, from the platform's list and from themselves."""
 
 import asyncio
+import uuid
 from collections.abc import Callable
 
 from loguru import logger
@@ -16,9 +17,12 @@
 __all__ = ["Connect", "Directory", "Link"]
 
 HEARTBEAT_S = 1.0
+RECONNECT_S = 0.1
 LIST_INTERVAL_S = 2.0
 MISSED_HEARTBEATS = 2
 
+INCARNATION = uuid.uuid4().hex
+
 Connect = Callable[[str], Conn]
 
 
@@ -29,6 +33,8 @@
     ----------
     incarnation : str
         The agent's process; empty before its first word.
+    epoch : int
+        The agent's newest count of time.
     sent : int
         Calls of this entry that are under way there.
     """
@@ -37,6 +43,7 @@
         self.instance = instance
         self.conn = conn
         self.incarnation = ""
+        self.epoch = 0
         self.load = Load()
         self.load_at = 0.0
         self.sent = 0
@@ -88,15 +95,15 @@
                 await self._beat()
             except PeerError as exc:
                 self.missed += 1
-                logger.bind(peer=self.name, step="heartbeat").warning("{}", exc)
-                await asyncio.sleep(HEARTBEAT_S)
+                logger.bind(peer=self.name, step="heartbeat").debug("{}", exc)
+                await asyncio.sleep(RECONNECT_S)
 
     async def _beat(self) -> None:
         """Say hello and take what the agent says until the next beat is due."""
         loop = asyncio.get_running_loop()
         end = loop.time() + HEARTBEAT_S
         answered = False
-        with await self.conn.open(Hello()) as exchange:
+        with await self.conn.open(Hello(INCARNATION)) as exchange:
             while (left := end - loop.time()) > 0:
                 try:
                     welcome = await exchange.next(left)
@@ -112,6 +119,7 @@
         if welcome.incarnation != self.incarnation:
             logger.bind(peer=self.name).debug("incarnation {}", welcome.incarnation)
         self.incarnation = welcome.incarnation
+        self.epoch = welcome.epoch
         self.is_leaving = welcome.leaving
         self.observe(welcome.load)
 
--- a/src/lagoontide/wire/conn.py
+++ b/src/lagoontide/wire/conn.py
@@ -163,6 +163,9 @@
     sock = ctx.socket(zmq.DEALER)
     sock.set(zmq.LINGER, 0)
     sock.set(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+    # Without a connection a message is refused at once rather than kept for
+    # whoever listens there later: what was refused has certainly not run.
+    sock.set(zmq.IMMEDIATE, 1)
     sock.set(zmq.TCP_KEEPALIVE, 1)
     sock.set(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
     sock.connect(address)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -3,6 +3,8 @@
 import asyncio
 import selectors
 
+TURN_S = 1e-9
+
 
 class _JumpingSelector(selectors.SelectSelector):
     """Never waits; tells the loop how far its clock may jump."""
@@ -13,6 +15,9 @@
 
     def select(self, timeout=None):
         ready = super().select(0)
+        # Each turn takes a little, or a wait shorter than the clock's
+        # resolution would be taken up again without end.
+        self.now += TURN_S
         if not ready and timeout is None:
             raise RuntimeError("deadlock: nothing is due and nobody will wake us")
         if not ready:
@@ -32,13 +37,20 @@
         return self._jumping.now
 
 
+def close_loop(loop):
+    """Cancel what is left and close the loop."""
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        loop.run_until_complete(asyncio.wait(tasks))
+    loop.close()
+
+
 def run_virtual(coro):
     """Run a coroutine on a virtual clock and return its result."""
     loop = VirtualLoop()
     try:
         return loop.run_until_complete(coro)
     finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
+        close_loop(loop)
