--- a/features/steps/path.py
+++ b/features/steps/path.py
@@ -3,7 +3,7 @@
 import msgspec
 from behave import given, then, when
 
-from features.support import Running
+from tests.support.running import Running
 
 
 @given('the deployment "{name}" is running')
--- a/src/lagoontide/bench/path.py
+++ b/src/lagoontide/bench/path.py
@@ -1,32 +1,46 @@
 """Overhead of the whole path with instant targets, as processes."""
 
+import asyncio
 import itertools
+import statistics
 import threading
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import msgspec
 import urllib3
 
 from lagoontide.bench.fleet import Fleet, start_fleet
-from lagoontide.configuration.document import Document
+from lagoontide.configuration.document import Document, ServiceKind, Stage
 from lagoontide.deployments import SampleRequest, make_requests, make_token
+from lagoontide.platform.targets import HttpTarget, Work
 from lagoontide.standins.compute import compute_answer
 
 __all__ = ["PathFigures", "run_path"]
 
 STAGES = 4
-WARM_UP = 100
+WARM_UP_S = 2.0
 LOAD_CALLERS = 16
 STATUS_OK = 200
 MB = 1 << 20
 
 
 class PathFigures(msgspec.Struct):
-    """What the bench prints; times in seconds, memory in MB."""
+    """What the bench prints; times in seconds, memory in MB.
+
+    Attributes
+    ----------
+    p50_direct : float
+        The same four calls made straight at the targets, one after the other.
+    p50_overhead : float
+        What the system adds to that.
+    """
 
     p50_one_caller: float
     p99_one_caller: float
+    p50_direct: float
+    p50_overhead: float
     requests_per_s_entry: float
     wrong: int
     agent_idle_mb: float
@@ -51,13 +65,17 @@
         agent_mb = max(item.resident_bytes for item in fleet.agents.values()) / MB
         entry_mb = max(item.resident_bytes for item in fleet.entries.values()) / MB
         addresses = [entry.address for entry in fleet.entries.values()]
-        _load(fleet, addresses[:1], 1, seconds=2.0, seed=seed)
+        _load(fleet, addresses[:1], 1, WARM_UP_S, seed)
+        direct = asyncio.run(_measure_direct(fleet, seconds, seed))
         one = _load(fleet, addresses[:1], 1, seconds, seed + 1)
         many = _load(fleet, addresses, LOAD_CALLERS * len(addresses), seconds, seed + 2)
-    one.times.sort()
+    p50 = statistics.median(one.times)
+    p50_direct = statistics.median(direct)
     figures = PathFigures(
-        p50_one_caller=one.times[len(one.times) // 2],
-        p99_one_caller=one.times[len(one.times) * 99 // 100],
+        p50_one_caller=p50,
+        p99_one_caller=statistics.quantiles(one.times, n=100)[-1],
+        p50_direct=p50_direct,
+        p50_overhead=p50 - p50_direct,
         requests_per_s_entry=len(many.times) / seconds / len(addresses),
         wrong=one.wrong + many.wrong,
         agent_idle_mb=agent_mb,
@@ -75,6 +93,49 @@
         print(f"{name:24} {getattr(figures, name):.4f}")
 
 
+async def _measure_direct(fleet: Fleet, seconds: float, seed: int) -> list[float]:
+    """Return the times of a four-stage request made without the system."""
+    targets = {
+        service: HttpTarget(f"http://{fleet.targets[f'target-{service}-1'].address}", 1)
+        for service in fleet.document.services
+    }
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    times: list[float] = []
+    for sample in _four_stage_samples(fleet.document, f"direct-{seed}"):
+        started = loop.time()
+        if started >= end:
+            return times
+        for stage in sample.route.stages:
+            work = _make_work(stage, sample)
+            target = targets[stage.service]
+            if fleet.document.services[stage.service].kind is ServiceKind.ENGINE:
+                await target.stream(work, lambda offset, tokens: None)
+            else:
+                await target.run(work)
+        times.append(loop.time() - started)
+    return times
+
+
+def _make_work(stage: Stage, sample: SampleRequest) -> Work:
+    return Work(
+        attempt="direct",
+        request="direct",
+        operation=stage.operation,
+        body=msgspec.json.encode(sample.body | stage.constants),
+        budget=sample.route.deadline,
+        priority=sample.priority.value,
+    )
+
+
+def _four_stage_samples(document: Document, run: str) -> Iterator[SampleRequest]:
+    return (
+        sample
+        for sample in make_requests(document, run)
+        if len(sample.route.stages) == STAGES
+    )
+
+
 def _load(
     fleet: Fleet, addresses: list[str], callers: int, seconds: float, seed: int
 ) -> Tally:
@@ -104,11 +165,7 @@
     end: float, document: Document, address: str, run: str, tally: Tally
 ) -> None:
     http = urllib3.PoolManager(maxsize=1, retries=False)
-    samples = (
-        sample
-        for sample in make_requests(document, run)
-        if len(sample.route.stages) == STAGES
-    )
+    samples = _four_stage_samples(document, run)
     while time.monotonic() < end:
         sample = next(samples)
         started = time.monotonic()
--- a/src/lagoontide/entry/http.py
+++ b/src/lagoontide/entry/http.py
@@ -11,7 +11,7 @@
 from lagoontide.configuration.document import Priority
 from lagoontide.entry.service import CallerRequest, Entry
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
-from lagoontide.httpd import Bridge, read_body
+from lagoontide.httpd import Bridge, give_up_body, read_body
 from lagoontide.pipeline.walk import Answer, Fields
 
 __all__ = ["Problem", "make_app", "to_problem"]
@@ -128,9 +128,19 @@
         try:
             body = read_body(environ, self._max_body + 1)
         except (OSError, ValueError) as exc:
+            give_up_body(environ)
             raise RequestError(
-                HTTPStatus.REQUEST_TIMEOUT, f"the body did not arrive: {exc}"
+                HTTPStatus.REQUEST_TIMEOUT,
+                f"the body did not arrive: {exc}",
+                step="body",
             ) from exc
+        declared = environ.get("CONTENT_LENGTH")
+        if declared and len(body) < min(int(declared), self._max_body):
+            raise RequestError(
+                HTTPStatus.BAD_REQUEST,
+                f"the body was cut: {len(body)} of {declared} bytes",
+                step="body",
+            )
         if len(body) > self._max_body:
             raise RequestError(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/src/lagoontide/httpd.py
+++ b/src/lagoontide/httpd.py
@@ -8,7 +8,14 @@
 
 from cheroot import wsgi
 
-__all__ = ["Bridge", "HttpServer", "Wsgi", "read_body", "split_address"]
+__all__ = [
+    "Bridge",
+    "HttpServer",
+    "Wsgi",
+    "give_up_body",
+    "read_body",
+    "split_address",
+]
 
 Wsgi = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -100,3 +107,12 @@
     length = environ.get("CONTENT_LENGTH") or ""
     stream = environ["wsgi.input"]
     return stream.read(min(int(length), limit)) if length else stream.read(limit)
+
+
+def give_up_body(environ: dict[str, Any]) -> None:
+    """Leave the rest of a body that does not come unread.
+
+    The server would otherwise wait for it before it sends the answer; it closes
+    the connection afterwards, as reading has timed out.
+    """
+    environ["wsgi.input"].remaining = 0
