Compare policies under load: bench run on a virtual clock

Cause: no decision under load could be measured. Change: open-loop seeded arrivals relative to the deployment's capacity, scenarios, arms side by side on one virtual clock through the real entries, dispatch and agents; stand-ins keep what each attempt cost them.

--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -21,6 +21,24 @@
 
         sys.exit(run_path(deployment, seed, seconds, json, first_port))
 
+    def run(
+        self,
+        deployment: str = "swanreach",
+        scenario: str = "steady",
+        policy: str | tuple[str, ...] = ("default", "least-outstanding", "oracle"),
+        seed: int = 1,
+        seconds: float = 20.0,
+        json: bool = False,
+        out: str = "",
+        clock: str = "virtual",
+    ) -> None:
+        """Compare policies under one scenario, with open-loop arrivals."""
+        from lagoontide.bench.run import Experiment, run_bench
+
+        policies = tuple(policy.split(",")) if isinstance(policy, str) else policy
+        experiment = Experiment(deployment, scenario, policies, seed, seconds, clock)
+        sys.exit(run_bench(experiment, json, out))
+
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
     ) -> None:
--- /dev/null
+++ b/src/lagoontide/bench/policies.py
@@ -0,0 +1,71 @@
+"""The arms that an experiment may have, by name."""
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from lagoontide.agent.service import Agent
+from lagoontide.errors import SettingsError
+from lagoontide.routing.choose import (
+    Candidate,
+    Choose,
+    Default,
+    LeastOutstanding,
+    Policy,
+    PowerOfTwo,
+    RandomChoice,
+    RoundRobin,
+)
+from lagoontide.standins.http import StandIn
+
+__all__ = ["TACTICS", "Tactics", "find_tactics", "make_oracle"]
+
+
+@dataclass(frozen=True, slots=True)
+class Tactics:
+    """What an arm decides with.
+
+    Attributes
+    ----------
+    policy : Policy or None
+        How a target is chosen; None for the oracle, which sees true state.
+    """
+
+    policy: Policy | None
+
+
+TACTICS = {
+    "default": Tactics(Default()),
+    "oracle": Tactics(None),
+    "random": Tactics(RandomChoice()),
+    "round-robin": Tactics(RoundRobin()),
+    "least-outstanding": Tactics(LeastOutstanding()),
+    "power-of-two": Tactics(PowerOfTwo()),
+}
+
+
+def find_tactics(name: str) -> Tactics:
+    """Return the tactics of a name; raises SettingsError if there are none."""
+    try:
+        return TACTICS[name]
+    except KeyError:
+        known = ", ".join(TACTICS)
+        raise SettingsError(f"no policy {name!r}; there are {known}") from None
+
+
+def make_oracle(
+    agents: Mapping[str, Agent], targets: Mapping[str, StandIn], rng: random.Random
+) -> Choose:
+    """Return a choice that reads agents and targets themselves, without delay."""
+
+    def rate(candidate: Candidate) -> tuple[float, float, float]:
+        load, faults = agents[candidate.name].load, targets[candidate.name].faults
+        ahead = load.queued + load.running
+        waiting = max(0, ahead + 1 - load.limit)
+        factor = float("inf") if faults.stalled else faults.slow
+        return factor * (1 + waiting / load.limit), ahead / load.limit, rng.random()
+
+    def choose(candidates: Sequence[Candidate]) -> int:
+        return min(range(len(candidates)), key=lambda i: rate(candidates[i]))
+
+    return choose
--- a/src/lagoontide/deployments.py
+++ b/src/lagoontide/deployments.py
@@ -25,6 +25,7 @@
     "hash_token",
     "load_deployment",
     "make_requests",
+    "make_sample",
     "make_token",
     "place_replicas",
 ]
@@ -107,11 +108,15 @@
         for route in account.routes
     ]
     for number, (account, route) in enumerate(itertools.cycle(pairs)):
-        priority = route.priority
-        if priority not in account.priorities:
-            priority = account.priorities[0]
-        body = _make_body(route, f"{run}-{number}")
-        yield SampleRequest(account, route, priority, body)
+        yield make_sample(account, route, f"{run}-{number}")
+
+
+def make_sample(account: Account, route: Route, mark: str) -> SampleRequest:
+    """Return a request of an account whose body carries a mark."""
+    priority = route.priority
+    if priority not in account.priorities:
+        priority = account.priorities[0]
+    return SampleRequest(account, route, priority, _make_body(route, mark))
 
 
 def _make_body(route: Route, mark: str) -> Values:
--- a/src/lagoontide/standins/engine.py
+++ b/src/lagoontide/standins/engine.py
@@ -214,6 +214,7 @@
             missing = self.cache.use(stream.work.body.decode(), now)
             if self._profile.prefill_block:
                 prefill = missing * self._profile.prefill_block
+                self.ledger.spend(stream.work, prefill)
                 await asyncio.sleep(prefill * self.faults.slow)
         load = TargetLoad(len(self._batch), len(self._waiting))
         self._history.append((now, load))
@@ -232,6 +233,8 @@
             return
         tokens = [make_token(stream.inputs, i) for i in range(stream.position, end)]
         if tokens:
+            cost = len(tokens) * self._profile.token_cost(self._slots)
+            self.ledger.spend(stream.work, cost)
             stream.on_tokens(stream.position, tokens)
         stream.position = end
         if end == stream.total:
--- a/src/lagoontide/standins/ledger.py
+++ b/src/lagoontide/standins/ledger.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-__all__ = ["Execution", "Ledger"]
+from lagoontide.platform.targets import Work
+
+__all__ = ["Execution", "Ledger", "Spending"]
 
 
 class Execution(msgspec.Struct, frozen=True):
@@ -20,11 +22,27 @@
     at: float
 
 
+class Spending(msgspec.Struct):
+    """Seconds of a healthy target that an attempt took, finished or not."""
+
+    request: str
+    operation: str
+    seconds: float = 0.0
+
+
 class Ledger:
-    """Executions in order of their effect."""
+    """Executions in order of their effect, and what each attempt cost."""
 
     def __init__(self) -> None:
         self.executions: list[Execution] = []
+        self.spendings: dict[str, Spending] = {}
+
+    def spend(self, work: Work, seconds: float) -> None:
+        """Write down that an attempt took some of the target's time."""
+        spending = self.spendings.setdefault(
+            work.attempt, Spending(work.request, work.operation)
+        )
+        spending.seconds += seconds
 
     def add(self, execution: Execution) -> None:
         """Write down an execution."""
--- a/src/lagoontide/standins/plain.py
+++ b/src/lagoontide/standins/plain.py
@@ -41,6 +41,7 @@
         self.ledger = Ledger()
         self._kind = kind
         self._profile = profile
+        self._limit = slots
         self._slots = asyncio.Semaphore(slots)
         self._rng = rng
         self._running = 0
@@ -52,7 +53,9 @@
         async with self._slots:
             self._note(1)
             try:
-                await self._spend(self._profile.draw(self._rng))
+                seconds = self._profile.draw(self._rng)
+                self.ledger.spend(work, seconds / self._limit)
+                await self._spend(seconds)
             finally:
                 self._note(-1)
         body = self._answer(work)
--- a/src/lagoontide/standins/profiles.py
+++ b/src/lagoontide/standins/profiles.py
@@ -24,6 +24,11 @@
     median: float
     sigma: float = 0.25
 
+    @property
+    def mean(self) -> float:
+        """Mean service time in seconds."""
+        return self.median * math.exp(self.sigma**2 / 2)
+
     def draw(self, rng: random.Random) -> float:
         """Return one service time in seconds."""
         return self.median * math.exp(rng.gauss(0.0, self.sigma))
@@ -50,6 +55,10 @@
     step_per_stream: float = 0.0005
     cache_blocks: int = 512
 
+    def token_cost(self, slots: int) -> float:
+        """Return the engine's seconds that a token takes in a full batch."""
+        return self.step / slots + self.step_per_stream
+
 
 INSTANT = Profile(0.0)
 INSTANT_ENGINE = EngineProfile(0.0, 0.0, 0.0)
