Order the agent's work by priority, account shares and slack

Cause: waiting calls started by priority and arrival only; a call that could no longer make its deadline was still started.

--- a/src/lagoontide/agent/service.py
+++ b/src/lagoontide/agent/service.py
@@ -6,6 +6,8 @@
 
 from loguru import logger
 
+from lagoontide.agent.planner import Planner
+from lagoontide.agent.tokens import TokenSender
 from lagoontide.dispatch.attempts import AttemptLog, AttemptState, Final, Record
 from lagoontide.dispatch.messages import (
     Call,
@@ -15,7 +17,6 @@
     NotRun,
     Pending,
     Settle,
-    Tokens,
     Unknown,
     digest,
     is_whole,
@@ -25,14 +26,14 @@
 from lagoontide.metrics import Metrics
 from lagoontide.platform.targets import Target, Work
 from lagoontide.scheduling.load import Load
-from lagoontide.scheduling.queue import Queue, Waiting
+from lagoontide.scheduling.tactics import ByShare, Order
+from lagoontide.scheduling.waiting import Waiting
 from lagoontide.wire.server import Send
 
 __all__ = ["Agent"]
 
 RECORD_WINDOW_S = 120.0
 RECORD_BYTES = 4 << 20
-SERVICE_TIME_WEIGHT = 0.1
 PEER_SILENCE_S = 10.0
 
 
@@ -45,6 +46,7 @@
     record: Record
     deadline: float
     queued_at: float
+    timer: asyncio.TimerHandle | None = None
 
 
 class Agent:
@@ -60,33 +62,37 @@
         Calls that the target has at the same time.
     metrics : Metrics
         Where counters and timings go.
+    order : Order
+        In which waiting calls start.
     """
 
     def __init__(
-        self, name: str, service: str, target: Target, limit: int, metrics: Metrics
+        self,
+        name: str,
+        service: str,
+        target: Target,
+        limit: int,
+        metrics: Metrics,
+        order: Order | None = None,
     ) -> None:
         self.name = name
         self.service = service
         self.incarnation = uuid.uuid4().hex
         self.is_leaving = False
         self._target = target
-        self._limit = limit
         self._metrics = metrics
-        self._queue = Queue()
+        self._planner = Planner(order or ByShare(), limit)
         self._log = AttemptLog(RECORD_WINDOW_S, RECORD_BYTES)
         self._jobs: dict[str, Job] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
         self._peers: dict[str, Send] = {}
-        self._service_time = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
 
     @property
     def load(self) -> Load:
         """The load at this moment."""
-        return Load(
-            len(self._queue), len(self._running), self._limit, self._service_time
-        )
+        return self._planner.load
 
     async def handle(self, peer: str, message: object, send: Send) -> None:
         """Answer one message of a peer."""
@@ -132,7 +138,14 @@
             return
         record = self._log.get(call.attempt)
         if record is None:
-            record = self._enqueue(call, send)
+            now = asyncio.get_running_loop().time()
+            item = self._planner.plan(call, now)
+            if self._planner.comes_too_late(item, now):
+                self._metrics.count("agent.not_run.overloaded")
+                self._log.bury(call.attempt, "overloaded", now)
+                await send(NotRun(call.attempt, "overloaded", self.load))
+                return
+            record = self._enqueue(call, send, item)
         await send(await asyncio.shield(record.final))
 
     def _find_refusal(self, call: Call) -> str:
@@ -149,18 +162,23 @@
             return "deadline"
         return ""
 
-    def _enqueue(self, call: Call, send: Send) -> Record:
-        now = asyncio.get_running_loop().time()
+    def _enqueue(self, call: Call, send: Send, item: Waiting) -> Record:
+        loop = asyncio.get_running_loop()
         record = self._log.add(call.attempt)
-        job = Job(call, send, record, now + call.budget, now)
+        job = Job(call, send, record, item.deadline, loop.time())
         self._jobs[call.attempt] = job
-        self._queue.push(
-            Waiting(call.attempt, call.account, call.priority, job.deadline)
-        )
+        self._planner.push(item)
         self._idle.clear()
         self._start_next()
+        if record.state is AttemptState.QUEUED:
+            job.timer = loop.call_at(item.latest_start, self._give_up, job)
         return record
 
+    def _give_up(self, job: Job) -> None:
+        """End a call that waited until it could no longer make its deadline."""
+        if self._planner.remove(job.call.attempt) is not None:
+            self._end(job, NotRun(job.call.attempt, "deadline", self.load))
+
     def _settle(self, question: Settle) -> Final | Pending:
         record = self._log.get(question.attempt)
         if record is not None and record.final.done():
@@ -176,19 +194,17 @@
         job = self._jobs.get(attempt)
         if job is None:
             return
-        if self._queue.remove(attempt) is not None:
+        if self._planner.remove(attempt) is not None:
             self._end(job, NotRun(attempt, "cancelled", self.load))
         elif job.call.repeatable:
             await self._target.cancel(attempt)
 
     def _start_next(self) -> None:
         loop = asyncio.get_running_loop()
-        while len(self._running) < self._limit:
-            item = self._queue.pop()
-            if item is None:
-                return
+        while (item := self._planner.pop()) is not None:
             job = self._jobs[item.attempt]
-            if loop.time() >= job.deadline:
+            if loop.time() >= min(job.deadline, item.latest_start):
+                self._planner.end(job.call, None)
                 self._end(job, NotRun(item.attempt, "deadline", self.load))
                 continue
             job.record.state = AttemptState.RUNNING
@@ -200,8 +216,7 @@
         result = await self._execute(job, started)
         elapsed = loop.time() - started
         del self._running[job.call.attempt]
-        if isinstance(result, Done):
-            self._note_service_time(elapsed)
+        self._planner.end(job.call, elapsed if isinstance(result, Done) else None)
         self._metrics.time(f"agent.target.{self.service}", elapsed)
         self._end(job, result)
         self._start_next()
@@ -243,23 +258,17 @@
         if not call.streams:
             return await self._target.run(work)
 
-        def on_tokens(offset: int, tokens: list[str]) -> None:
-            message = Tokens(call.attempt, offset, tokens)
-            task = asyncio.ensure_future(job.send(message))
-            sends.add(task)
-            task.add_done_callback(sends.discard)
-
-        sends: set[asyncio.Future[None]] = set()
-        return await self._target.stream(work, on_tokens)
-
-    def _note_service_time(self, elapsed: float) -> None:
-        if self._service_time == 0.0:
-            self._service_time = elapsed
-        self._service_time += SERVICE_TIME_WEIGHT * (elapsed - self._service_time)
+        sender = TokenSender(call.attempt, job.send)
+        try:
+            return await self._target.stream(work, sender.add)
+        finally:
+            sender.close()
 
     def _end(self, job: Job, result: Final) -> None:
         now = asyncio.get_running_loop().time()
         self._log.end(job.record, result, now)
         del self._jobs[job.call.attempt]
+        if job.timer is not None:
+            job.timer.cancel()
         if not self._jobs:
             self._idle.set()
--- a/src/lagoontide/bench/arm.py
+++ b/src/lagoontide/bench/arm.py
@@ -104,7 +104,9 @@
 def _add_agent(arm: Arm, place: Placement, tactics: Tactics, seed: int) -> None:
     service = place.service
     target = make_target(place.name, service.kind, service.slots, seed)
-    agent = Agent(place.name, service.name, target, service.slots, NoMetrics())
+    agent = Agent(
+        place.name, service.name, target, service.slots, NoMetrics(), tactics.order
+    )
     arm.targets[place.name] = target
     arm.agents[place.name] = agent
     arm.domains[place.name] = place.failure_domain
--- a/src/lagoontide/bench/policies.py
+++ b/src/lagoontide/bench/policies.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lagoontide.agent.service import Agent
 from lagoontide.errors import SettingsError
@@ -16,6 +16,7 @@
     RandomChoice,
     RoundRobin,
 )
+from lagoontide.scheduling.tactics import ByArrival, ByShare, Order
 from lagoontide.standins.http import StandIn
 
 __all__ = ["TACTICS", "Tactics", "find_tactics", "make_oracle"]
@@ -29,18 +30,27 @@
     ----------
     policy : Policy or None
         How a target is chosen; None for the oracle, which sees true state.
+    order : Order
+        In which an agent's waiting calls start.
     """
 
     policy: Policy | None
+    order: Order = ByArrival()
 
 
+SHIPPED = Tactics(Default(), ByShare())
+
 TACTICS = {
-    "default": Tactics(Default()),
-    "oracle": Tactics(None),
+    "default": SHIPPED,
+    "oracle": Tactics(None, ByShare()),
     "random": Tactics(RandomChoice()),
     "round-robin": Tactics(RoundRobin()),
     "least-outstanding": Tactics(LeastOutstanding()),
     "power-of-two": Tactics(PowerOfTwo()),
+    # The shipped one without one of its decisions, to see what each adds.
+    "first": Tactics(Default()),
+    "without-refusal": replace(SHIPPED, order=ByShare(refuses=False)),
+    "without-long-lanes": replace(SHIPPED, order=ByShare(separates=False)),
 }
 
 
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -45,6 +45,8 @@
         Loop time by which the outcome is due.
     tokens : list of str
         Tokens received so far, over all attempts.
+    size : int
+        Tokens that the work may give at most; 0 if that is no matter.
     """
 
     request: str
@@ -57,6 +59,7 @@
     streams: bool = False
     on_tokens: OnTokens | None = None
     tokens: list[str] = field(default_factory=list)
+    size: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +174,7 @@
             body=call.body,
             digest=digest(call.body),
             resume=tuple(call.tokens),
+            size=call.size,
         )
 
     async def _follow(
--- a/src/lagoontide/dispatch/messages.py
+++ b/src/lagoontide/dispatch/messages.py
@@ -43,6 +43,8 @@
         Hash of the body.
     resume : tuple of str
         Tokens of a generation that earlier attempts gave.
+    size : int
+        Tokens that the work may give at most; 0 if that is no matter.
     """
 
     attempt: str
@@ -59,6 +61,7 @@
     body: bytes
     digest: int
     resume: tuple[str, ...] = ()
+    size: int = 0
 
 
 class Settle(msgspec.Struct, frozen=True, tag="settle"):
--- a/src/lagoontide/pipeline/walk.py
+++ b/src/lagoontide/pipeline/walk.py
@@ -153,9 +153,19 @@
         body=msgspec.json.encode(inputs),
         streams=service.kind is ServiceKind.ENGINE,
         on_tokens=request.on_tokens if is_last else None,
+        size=_size_of(stage),
     )
 
 
+def _size_of(stage: Stage) -> int:
+    """Return the tokens that a stage may give, or 0 if the document says none."""
+    match stage.constants.get("max_tokens"):
+        case int(size) if size > 0:
+            return size
+        case _:
+            return 0
+
+
 def _pick(
     outputs: dict[str, Fields], source: str, step: str, answer: Answer
 ) -> msgspec.Raw:
--- a/src/lagoontide/scheduling/load.py
+++ b/src/lagoontide/scheduling/load.py
@@ -18,9 +18,12 @@
         Calls that the target may have at the same time.
     service_time : float
         Recent mean of seconds from start to answer; 0 if not known.
+    wait : float
+        Seconds until a new call of normal priority is expected to start.
     """
 
     queued: int = 0
     running: int = 0
     limit: int = 1
     service_time: float = 0.0
+    wait: float = 0.0
--- a/src/lagoontide/scheduling/queue.py
+++ b/src/lagoontide/scheduling/queue.py
@@ -1,37 +1,46 @@
 """Order of the work that waits at an agent."""
 
 import heapq
-from dataclasses import dataclass
 from itertools import count
+from typing import Protocol
 
-from lagoontide.configuration.document import Priority
+from lagoontide.scheduling.fair import FairLane
+from lagoontide.scheduling.waiting import RANK, Waiting
 
-__all__ = ["Queue", "Waiting"]
+__all__ = ["ArrivalQueue", "FairQueue", "Queue"]
 
-RANK = {Priority.HIGH: 0, Priority.NORMAL: 1, Priority.LOW: 2}
+RANKS = len(RANK)
+# Of so many starts one goes to the least urgent class, so that none starves.
+TURNS = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Waiting:
-    """A call that waits for its start.
+class Queue(Protocol):
+    """Waiting calls in the order in which they start."""
 
-    Attributes
-    ----------
-    deadline : float
-        Loop time after which its answer is of no use.
-    cost : float
-        Expected seconds of the target's time.
-    """
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+
+    def push(self, item: Waiting) -> None:
+        """Add a call."""
+
+    def pop(self, long_slots: int) -> Waiting | None:
+        """Remove and return the call to start next, or None.
+
+        Parameters
+        ----------
+        long_slots : int
+            Long calls that may still start now.
+        """
+
+    def remove(self, attempt: str) -> Waiting | None:
+        """Remove a call that is not to start; return it if it waited."""
 
-    attempt: str
-    account: str
-    priority: Priority
-    deadline: float
-    cost: float = 1.0
+    def work_before(self, item: Waiting) -> float:
+        """Return the expected seconds of the calls that start before a new one."""
 
 
-class Queue:
-    """Waiting calls, the most urgent first and then in order of arrival."""
+class ArrivalQueue:
+    """The most urgent first and then in order of arrival: the first version."""
 
     def __init__(self) -> None:
         self._heap: list[tuple[int, int, Waiting]] = []
@@ -42,13 +51,13 @@
         return len(self._waiting)
 
     def push(self, item: Waiting) -> None:
-        """Add a call."""
+        """See Queue."""
         self._waiting[item.attempt] = item
         entry = (RANK[item.priority], next(self._numbers), item)
         heapq.heappush(self._heap, entry)
 
-    def pop(self) -> Waiting | None:
-        """Remove and return the call to start next, or None."""
+    def pop(self, long_slots: int) -> Waiting | None:
+        """See Queue; long calls are no matter here."""
         while self._heap:
             item = heapq.heappop(self._heap)[2]
             if self._waiting.pop(item.attempt, None) is not None:
@@ -56,5 +65,74 @@
         return None
 
     def remove(self, attempt: str) -> Waiting | None:
-        """Remove a call that is not to start; return it if it waited."""
+        """See Queue."""
         return self._waiting.pop(attempt, None)
+
+    def work_before(self, item: Waiting) -> float:
+        """See Queue; nothing is known of it here."""
+        return 0.0
+
+
+class FairQueue:
+    """Priority, then fair shares between accounts, then least slack.
+
+    Long calls have lanes of their own. While they have slots left they come
+    first within their class, as their slots are few; otherwise they wait and
+    block nobody.
+    """
+
+    def __init__(self) -> None:
+        self._short = tuple(FairLane() for _ in range(RANKS))
+        self._long = tuple(FairLane() for _ in range(RANKS))
+        self._waiting: dict[str, Waiting] = {}
+        self._work = [0.0] * RANKS
+        self._turns = count(1)
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def push(self, item: Waiting) -> None:
+        """See Queue."""
+        self._waiting[item.attempt] = item
+        self._lane_of(item).push(item)
+        self._note(item, item.cost)
+
+    def pop(self, long_slots: int) -> Waiting | None:
+        """See Queue."""
+        if not self._waiting:
+            return None
+        ranks = range(RANKS)
+        if next(self._turns) % TURNS == 0:
+            ranks = ranks[::-1]
+        for rank in ranks:
+            item = self._pop_rank(rank, long_slots)
+            if item is not None:
+                del self._waiting[item.attempt]
+                self._note(item, -item.cost)
+                return item
+        return None
+
+    def remove(self, attempt: str) -> Waiting | None:
+        """See Queue."""
+        item = self._waiting.pop(attempt, None)
+        if item is not None:
+            self._lane_of(item).remove(attempt)
+            self._note(item, -item.cost)
+        return item
+
+    def work_before(self, item: Waiting) -> float:
+        """See Queue."""
+        return max(0.0, sum(self._work[: RANK[item.priority] + 1]))
+
+    def _lane_of(self, item: Waiting) -> FairLane:
+        lanes = self._long if item.is_long else self._short
+        return lanes[RANK[item.priority]]
+
+    def _pop_rank(self, rank: int, long_slots: int) -> Waiting | None:
+        if long_slots > 0 and len(self._long[rank]):
+            return self._long[rank].pop()
+        return self._short[rank].pop()
+
+    def _note(self, item: Waiting, cost: float) -> None:
+        if not item.is_long:
+            self._work[RANK[item.priority]] += cost
--- a/src/lagoontide/standins/engine.py
+++ b/src/lagoontide/standins/engine.py
@@ -12,7 +12,7 @@
 from lagoontide.configuration.document import Priority
 from lagoontide.errors import TargetFailed, TargetUnreachable
 from lagoontide.platform.targets import OnTokens, TargetLoad, Work
-from lagoontide.scheduling.queue import RANK
+from lagoontide.scheduling.waiting import RANK
 from lagoontide.standins.compute import make_token, make_tokens
 from lagoontide.standins.faults import Faults
 from lagoontide.standins.ledger import Execution, Ledger
