Choose a target by fresh counts that fade with age, and own sends

Cause: below the limit all targets looked equal but for their recent service time, so one entry's calls crowded where the last mean was least. Change: expected completion counts work ahead relative to the limit, adds what was sent since the agent's word and leans old counts towards the pool's mean.

--- a/src/lagoontide/bench/policies.py
+++ b/src/lagoontide/bench/policies.py
@@ -10,6 +10,7 @@
     Candidate,
     Choose,
     Default,
+    FirstVersion,
     LeastOutstanding,
     Policy,
     PowerOfTwo,
@@ -48,7 +49,7 @@
     "least-outstanding": Tactics(LeastOutstanding()),
     "power-of-two": Tactics(PowerOfTwo()),
     # The shipped one without one of its decisions, to see what each adds.
-    "first": Tactics(Default()),
+    "first": Tactics(FirstVersion()),
     "without-refusal": replace(SHIPPED, order=ByShare(refuses=False)),
     "without-long-lanes": replace(SHIPPED, order=ByShare(separates=False)),
 }
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -149,6 +149,7 @@
     ) -> Done | NotRun | Failed | Unknown:
         message = self._make_message(call, link, attempt)
         link.sent += 1
+        link.sent_since += 1
         try:
             with await link.conn.open(message) as exchange:
                 return await self._follow(call, link, message, exchange)
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -9,6 +9,7 @@
 from lagoontide.membership.messages import Hello, Welcome
 from lagoontide.platform.instances import Instance, Instances, InstanceState, Role
 from lagoontide.routing.choose import Candidate
+from lagoontide.routing.health import Health
 from lagoontide.scheduling.load import Load
 from lagoontide.wire.conn import Conn
 
@@ -30,6 +31,8 @@
         The agent's process; empty before its first word.
     sent : int
         Calls of this entry that are under way there.
+    sent_since : int
+        Those sent since the last word of its load.
     """
 
     def __init__(self, instance: Instance, conn: Conn) -> None:
@@ -39,6 +42,8 @@
         self.load = Load()
         self.load_at = 0.0
         self.sent = 0
+        self.sent_since = 0
+        self.health = Health()
         self.is_leaving = False
         self.missed = 0
         self._task = asyncio.create_task(self._keep_in_touch(), name=instance.name)
@@ -62,6 +67,7 @@
         """Take the load that came with a message."""
         self.load = load
         self.load_at = asyncio.get_running_loop().time()
+        self.sent_since = 0
 
     def to_candidate(self, now: float) -> Candidate:
         """Return the link as routing sees it."""
@@ -74,6 +80,8 @@
             age=now - self.load_at,
             sent=self.sent,
             service_time=self.load.service_time,
+            sent_since=self.sent_since,
+            ratio=self.health.ratio,
         )
 
     def close(self) -> None:
--- a/src/lagoontide/routing/choose.py
+++ b/src/lagoontide/routing/choose.py
@@ -1,5 +1,6 @@
 """Policies that pick one of several candidates; all are pure but for chance."""
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
     "Candidate",
     "Choose",
     "Default",
+    "FirstVersion",
     "LeastOutstanding",
     "Policy",
     "PowerOfTwo",
@@ -19,6 +21,8 @@
 ]
 
 UNKNOWN_SERVICE_S = 0.02
+# Counts from an agent lose half their weight in this time.
+HALF_LIFE_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,8 +37,12 @@
         Seconds since that message.
     sent : int
         Calls of this entry that are under way there.
+    sent_since : int
+        Calls of this entry sent after that message.
     service_time : float
         Recent seconds from start to answer; 0 if not known.
+    ratio : float
+        Its service times relative to those of its pool.
     """
 
     name: str
@@ -45,11 +53,18 @@
     age: float
     sent: int
     service_time: float
+    sent_since: int = 0
+    ratio: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class Default:
-    """The least expected completion of two or more random candidates."""
+    """The least expected completion of all candidates."""
+
+
+@dataclass(frozen=True, slots=True)
+class FirstVersion:
+    """The least service time and queue of some random candidates."""
 
     samples: int = 3
 
@@ -74,18 +89,46 @@
     """Of two random candidates the one with fewer calls of this entry."""
 
 
-Policy = Default | RandomChoice | RoundRobin | LeastOutstanding | PowerOfTwo
+Policy = (
+    Default | FirstVersion | RandomChoice | RoundRobin | LeastOutstanding | PowerOfTwo
+)
 Choose = Callable[[Sequence[Candidate]], int]
 
 
-def expected_completion(candidate: Candidate) -> float:
-    """Return the seconds that one more call is expected to take there."""
+def expected_completion(candidate: Candidate, usual: float) -> float:
+    """Return the expected time there, relative to an idle healthy target.
+
+    Parameters
+    ----------
+    usual : float
+        Mean count of calls at the candidates, towards which old counts lean.
+    """
+    reported = candidate.queued + candidate.running
+    trust = 0.5 ** (candidate.age / HALF_LIFE_S)
+    ahead = usual + (reported - usual) * trust + candidate.sent_since
+    ahead = max(ahead, candidate.sent)
+    return candidate.ratio * (1 + ahead / candidate.limit)
+
+
+def _first_completion(candidate: Candidate) -> float:
     service = candidate.service_time or UNKNOWN_SERVICE_S
     ahead = max(candidate.queued + candidate.running, candidate.sent)
     waiting = max(0, ahead + 1 - candidate.limit)
     return service * (1 + waiting / candidate.limit)
 
 
+def _find_least(candidates: Sequence[Candidate], rng: random.Random) -> int:
+    usual = sum(x.queued + x.running for x in candidates) / len(candidates)
+    best, least = 0, math.inf
+    start = rng.randrange(len(candidates))
+    for offset in range(len(candidates)):
+        index = (start + offset) % len(candidates)
+        value = expected_completion(candidates[index], usual)
+        if value < least:
+            best, least = index, value
+    return best
+
+
 def make_choose(policy: Policy, rng: random.Random) -> Choose:
     """Return the function that applies a policy; it gives an index."""
     numbers = count(rng.randrange(1 << 16))
@@ -94,15 +137,11 @@
         size = len(candidates)
         indexes = range(size)
         match policy:
-            case Default(samples=samples):
+            case Default():
+                return _find_least(candidates, rng)
+            case FirstVersion(samples=samples):
                 picked = rng.sample(indexes, min(samples, size))
-                return min(
-                    picked,
-                    key=lambda i: (
-                        expected_completion(candidates[i]),
-                        candidates[i].sent,
-                    ),
-                )
+                return min(picked, key=lambda i: _first_completion(candidates[i]))
             case RandomChoice():
                 return rng.randrange(size)
             case RoundRobin():
--- /dev/null
+++ b/src/lagoontide/routing/health.py
@@ -0,0 +1,126 @@
+"""Which targets are stragglers, and what an entry knows of each to tell it."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+
+__all__ = ["Health", "Standing", "Verdict", "find_out_cap", "judge"]
+
+# A target is put out when it is so many times as slow as its peers, ...
+OUT_RATIO = 3.0
+# ... and comes back when probes find it below this.
+BACK_RATIO = 1.6
+# Silence on running work, relative to the longest that is usual in its pool.
+SILENCE_FACTOR = 3.0
+LEAST_SILENCE_S = 0.06
+# Share of a pool that may be out, so that a slow pool is not taken for stragglers.
+OUT_SHARE = 0.34
+PROBE_INTERVAL_S = 0.3
+PROBES_TO_RETURN = 2
+RATIO_WEIGHT = 0.3
+
+
+class Standing(Enum):
+    """Whether a target gets ordinary work."""
+
+    IN = auto()
+    OUT = auto()
+
+
+class Verdict(Enum):
+    """What to do with a target now."""
+
+    KEEP = auto()
+    PUT_OUT = auto()
+    BRING_BACK = auto()
+
+
+@dataclass(slots=True)
+class Health:
+    """What an entry knows of a target's speed.
+
+    Attributes
+    ----------
+    ratio : float
+        Its recent service times relative to those of its pool.
+    progress_at : float
+        Loop time of the last sign of running work.
+    outstanding : int
+        Calls of this entry there that may be running.
+    good_probes : int
+        Probes in a row that found it as fast as its peers.
+    """
+
+    standing: Standing = Standing.IN
+    ratio: float = 1.0
+    progress_at: float = 0.0
+    outstanding: int = 0
+    good_probes: int = 0
+    probe_at: float = 0.0
+
+    def begin(self, now: float) -> None:
+        """Count a call that was sent."""
+        if not self.outstanding:
+            self.progress_at = now
+        self.outstanding += 1
+
+    def end(self) -> None:
+        """Count a call as ended."""
+        self.outstanding -= 1
+
+    def silence(self, now: float) -> float:
+        """Return the seconds without a sign of the calls that are there."""
+        return now - self.progress_at if self.outstanding else 0.0
+
+    def note_ratio(self, ratio: float) -> None:
+        """Take in one service time, relative to its pool's."""
+        log = math.log(max(1e-3, ratio))
+        old = math.log(self.ratio)
+        self.ratio = math.exp(old + RATIO_WEIGHT * (log - old))
+        if self.standing is Standing.OUT:
+            is_good = ratio < BACK_RATIO
+            self.good_probes = self.good_probes + 1 if is_good else 0
+
+    def put_out(self, now: float) -> None:
+        """Give it no more ordinary work."""
+        self.standing = Standing.OUT
+        self.good_probes = 0
+        self.probe_at = now + PROBE_INTERVAL_S
+
+    def bring_back(self) -> None:
+        """Give it ordinary work again, as a peer like the others."""
+        self.standing = Standing.IN
+        self.ratio = 1.0
+
+    def take_probe(self, now: float) -> bool:
+        """Whether a probe is due; the next one is then due later."""
+        if self.standing is Standing.IN or now < self.probe_at:
+            return False
+        self.probe_at = now + PROBE_INTERVAL_S
+        return True
+
+
+def judge(health: Health, usual_silence: float, now: float) -> Verdict:
+    """Return what to do with a target.
+
+    Parameters
+    ----------
+    usual_silence : float
+        Seconds that running work of its pool is hardly ever silent.
+    """
+    if health.standing is Standing.OUT:
+        enough = health.good_probes >= PROBES_TO_RETURN
+        return Verdict.BRING_BACK if enough else Verdict.KEEP
+    limit = max(LEAST_SILENCE_S, SILENCE_FACTOR * usual_silence)
+    is_silent = usual_silence > 0 and health.silence(now) > limit
+    if is_silent or health.ratio > OUT_RATIO:
+        return Verdict.PUT_OUT
+    return Verdict.KEEP
+
+
+def find_out_cap(pool: Sequence[Health]) -> int:
+    """Return how many more targets of a pool may be put out."""
+    out = sum(item.standing is Standing.OUT for item in pool)
+    most = max(1, int(OUT_SHARE * len(pool))) if len(pool) > 1 else 0
+    return max(0, most - out)
