--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -45,6 +45,8 @@
         Loop time by which the outcome is due.
     tokens : list of str
         Tokens received so far, over all attempts.
+    size : int
+        Tokens that the work may give at most; 0 if that is no matter.
     """
 
     request: str
@@ -57,6 +59,7 @@
     streams: bool = False
     on_tokens: OnTokens | None = None
     tokens: list[str] = field(default_factory=list)
+    size: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +149,7 @@
     ) -> Done | NotRun | Failed | Unknown:
         message = self._make_message(call, link, attempt)
         link.sent += 1
+        link.sent_since += 1
         try:
             with await link.conn.open(message) as exchange:
                 return await self._follow(call, link, message, exchange)
@@ -171,6 +175,7 @@
             body=call.body,
             digest=digest(call.body),
             resume=tuple(call.tokens),
+            size=call.size,
         )
 
     async def _follow(
