--- a/src/lagoontide/logs.py
+++ b/src/lagoontide/logs.py
@@ -1,8 +1,10 @@
 """Logs by loguru, as text or JSON lines."""
 
 import sys
+import traceback
 from typing import Any
 
+import msgspec
 from loguru import logger
 
 from lagoontide.settings import LogSettings
@@ -17,7 +19,7 @@
     logger.remove()
     logger.configure(extra={"process_name": process})
     if settings.format == "json":
-        logger.add(sys.stderr, level=settings.level, serialize=True, backtrace=False)
+        logger.add(_write_json, level=settings.level)
         return
     logger.add(
         sys.stderr,
@@ -34,3 +36,18 @@
     )
     head = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[process_name]}"
     return f"{head} {context} {{message}}\n{{exception}}".replace("  ", " ")
+
+
+def _write_json(message: Any) -> None:
+    record = message.record
+    extra = record["extra"]
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "process": extra["process_name"],
+        "message": record["message"],
+        **{name: extra[name] for name in CONTEXT if extra.get(name)},
+    }
+    if record["exception"] is not None:
+        line["exception"] = "".join(traceback.format_exception(*record["exception"]))
+    print(msgspec.json.encode(line).decode(), file=sys.stderr, flush=True)
