Check command-line flags and values before a command runs

Change: flags are checked against the command's signature first, values are read by their annotations; both end in one line and exit code 2.

--- a/src/lagoontide/cli.py
+++ b/src/lagoontide/cli.py
@@ -6,6 +6,7 @@
 
 import fire
 
+from lagoontide.arguments import check_flags, set_parsers
 from lagoontide.bench.commands import BenchCommands
 from lagoontide.configuration.commands import ConfigCommands
 from lagoontide.errors import DocumentError, LagoontideError
@@ -65,8 +66,12 @@
 
 def main() -> None:
     """Run the command line; errors go to standard error with exit code 2."""
+    commands = Commands()
+    for group in (commands, *vars(commands).values()):
+        set_parsers(type(group))
     try:
-        fire.Fire(Commands, name="lagoontide")
+        check_flags(commands, sys.argv[1:])
+        fire.Fire(commands, name="lagoontide")
     except DocumentError as exc:
         print("\n".join(exc.problems), file=sys.stderr)
         sys.exit(EXIT_ERROR)
--- a/src/lagoontide/errors.py
+++ b/src/lagoontide/errors.py
@@ -14,6 +14,7 @@
     "TargetError",
     "TargetFailed",
     "TargetUnreachable",
+    "UsageError",
     "WireError",
 ]
 
@@ -50,6 +51,10 @@
     """A settings file cannot be used."""
 
 
+class UsageError(LagoontideError):
+    """A command was called with arguments that it does not take."""
+
+
 class DocumentError(LagoontideError):
     """A configuration document is not valid.
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,7 +8,7 @@
 # From the bottom up; a module may import from its own layer and those below.
 LAYERS = [
     {"errors", "settings", "__init__"},
-    {"logs", "metrics", "lifecycle", "httpd", "wire"},
+    {"arguments", "logs", "metrics", "lifecycle", "httpd", "wire"},
     {"platform"},
     {"scheduling", "configuration"},
     {"routing", "operators"},
