Cut tails: hedges that resume streams, stragglers put out and probed

Cause: a slowed or stalled target kept its calls, and got new ones. Targets that are three times as slow as their pool or silent on running work get only probes until they keep up; never more than a third of a pool.

--- a/src/lagoontide/bench/arm.py
+++ b/src/lagoontide/bench/arm.py
@@ -124,7 +124,7 @@
     rng = random.Random(f"{seed}/{name}")
     holder = Holder()
     choose = _make_choose(arm, tactics, rng)
-    dispatcher = Dispatcher(directory, choose)
+    dispatcher = Dispatcher(directory, choose, tactics.tail)
     claims = SimpleClaims(MemoryStore())
     entry = Entry(holder, dispatcher, claims, NoMetrics())
     holder.adopt(1, arm.document)
--- a/src/lagoontide/bench/policies.py
+++ b/src/lagoontide/bench/policies.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 
 from lagoontide.agent.service import Agent
+from lagoontide.dispatch.tail import HedgeLate, NoHedge, TailPolicy
 from lagoontide.errors import SettingsError
 from lagoontide.routing.choose import (
     Candidate,
@@ -33,13 +34,16 @@
         How a target is chosen; None for the oracle, which sees true state.
     order : Order
         In which an agent's waiting calls start.
+    tail : TailPolicy
+        What an entry does about late calls.
     """
 
     policy: Policy | None
     order: Order = ByArrival()
+    tail: TailPolicy = NoHedge()
 
 
-SHIPPED = Tactics(Default(), ByShare())
+SHIPPED = Tactics(Default(), ByShare(), HedgeLate())
 
 TACTICS = {
     "default": SHIPPED,
@@ -52,6 +56,9 @@
     "first": Tactics(FirstVersion()),
     "without-refusal": replace(SHIPPED, order=ByShare(refuses=False)),
     "without-long-lanes": replace(SHIPPED, order=ByShare(separates=False)),
+    "without-tail": replace(SHIPPED, tail=NoHedge()),
+    "without-hedges": replace(SHIPPED, tail=HedgeLate(hedges=False)),
+    "without-probation": replace(SHIPPED, tail=HedgeLate(puts_out=False)),
 }
 
 
--- /dev/null
+++ b/src/lagoontide/dispatch/call.py
@@ -0,0 +1,47 @@
+"""What an entry wants of a service."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lagoontide.configuration.document import Priority, Stage
+
+__all__ = ["OnTokens", "StageCall"]
+
+OnTokens = Callable[[int, list[str]], None]
+
+
+@dataclass(slots=True)
+class StageCall:
+    """One stage of a request.
+
+    Attributes
+    ----------
+    deadline : float
+        Loop time by which the outcome is due.
+    tokens : list of str
+        Tokens received so far, over all attempts.
+    size : int
+        Tokens that the work may give at most; 0 if that is no matter.
+    """
+
+    request: str
+    stage: Stage
+    account: str
+    weight: float
+    priority: Priority
+    deadline: float
+    body: bytes
+    streams: bool = False
+    on_tokens: OnTokens | None = None
+    tokens: list[str] = field(default_factory=list)
+    size: int = 0
+
+    @property
+    def kind(self) -> tuple[str, int]:
+        """Kind of work: the operation and the magnitude of its size."""
+        return self.stage.operation, self.size.bit_length()
+
+    @property
+    def attempt_prefix(self) -> str:
+        """What the ids of its attempts begin with."""
+        return f"{self.request}.{self.stage.name}"
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -1,12 +1,11 @@
 """The entry's side of a stage call: attempts until an outcome is certain."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from loguru import logger
 
-from lagoontide.configuration.document import Priority, Stage
+from lagoontide.dispatch.call import OnTokens, StageCall
 from lagoontide.dispatch.messages import (
     Call,
     Cancel,
@@ -20,47 +19,20 @@
     digest,
     is_whole,
 )
+from lagoontide.dispatch.tail import HedgeLate, Race, Tail, TailPolicy, Try
 from lagoontide.errors import PeerError, PeerTimeout
 from lagoontide.membership.directory import Directory, Link
 from lagoontide.routing.choose import Choose
+from lagoontide.routing.health import Standing
 from lagoontide.wire.conn import Exchange
 
-__all__ = ["Attempt", "Dispatcher", "Outcome", "StageCall"]
+__all__ = ["Attempt", "Dispatcher", "OnTokens", "Outcome", "StageCall"]
 
 MAX_ATTEMPTS = 4
 SILENCE_S = 0.5
 SETTLE_S = 0.5
 NO_TARGET_PAUSE_S = 0.05
 
-OnTokens = Callable[[int, list[str]], None]
-
-
-@dataclass(slots=True)
-class StageCall:
-    """What an entry wants of a service.
-
-    Attributes
-    ----------
-    deadline : float
-        Loop time by which the outcome is due.
-    tokens : list of str
-        Tokens received so far, over all attempts.
-    size : int
-        Tokens that the work may give at most; 0 if that is no matter.
-    """
-
-    request: str
-    stage: Stage
-    account: str
-    weight: float
-    priority: Priority
-    deadline: float
-    body: bytes
-    streams: bool = False
-    on_tokens: OnTokens | None = None
-    tokens: list[str] = field(default_factory=list)
-    size: int = 0
-
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
@@ -92,11 +64,16 @@
         The agents that this entry knows.
     choose : callable
         Picks one of the candidates.
+    tail : TailPolicy
+        What is done about late calls.
     """
 
-    def __init__(self, directory: Directory, choose: Choose) -> None:
+    def __init__(
+        self, directory: Directory, choose: Choose, tail: TailPolicy | None = None
+    ) -> None:
         self._directory = directory
         self._choose = choose
+        self.tail = Tail(tail or HedgeLate())
 
     async def call(self, call: StageCall) -> Outcome:
         """Try targets until the outcome is final or the deadline has passed."""
@@ -105,19 +82,22 @@
         result: Done | NotRun | Failed | Unknown = NotRun("", "no target is known")
         peer = ""
         while len(attempts) < MAX_ATTEMPTS and loop.time() < call.deadline:
-            link = self._pick(call.stage.service, {item.target for item in attempts})
+            link = self._pick(
+                call.stage.service,
+                {item.target for item in attempts},
+                probes=call.stage.repeatable and self.tail.may_probe,
+            )
             if link is None:
                 if attempts:
                     break
                 await asyncio.sleep(NO_TARGET_PAUSE_S)
                 continue
-            started = loop.time()
-            peer = link.name
-            attempt = f"{call.request}.{call.stage.name}.{len(attempts)}"
-            result = await self._attempt(call, link, attempt)
-            reason = "" if isinstance(result, Done) else result.reason
-            kind = type(result).__name__
-            attempts.append(Attempt(attempt, peer, kind, started, loop.time(), reason))
+            race = self._start_race(call, link, attempts)
+            winner = await self.tail.run(race)
+            result = winner.task.result()
+            peer = winner.link.name
+            attempts.extend(map(_tell, race.tries))
+            kind, reason = attempts[-1].outcome, attempts[-1].reason
             if not self._may_go_on(call, result):
                 break
             logger.bind(request=call.request, stage=call.stage.name, peer=peer).info(
@@ -125,6 +105,18 @@
             )
         return Outcome(result, peer, tuple(attempts))
 
+    def _start_race(self, call: StageCall, link: Link, before: list[Attempt]) -> Race:
+        """Begin an attempt that may get a second one beside it."""
+        tried = {link.name, *(item.target for item in before)}
+        race = Race(
+            call,
+            begin=lambda link, attempt: self._attempt(call, link, attempt),
+            pick_other=lambda: self._pick_idle(call.stage.service, tried),
+            number=len(before),
+        )
+        race.start(link)
+        return race
+
     @staticmethod
     def _may_go_on(call: StageCall, result: Done | NotRun | Failed | Unknown) -> bool:
         match result:
@@ -135,15 +127,31 @@
             case _:
                 return call.stage.repeatable
 
-    def _pick(self, service: str, tried: set[str]) -> Link | None:
+    def _pick(self, service: str, tried: set[str], probes: bool = False) -> Link | None:
         links = self._directory.usable(service)
+        now = asyncio.get_running_loop().time()
+        self.tail.review(service, links, now)
         fresh = [link for link in links if link.name not in tried]
+        if probes and len(fresh) > 1:
+            for link in fresh:
+                if link.health.take_probe(now):
+                    return link
+        # Stragglers are better than nothing.
+        fresh = [x for x in fresh if x.health.standing is Standing.IN] or fresh
         if not fresh:
             return None
-        now = asyncio.get_running_loop().time()
         index = self._choose([link.to_candidate(now) for link in fresh])
         return fresh[index]
 
+    def _pick_idle(self, service: str, tried: set[str]) -> Link | None:
+        """Return a target for a second attempt, unless that would have to wait."""
+        link = self._pick(service, tried)
+        if link is None or link.health.standing is Standing.OUT:
+            return None
+        load = link.load
+        is_busy = load.queued or load.running + link.sent_since >= load.limit
+        return None if is_busy else link
+
     async def _attempt(
         self, call: StageCall, link: Link, attempt: str
     ) -> Done | NotRun | Failed | Unknown:
@@ -155,9 +163,19 @@
                 return await self._follow(call, link, message, exchange)
         except PeerError as exc:
             return NotRun(attempt, str(exc))
+        except asyncio.CancelledError:
+            await self._cancel(link, attempt)
+            raise
         finally:
             link.sent -= 1
 
+    @staticmethod
+    async def _cancel(link: Link, attempt: str) -> None:
+        try:
+            await link.conn.tell(Cancel(attempt))
+        except PeerError:
+            return  # It then ends by itself.
+
     @staticmethod
     def _make_message(call: StageCall, link: Link, attempt: str) -> Call:
         return Call(
@@ -190,6 +208,7 @@
                 reply = await self._settle(link, message, left)
             match reply:
                 case Tokens(offset=offset, tokens=tokens):
+                    link.health.note_progress(loop.time())
                     self._take_tokens(call, offset, tokens)
                 case Pending(load=load):
                     link.observe(load)
@@ -197,10 +216,11 @@
                     return Failed(reply.attempt, "the result arrived cut", reply.load)
                 case Done(load=load) | NotRun(load=load) | Failed(load=load):
                     link.observe(load)
+                    link.health.note_progress(loop.time())
                     return reply
                 case Unknown():
                     return reply
-        await link.conn.tell(Cancel(message.attempt))
+        await self._cancel(link, message.attempt)
         final = await self._settle(link, message, SETTLE_S)
         if isinstance(final, Done | NotRun | Failed):
             return final
@@ -226,3 +246,15 @@
         call.tokens.extend(fresh)
         if call.on_tokens is not None:
             call.on_tokens(have, fresh)
+
+
+def _tell(item: Try) -> Attempt:
+    """Return an attempt of a race for the request's story."""
+    if item.task.cancelled() or not item.task.done():
+        return Attempt(
+            item.id, item.link.name, "Cancelled", item.started, item.ended, "overtaken"
+        )
+    result = item.task.result()
+    reason = "" if isinstance(result, Done) else result.reason
+    kind = type(result).__name__
+    return Attempt(item.id, item.link.name, kind, item.started, item.ended, reason)
--- a/src/lagoontide/routing/health.py
+++ b/src/lagoontide/routing/health.py
@@ -1,11 +1,22 @@
 """Which targets are stragglers, and what an entry knows of each to tell it."""
 
+import asyncio
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, auto
+from statistics import median_low
 
-__all__ = ["Health", "Standing", "Verdict", "find_out_cap", "judge"]
+from lagoontide.scheduling.sketch import Quantile
+
+__all__ = [
+    "Health",
+    "Standing",
+    "Verdict",
+    "find_out_cap",
+    "find_usual_silence",
+    "judge",
+]
 
 # A target is put out when it is so many times as slow as its peers, ...
 OUT_RATIO = 3.0
@@ -18,6 +29,7 @@
 OUT_SHARE = 0.34
 PROBE_INTERVAL_S = 0.3
 PROBES_TO_RETURN = 2
+MIN_GAPS = 20
 RATIO_WEIGHT = 0.3
 
 
@@ -46,18 +58,24 @@
         Its recent service times relative to those of its pool.
     progress_at : float
         Loop time of the last sign of running work.
+    gaps : Quantile
+        Seconds that its running work is hardly ever without a sign.
     outstanding : int
         Calls of this entry there that may be running.
     good_probes : int
         Probes in a row that found it as fast as its peers.
+    watchers : set of Event
+        Set when it is put out.
     """
 
     standing: Standing = Standing.IN
     ratio: float = 1.0
     progress_at: float = 0.0
+    gaps: Quantile = field(default_factory=lambda: Quantile(0.98))
     outstanding: int = 0
     good_probes: int = 0
     probe_at: float = 0.0
+    watchers: set[asyncio.Event] = field(default_factory=set)
 
     def begin(self, now: float) -> None:
         """Count a call that was sent."""
@@ -69,6 +87,11 @@
         """Count a call as ended."""
         self.outstanding -= 1
 
+    def note_progress(self, now: float) -> None:
+        """Take note of a sign of running work."""
+        self.gaps.add(max(1e-6, self.silence(now)))
+        self.progress_at = now
+
     def silence(self, now: float) -> float:
         """Return the seconds without a sign of the calls that are there."""
         return now - self.progress_at if self.outstanding else 0.0
@@ -87,6 +110,8 @@
         self.standing = Standing.OUT
         self.good_probes = 0
         self.probe_at = now + PROBE_INTERVAL_S
+        for event in self.watchers:
+            event.set()
 
     def bring_back(self) -> None:
         """Give it ordinary work again, as a peer like the others."""
@@ -119,6 +144,12 @@
     return Verdict.KEEP
 
 
+def find_usual_silence(pool: Sequence[Health]) -> float:
+    """Return the usual longest silence in a pool in seconds; 0 if not known."""
+    known = [x.gaps.value for x in pool if x.gaps.count >= MIN_GAPS]
+    return median_low(known) if known else 0.0
+
+
 def find_out_cap(pool: Sequence[Health]) -> int:
     """Return how many more targets of a pool may be put out."""
     out = sum(item.standing is Standing.OUT for item in pool)
