--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -18,6 +18,7 @@
 from lagoontide.membership.directory import Directory
 from lagoontide.metrics import make_metrics
 from lagoontide.operators.app import OperatorsApp
+from lagoontide.operators.signin import mount_sign_in
 from lagoontide.platform.httpstore import HttpStore
 from lagoontide.platform.instances import HttpInstances, Instances
 from lagoontide.platform.store import Store
@@ -69,7 +70,8 @@
             max_body=2 * cfg.max_body,
             timeout=cfg.silence,
         )
-        self.operators = OperatorsApp(cfg.operator_tokens)
+        self.operators = OperatorsApp(cfg.operator_tokens, cfg.session_key)
+        mount_sign_in(self.operators)
         self.operators_http = HttpServer(
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
--- a/src/lagoontide/settings.py
+++ b/src/lagoontide/settings.py
@@ -26,6 +26,7 @@
 OptionalAddress = Annotated[str, Meta(pattern=rf"^$|{IP_PORT}")]
 Url = Annotated[str, Meta(pattern=HTTP_URL)]
 TokenHash = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+SessionKey = Annotated[str, Meta(pattern=r"^$|^.{32,256}$")]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
 Threads = Annotated[int, Meta(ge=1, le=1024)]
 Bytes = Annotated[int, Meta(ge=1024, le=1 << 30)]
@@ -58,6 +59,8 @@
         URLs of the platform's services.
     operator_tokens : dict of str to str
         Operators' names by the SHA-256 hex digest of their bearer token.
+    session_key : str
+        Secret that signs the console's sessions; the same at all entries.
     max_body : int
         Bytes of a caller's body.
     silence : float
@@ -73,6 +76,7 @@
     store: Url
     instances: Url
     operator_tokens: dict[TokenHash, Name] = {}
+    session_key: SessionKey = ""
     threads: Threads = 64
     max_body: Bytes = 1 << 20
     max_header: Bytes = 16 << 10
