Document: objectives, drain marks, expected times, policies; all errors at once

Cause: errors of single fields hid errors between the parts, and nothing stated how long a stage takes, so no deadline could be checked. Change: each part is read by itself and the checks run over all that could be read. Problems carry their place by themselves.

--- a/src/lagoontide/cli.py
+++ b/src/lagoontide/cli.py
@@ -68,7 +68,7 @@
     try:
         fire.Fire(Commands, name="lagoontide")
     except DocumentError as exc:
-        print("\n".join(exc.problems), file=sys.stderr)
+        print("\n".join(map(str, exc.problems)), file=sys.stderr)
         sys.exit(EXIT_ERROR)
     except LagoontideError as exc:
         print(f"lagoontide: {exc}", file=sys.stderr)
--- a/src/lagoontide/configuration/document.py
+++ b/src/lagoontide/configuration/document.py
@@ -7,7 +7,10 @@
 
 __all__ = [
     "Account",
+    "ChangeKind",
+    "CutOff",
     "Document",
+    "Policies",
     "Priority",
     "Route",
     "Service",
@@ -37,6 +40,22 @@
     PLAIN = "plain"
 
 
+class ChangeKind(StrEnum):
+    """The part of the document that a change belongs to."""
+
+    ROUTES = "routes"
+    SERVICES = "services"
+    ACCOUNTS = "accounts"
+    POLICIES = "policies"
+
+
+class CutOff(StrEnum):
+    """What a process does that knows of a newer version and cannot get it."""
+
+    SERVE = "serve"
+    STOP = "stop"
+
+
 class Service(msgspec.Struct, frozen=True):
     """A pool of interchangeable targets.
 
@@ -50,6 +69,10 @@
         Whether the targets refuse an order with an old fencing number.
     slots : int
         Work that one target takes at the same time, at first.
+    expected : float
+        Seconds that an idle target needs for one call; 0 if not stated.
+    draining : tuple of str
+        Targets, by instance name, that get no new work.
     """
 
     name: str
@@ -58,6 +81,8 @@
     reports_load: bool = False
     checks_orders: bool = False
     slots: int = 8
+    expected: float = 0.0
+    draining: tuple[str, ...] = ()
 
 
 class Stage(msgspec.Struct, frozen=True):
@@ -72,6 +97,8 @@
         Inputs whose value the document itself gives.
     repeatable : bool
         Whether running the stage twice does no harm.
+    expected : float
+        Seconds that it needs on an idle target; 0 takes its service's.
     """
 
     name: str
@@ -80,6 +107,7 @@
     inputs: dict[str, str]
     constants: dict[str, str | int | float | bool] = {}
     repeatable: bool = True
+    expected: float = 0.0
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -91,6 +119,9 @@
         Seconds from arrival to the whole answer.
     answer : dict of str to str
         Fields of the answer and the stage outputs they come from.
+    objective : float
+        Share of requests meant to be answered right and in time, over the
+        window of the policies.
     """
 
     name: str
@@ -98,6 +129,7 @@
     priority: Priority
     stages: tuple[Stage, ...]
     answer: dict[str, str]
+    objective: float = 0.99
 
     @property
     def is_repeatable(self) -> bool:
@@ -118,6 +150,9 @@
         Requests admitted over all entries together.
     burst : int
         Requests admitted at once beyond the rate.
+    objective : float or None
+        Share of the account's requests meant to be right and in time; None for
+        the objectives of the routes alone.
     """
 
     name: str
@@ -127,6 +162,26 @@
     weight: float = 1.0
     requests_per_second: float = 100.0
     burst: int = 100
+    objective: float | None = None
+
+
+class Policies(msgspec.Struct, frozen=True):
+    """What holds for the whole deployment.
+
+    Attributes
+    ----------
+    objective_window : float
+        Seconds over which objectives count.
+    cut_off_after : float
+        Seconds after which a process that knows of a newer version and cannot
+        get it does what ``cut_off`` says for the kinds of change it lacks.
+    cut_off : dict of ChangeKind to CutOff
+        Kinds that are not named go on serving.
+    """
+
+    objective_window: float = 30 * 86400.0
+    cut_off_after: float = 30.0
+    cut_off: dict[ChangeKind, CutOff] = {}
 
 
 class Document(msgspec.Struct, frozen=True):
@@ -136,6 +191,11 @@
     services: dict[str, Service]
     routes: dict[str, Route]
     accounts: dict[str, Account]
+    policies: Policies = Policies()
+
+    def expect(self, stage: Stage) -> float:
+        """Return the seconds that a stage needs on an idle target."""
+        return stage.expected or self.services[stage.service].expected
 
 
 _encoder = msgspec.msgpack.Encoder(order="sorted")
--- a/src/lagoontide/configuration/model.py
+++ b/src/lagoontide/configuration/model.py
@@ -1,33 +1,54 @@
 """The document as operators write it: validated whole, all errors at once."""
 
 import tomllib
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
+import msgspec
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from lagoontide.configuration.checks import find_problems
 from lagoontide.configuration.document import (
     Account,
+    ChangeKind,
+    CutOff,
     Document,
+    Policies,
     Priority,
     Route,
     Service,
     ServiceKind,
     Stage,
 )
-from lagoontide.errors import DocumentError
-
-__all__ = ["DocumentModel", "load_document", "parse_document"]
+from lagoontide.errors import DocumentError, Problem
+
+__all__ = [
+    "AccountModel",
+    "Draft",
+    "PoliciesModel",
+    "RouteModel",
+    "ServiceModel",
+    "StageModel",
+    "dump_document",
+    "load_data",
+    "load_document",
+    "parse_document",
+]
 
 MIN_STAGES = 3
 MAX_STAGES = 6
 MAX_DEADLINE_S = 60.0
+MAX_WINDOW_S = 90 * 86400.0
+MAX_CUT_OFF_S = 86400.0
+SECTIONS = ("failure_domains", "services", "routes", "accounts")
 
 Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
 Source = Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]*\.[a-z][a-z0-9_]*$")]
 TokenHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 FieldName = Annotated[str, Field(pattern=r"^[a-z][a-z0-9_]{0,62}$")]
+Expected = Annotated[float, Field(ge=0, le=MAX_DEADLINE_S)]
+Objective = Annotated[float, Field(gt=0, lt=1)]
 
 
 class _Model(BaseModel):
@@ -42,6 +63,8 @@
     reports_load: bool = False
     checks_orders: bool = False
     slots: Annotated[int, Field(ge=1, le=4096)] = 8
+    expected: Expected = 0.0
+    draining: tuple[Name, ...] = ()
 
 
 class StageModel(_Model):
@@ -53,6 +76,7 @@
     inputs: dict[FieldName, Source]
     constants: dict[FieldName, str | int | float | bool] = {}
     repeatable: bool = True
+    expected: Expected = 0.0
 
 
 class RouteModel(_Model):
@@ -64,6 +88,7 @@
         tuple[StageModel, ...], Field(min_length=MIN_STAGES, max_length=MAX_STAGES)
     ]
     answer: Annotated[dict[FieldName, Source], Field(min_length=1)]
+    objective: Objective = 0.99
 
 
 class AccountModel(_Model):
@@ -75,18 +100,52 @@
     weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
     requests_per_second: Annotated[float, Field(gt=0, le=1_000_000)] = 100.0
     burst: Annotated[int, Field(ge=1, le=1_000_000)] = 100
+    objective: Objective | None = None
+
+
+class PoliciesModel(_Model):
+    """Border model of the policies."""
+
+    objective_window: Annotated[float, Field(ge=60, le=MAX_WINDOW_S)] = 30 * 86400.0
+    cut_off_after: Annotated[float, Field(gt=0, le=MAX_CUT_OFF_S)] = 30.0
+    cut_off: dict[ChangeKind, CutOff] = {}
+
+
+class _Names(_Model):
+    names: Annotated[tuple[Name, ...], Field(min_length=1)]
+
+
+class _Key(_Model):
+    name: Name
 
 
-class DocumentModel(_Model):
-    """Border model of the whole document."""
+Item = TypeVar("Item", bound=_Model)
 
-    failure_domains: Annotated[tuple[Name, ...], Field(min_length=1)]
-    services: Annotated[dict[Name, ServiceModel], Field(min_length=1)]
-    routes: Annotated[dict[Name, RouteModel], Field(min_length=1)]
-    accounts: Annotated[dict[Name, AccountModel], Field(min_length=1)]
+
+class Draft:
+    """What could be read of a document, and what is wrong with the rest.
+
+    Attributes
+    ----------
+    services, routes, accounts : dict
+        The models that are valid by themselves; ``names`` also has the others, so
+        that a reference to one is no further problem.
+    """
+
+    def __init__(self, data: Mapping[str, Any]) -> None:
+        self.problems: list[Problem] = []
+        self.names: dict[str, frozenset[str]] = {}
+        self.failure_domains = self._read_names(data)
+        self.services = self._read_section(data, "services", ServiceModel)
+        self.routes = self._read_section(data, "routes", RouteModel)
+        self.accounts = self._read_section(data, "accounts", AccountModel)
+        self.policies = self._read("policies", PoliciesModel, data.get("policies", {}))
+        for key in data.keys() - {*SECTIONS, "policies"}:
+            self.problems.append(Problem(str(key), "is no part of a document"))
 
     def to_document(self) -> Document:
-        """Return the document as data classes."""
+        """Return the document; only to be called when there is no problem."""
+        assert self.policies is not None
         return Document(
             failure_domains=self.failure_domains,
             services={
@@ -100,8 +159,42 @@
                 name: Account(name=name, **model.model_dump())
                 for name, model in self.accounts.items()
             },
+            policies=Policies(**self.policies.model_dump()),
         )
 
+    def _read_names(self, data: Mapping[str, Any]) -> tuple[str, ...]:
+        place = "failure_domains"
+        try:
+            return _Names.model_validate({"names": data.get(place, ())}).names
+        except ValidationError as exc:
+            self.problems.extend(_describe(place, exc, skip=1))
+            return ()
+
+    def _read_section(
+        self, data: Mapping[str, Any], place: str, kind: type[Item]
+    ) -> dict[str, Item]:
+        items = data.get(place)
+        self.names[place] = frozenset(items) if isinstance(items, dict) else frozenset()
+        if not isinstance(items, dict) or not items:
+            self.problems.append(Problem(place, "has to name at least one"))
+            return {}
+        read = {
+            name: self._read(f"{place}.{name}", kind, item)
+            for name, item in items.items()
+        }
+        for name in items:
+            self._read(f"{place}.{name}", _Key, {"name": name}, skip=1)
+        return {name: model for name, model in read.items() if model is not None}
+
+    def _read(
+        self, place: str, kind: type[Item], value: Any, skip: int = 0
+    ) -> Item | None:
+        try:
+            return kind.model_validate(value)
+        except ValidationError as exc:
+            self.problems.extend(_describe(place, exc, skip))
+            return None
+
 
 def _make_route(name: str, model: RouteModel) -> Route:
     return Route(
@@ -110,10 +203,18 @@
         priority=model.priority,
         stages=tuple(Stage(**stage.model_dump()) for stage in model.stages),
         answer=model.answer,
+        objective=model.objective,
     )
 
 
-def parse_document(data: dict[str, Any]) -> Document:
+def _describe(place: str, exc: ValidationError, skip: int = 0) -> Iterator[Problem]:
+    for error in exc.errors(include_url=False):
+        parts = (str(part) for part in error["loc"][skip:])
+        text = f"{error['msg']}, got {error['input']!r:.80}"
+        yield Problem(".".join((place, *parts)), text)
+
+
+def parse_document(data: Mapping[str, Any]) -> Document:
     """Return the document of parsed TOML or JSON.
 
     Raises
@@ -121,14 +222,19 @@
     DocumentError
         With every problem found, each named by its place.
     """
-    try:
-        model = DocumentModel.model_validate(data)
-    except ValidationError as exc:
-        raise DocumentError(tuple(_describe(exc))) from None
-    problems = tuple(_find_problems(model))
+    draft = Draft(data)
+    problems = (*draft.problems, *find_problems(draft))
     if problems:
         raise DocumentError(problems)
-    return model.to_document()
+    return draft.to_document()
+
+
+def load_data(path: Path) -> dict[str, Any]:
+    """Return the parsed TOML of a file; raises DocumentError."""
+    try:
+        return tomllib.loads(path.read_text("utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        raise DocumentError((Problem(str(path), str(exc)),), step="read") from exc
 
 
 def load_document(path: Path) -> Document:
@@ -139,59 +245,16 @@
     DocumentError
         If the file cannot be read, is not TOML or not a valid document.
     """
-    try:
-        data = tomllib.loads(path.read_text("utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
-        raise DocumentError((f"{path}: {exc}",), step="read") from exc
-    return parse_document(data)
-
-
-def _describe(exc: ValidationError) -> Iterator[str]:
-    for error in exc.errors(include_url=False):
-        place = ".".join(str(part) for part in error["loc"])
-        yield f"{place}: {error['msg']}, got {error['input']!r:.80}"
-
-
-def _find_problems(model: DocumentModel) -> Iterator[str]:
-    yield from _find_duplicates("failure_domains", model.failure_domains)
-    for name, route in model.routes.items():
-        yield from _find_route_problems(f"routes.{name}", route, model)
-    for name, account in model.accounts.items():
-        for route_name in account.routes:
-            if route_name not in model.routes:
-                yield f"accounts.{name}.routes: no route {route_name!r}"
-
-
-def _find_duplicates(place: str, names: tuple[str, ...]) -> Iterator[str]:
-    for index, name in enumerate(names):
-        if name in names[:index]:
-            yield f"{place}: {name!r} appears twice"
-
-
-def _find_route_problems(
-    place: str, route: RouteModel, model: DocumentModel
-) -> Iterator[str]:
-    yield from _find_duplicates(
-        f"{place}.stages", tuple(stage.name for stage in route.stages)
-    )
-    known = {"request"}
-    for stage in route.stages:
-        here = f"{place}.stages.{stage.name}"
-        if stage.name == "request":
-            yield f"{here}: 'request' is the name of the caller's body"
-        if stage.service not in model.services:
-            yield f"{here}.service: no service {stage.service!r}"
-        for field in sorted(stage.inputs.keys() & stage.constants.keys()):
-            yield f"{here}.constants.{field}: is an input already"
-        yield from _find_source_problems(f"{here}.inputs", stage.inputs, known)
-        known.add(stage.name)
-    yield from _find_source_problems(f"{place}.answer", route.answer, known)
-
-
-def _find_source_problems(
-    place: str, sources: dict[str, str], known: set[str]
-) -> Iterator[str]:
-    for field, source in sources.items():
-        origin = source.partition(".")[0]
-        if origin not in known:
-            yield f"{place}.{field}: {origin!r} is no earlier stage"
+    return parse_document(load_data(path))
+
+
+def dump_document(document: Document) -> dict[str, Any]:
+    """Return a document as ``parse_document`` takes it."""
+    data = msgspec.to_builtins(document)
+    for place in ("services", "routes", "accounts"):
+        for item in data[place].values():
+            del item["name"]
+    for account in data["accounts"].values():
+        if account["objective"] is None:
+            del account["objective"]
+    return data
--- a/src/lagoontide/errors.py
+++ b/src/lagoontide/errors.py
@@ -1,10 +1,13 @@
 """The tree of errors; each carries the step and the peer where it arose."""
 
+from dataclasses import dataclass
+
 __all__ = [
     "DocumentError",
     "LagoontideError",
     "PeerError",
     "PeerTimeout",
+    "Problem",
     "RequestError",
     "RequestFailed",
     "SettingsError",
@@ -50,17 +53,36 @@
     """A settings file cannot be used."""
 
 
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Something that is wrong in a configuration document.
+
+    Attributes
+    ----------
+    place : str
+        Keys from the top, joined by dots; items of lists by their index.
+    """
+
+    place: str
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.text}" if self.place else self.text
+
+
 class DocumentError(LagoontideError):
     """A configuration document is not valid.
 
     Parameters
     ----------
-    problems : tuple of str
+    problems : tuple of Problem
         Every problem found, each with its place in the document.
     """
 
-    def __init__(self, problems: tuple[str, ...], *, step: str = "validate") -> None:
-        super().__init__("; ".join(problems), step=step)
+    def __init__(
+        self, problems: tuple[Problem, ...], *, step: str = "validate"
+    ) -> None:
+        super().__init__("; ".join(map(str, problems)), step=step)
         self.problems = problems
 
 
