--- a/src/lagoontide/configuration/document.py
+++ b/src/lagoontide/configuration/document.py
@@ -1,5 +1,6 @@
 """The document as processes hold it: frozen data classes, coded as msgpack."""
 
+import zlib
 from enum import StrEnum
 
 import msgspec
@@ -16,6 +17,7 @@
     "Service",
     "ServiceKind",
     "Stage",
+    "decode_bytes",
     "decode_document",
     "digest_document",
     "encode_document",
@@ -198,24 +200,48 @@
         return stage.expected or self.services[stage.service].expected
 
 
+PACK_FROM_BYTES = 64 << 10
+MAX_DOCUMENT_BYTES = 16 << 20
+ZLIB_LEVEL = 6
+ZLIB_HEAD = b"\x78"
+
 _encoder = msgspec.msgpack.Encoder(order="sorted")
 _decoder = msgspec.msgpack.Decoder(Document)
 
 
 def encode_document(document: Document) -> bytes:
-    """Return the canonical msgpack of a document."""
-    return _encoder.encode(document)
+    """Return the canonical msgpack of a document, deflated if it is large."""
+    data = _encoder.encode(document)
+    if len(data) < PACK_FROM_BYTES:
+        return data
+    return zlib.compress(data, ZLIB_LEVEL)
 
 
 def decode_document(data: bytes) -> Document:
-    """Return the document of its canonical msgpack.
+    """Return the document of its encoding.
 
     Raises
     ------
     msgspec.DecodeError
         If ``data`` is not a document.
     """
-    return _decoder.decode(data)
+    return _decoder.decode(decode_bytes(data))
+
+
+def decode_bytes(data: bytes) -> bytes:
+    """Return the msgpack of an encoded document; raises msgspec.DecodeError."""
+    if not data.startswith(ZLIB_HEAD):
+        return data
+    unpacker = zlib.decompressobj()
+    try:
+        plain = unpacker.decompress(data, MAX_DOCUMENT_BYTES)
+    except zlib.error as exc:
+        raise msgspec.DecodeError(f"the document cannot be inflated: {exc}") from exc
+    if not unpacker.eof:
+        raise msgspec.DecodeError(
+            f"the document is cut or over {MAX_DOCUMENT_BYTES} bytes"
+        )
+    return plain
 
 
 def digest_document(data: bytes) -> int:
--- a/src/lagoontide/configuration/model.py
+++ b/src/lagoontide/configuration/model.py
@@ -250,7 +250,8 @@
 
 def dump_document(document: Document) -> dict[str, Any]:
     """Return a document as ``parse_document`` takes it."""
-    data = msgspec.to_builtins(document)
+    names = Document.__struct_fields__
+    data = {name: msgspec.to_builtins(getattr(document, name)) for name in names}
     for place in ("services", "routes", "accounts"):
         for item in data[place].values():
             del item["name"]
