Console of forms, configuration API and commands

Cause: operators had no way to change the document but writing the store. Change: forms for routes and stages, services and drain marks, accounts, policies and failure domains; each patches the one document, shows the difference, is accepted over the version it was filled from and then shows how far it is in force. A form carries the texts that it was filled with: when the document changed meanwhile, fields left alone take the new value, typed ones stay, and those that both changed are marked. Targets marked as draining get no new work from an entry that has the document. Conclusion: forms are tested by HTTP without script; hostile values stay escaped.

--- /dev/null
+++ b/src/lagoontide/console/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' console of forms and the configuration's API."""
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -7,8 +7,12 @@
 from loguru import logger
 
 from lagoontide.claims.baseline import SimpleClaims
+from lagoontide.configuration.acceptance import Acceptance
+from lagoontide.configuration.force import make_own_view
 from lagoontide.configuration.holder import Holder
 from lagoontide.configuration.source import follow
+from lagoontide.console.api import mount_api
+from lagoontide.console.app import mount_console
 from lagoontide.dispatch.caller import Dispatcher
 from lagoontide.entry.http import make_app
 from lagoontide.entry.service import Entry
@@ -57,6 +61,7 @@
         self.directory = Directory(
             instances, lambda address: connect(ctx, address, codec, self.identity)
         )
+        self.holder.subscribe(self.directory.update)
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
@@ -72,11 +77,31 @@
         )
         self.operators = OperatorsApp(cfg.operator_tokens, cfg.session_key)
         mount_sign_in(self.operators)
+        self._mount_configuration(cfg, store, bridge)
         self.operators_http = HttpServer(
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
         self._store = store
 
+    def _mount_configuration(
+        self, cfg: EntrySettings, store: Store, bridge: Bridge
+    ) -> None:
+        acceptance = Acceptance(store)
+        read_force = make_own_view(self.holder, cfg.failure_domain)
+        mount_api(self.operators, acceptance, bridge, read_force)
+        mount_console(
+            self.operators,
+            acceptance,
+            self.holder,
+            bridge,
+            read_force,
+            self._list_targets,
+        )
+
+    def _list_targets(self, service: str) -> tuple[str, ...]:
+        links = self.directory.links
+        return tuple(sorted(x.name for x in links if x.instance.service == service))
+
     def start_http(self) -> None:
         """Begin to serve callers and operators."""
         self.http.start()
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from lagoontide.configuration.document import Document
 from lagoontide.errors import PeerError, StoreError
 from lagoontide.membership.messages import Hello, Welcome
 from lagoontide.platform.instances import Instance, Instances, InstanceState, Role
@@ -122,6 +123,7 @@
         self._instances = instances
         self._connect = connect
         self._links: dict[str, Link] = {}
+        self._draining: frozenset[str] = frozenset()
 
     @property
     def links(self) -> tuple[Link, ...]:
@@ -133,9 +135,17 @@
         return [
             link
             for link in self._links.values()
-            if link.instance.service == service and link.is_usable
+            if link.instance.service == service
+            and link.is_usable
+            and link.name not in self._draining
         ]
 
+    def update(self, document: Document) -> None:
+        """Take the drain marks of a new document."""
+        self._draining = frozenset(
+            name for service in document.services.values() for name in service.draining
+        )
+
     async def follow(self) -> None:
         """Keep to the platform's list until cancelled."""
         while True:
--- a/src/lagoontide/operators/pages.py
+++ b/src/lagoontide/operators/pages.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from http import HTTPStatus
 from typing import Any
 
@@ -75,15 +76,22 @@
             jinja2.PackageLoader("lagoontide.operators"),
         ]
     )
-    return Pages(
-        jinja2.Environment(
-            loader=loader,
-            autoescape=True,
-            undefined=jinja2.StrictUndefined,
-            trim_blocks=True,
-            lstrip_blocks=True,
-        )
+    environment = jinja2.Environment(
+        loader=loader,
+        autoescape=True,
+        undefined=jinja2.StrictUndefined,
+        trim_blocks=True,
+        lstrip_blocks=True,
     )
+    environment.filters["when"] = _show_time
+    return Pages(environment)
+
+
+def _show_time(at: float) -> str:
+    """Return seconds since the epoch as UTC; nothing for 0."""
+    if not at:
+        return "-"
+    return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%d %H:%M:%S")
 
 
 def redirect(path: str, *headers: tuple[str, str]) -> OperatorResponse:
