--- a/tests/support/browser.py
+++ b/tests/support/browser.py
@@ -33,6 +33,10 @@
     def post(self, url, headers=None, **fields):
         return self._ask("POST", url, urlencode(fields, doseq=True).encode(), headers)
 
+    def send(self, url, body, headers):
+        """Send a body that is no form."""
+        return self._ask("POST", url, body, headers)
+
     def sign_in(self, token, **fields):
         answer = self.post("/sign-in", token=token, **fields)
         self._cookie = answer.headers.get("Set-Cookie", "").partition(";")[0]
