--- a/src/lagoontide/cli.py
+++ b/src/lagoontide/cli.py
@@ -73,7 +73,7 @@
         check_flags(commands, sys.argv[1:])
         fire.Fire(commands, name="lagoontide")
     except DocumentError as exc:
-        print("\n".join(exc.problems), file=sys.stderr)
+        print("\n".join(map(str, exc.problems)), file=sys.stderr)
         sys.exit(EXIT_ERROR)
     except LagoontideError as exc:
         print(f"lagoontide: {exc}", file=sys.stderr)
