Report on service-level burn, traces of requests, status of entries

Cause: an operator saw only logs; a target that reports healthy until it stops showed nowhere, and a caller's request id led to nothing.

Change: a report slice. Each entry counts ended requests by route and account, attempts by stage, target and failure domain, and durations in sketches, in slots of monotonic time that grow coarser with age; missed requests are put down to the attempt that spent their budget. Refusals stand apart. `report burn` (text, JSON, HTML page with plots), `trace`, `status` and `request` on the command line, with exit codes; problems now carry the request id. Story moves to pipeline, below the report that reads it.

Cost is not measured yet.

--- a/src/lagoontide/cli.py
+++ b/src/lagoontide/cli.py
@@ -9,6 +9,7 @@
 from lagoontide.bench.commands import BenchCommands
 from lagoontide.configuration.commands import ConfigCommands
 from lagoontide.errors import DocumentError, LagoontideError
+from lagoontide.report.commands import ReportCommands, WatchCommands
 from lagoontide.standins.commands import StandinCommands
 
 __all__ = ["main"]
@@ -16,7 +17,7 @@
 EXIT_ERROR = 2
 
 
-class Commands:
+class Commands(WatchCommands):
     """A serving system for multi-stage model pipelines.
 
     Examples: ``lagoontide local --deployment=swanreach``,
@@ -27,6 +28,7 @@
     def __init__(self) -> None:
         self.bench = BenchCommands()
         self.config = ConfigCommands()
+        self.report = ReportCommands()
         self.standin = StandinCommands()
 
     def entry(self, settings: str) -> None:
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -1,6 +1,7 @@
 """Wiring of an entry process."""
 
 import asyncio
+import contextlib
 import random
 
 import zmq.asyncio
@@ -22,6 +23,10 @@
 from lagoontide.platform.instances import HttpInstances, Instances
 from lagoontide.platform.store import Store
 from lagoontide.protocol import make_protocol
+from lagoontide.report.pages import ReportPages
+from lagoontide.report.reporter import Reporter
+from lagoontide.report.snapshots import SnapshotWriter
+from lagoontide.report.status import StatusMaker
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
 from lagoontide.wire.conn import Identity, connect
@@ -29,6 +34,7 @@
 __all__ = ["EntryParts", "make_entry", "run_entry"]
 
 OPERATOR_THREADS = 8
+LAST_SNAPSHOT_S = 2.0
 
 
 class EntryParts:
@@ -74,6 +80,25 @@
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
         self._store = store
+        self.reporter = Reporter(
+            cfg.name, cfg.failure_domain, self.holder, self._find_domain
+        )
+        self.entry.subscribe(self.reporter.take)
+        self.snapshots = SnapshotWriter(store, self.reporter, random.Random(cfg.name))
+        status = StatusMaker(
+            cfg.name,
+            cfg.failure_domain,
+            self.entry,
+            self.holder,
+            self.directory,
+            store,
+        )
+        self.report_pages = ReportPages(self.reporter, status, store, bridge.call)
+        self.report_pages.mount(self.operators)
+
+    def _find_domain(self, target: str) -> str:
+        links = self.directory.links
+        return next((x.instance.failure_domain for x in links if x.name == target), "")
 
     def start_http(self) -> None:
         """Begin to serve callers and operators."""
@@ -84,6 +109,14 @@
         """Keep to the store's newest document until cancelled."""
         await follow(self._store, self.holder)
 
+    async def drain(self, bound: float) -> bool:
+        """Drain the entry and leave its counts in the store; see Entry.drain."""
+        ended = await self.entry.drain(bound)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_SNAPSHOT_S):
+                await self.snapshots.write()
+        return ended
+
     async def close(self) -> None:
         """Close both sides; the HTTP servers in threads, as they join their own."""
         await asyncio.gather(
@@ -116,8 +149,12 @@
         logger.info("operators at http://{}", parts.operators_http.address)
         try:
             return await run_until_signal(
-                [parts.directory.follow(), parts.follow_configuration()],
-                lambda: parts.entry.drain(cfg.drain),
+                [
+                    parts.directory.follow(),
+                    parts.follow_configuration(),
+                    parts.snapshots.run(),
+                ],
+                lambda: parts.drain(cfg.drain),
             )
         finally:
             await parts.close()
--- a/src/lagoontide/entry/http.py
+++ b/src/lagoontide/entry/http.py
@@ -40,6 +40,8 @@
         ``not_run``, ``failed`` or ``unknown``.
     repeat_safe : bool
         Whether the caller may send the request again without a key.
+    request : str
+        Id under which the entry keeps the request's trace.
     """
 
     title: str
@@ -49,6 +51,7 @@
     repeat_safe: bool
     step: str = ""
     peer: str = ""
+    request: str = ""
 
 
 class StreamLine(msgspec.Struct, omit_defaults=True):
@@ -71,7 +74,14 @@
             outcome, safe = exc.outcome, exc.repeat_safe
             status = OUTCOME_STATUS[outcome]
     return Problem(
-        status.phrase, status.value, exc.message, outcome, safe, exc.step, exc.peer
+        status.phrase,
+        status.value,
+        exc.message,
+        outcome,
+        safe,
+        exc.step,
+        exc.peer,
+        exc.request,
     )
 
 
@@ -239,7 +249,7 @@
 
 def _send_problem(start: StartResponse, exc: LagoontideError) -> Iterator[bytes]:
     problem = to_problem(exc)
-    headers = []
+    headers = [("X-Request-Id", exc.request)] if exc.request else []
     retry_after = getattr(exc, "retry_after", None)
     if retry_after is not None:
         headers.append(("Retry-After", f"{retry_after:.3f}"))
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -13,9 +13,9 @@
 from lagoontide.configuration.document import Document, Priority, Service
 from lagoontide.configuration.holder import Holder
 from lagoontide.dispatch.caller import Dispatcher, OnTokens
-from lagoontide.entry.story import Listener, Story
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.metrics import Metrics
+from lagoontide.pipeline.story import Listener, Story
 from lagoontide.pipeline.walk import Answer, Fields, Request, check_body, walk
 
 __all__ = ["CallerRequest", "Entry"]
@@ -106,6 +106,7 @@
                 await self._claim(call, request)
             return await walk(request, self._dispatcher, self._find_service, answer)
         except LagoontideError as exc:
+            exc.request = answer.request
             error = exc
             raise
         finally:
--- a/src/lagoontide/errors.py
+++ b/src/lagoontide/errors.py
@@ -14,6 +14,7 @@
     "TargetError",
     "TargetFailed",
     "TargetUnreachable",
+    "UsageError",
     "WireError",
 ]
 
@@ -29,6 +30,11 @@
         The stage or operation that was under way.
     peer : str, optional
         The process at the other end.
+
+    Attributes
+    ----------
+    request : str
+        Id of the caller's request that it ended, once that is known.
     """
 
     def __init__(self, message: str, *, step: str = "", peer: str = "") -> None:
@@ -36,6 +42,7 @@
         self.message = message
         self.step = step
         self.peer = peer
+        self.request = ""
 
     def __str__(self) -> str:
         place = " ".join(
@@ -50,6 +57,10 @@
     """A settings file cannot be used."""
 
 
+class UsageError(LagoontideError):
+    """A command was given something that it cannot use."""
+
+
 class DocumentError(LagoontideError):
     """A configuration document is not valid.
 
--- a/src/lagoontide/local.py
+++ b/src/lagoontide/local.py
@@ -90,6 +90,7 @@
             parts = _start_entry(local, ctx, number)
             tasks.append(asyncio.create_task(parts.directory.follow()))
             tasks.append(asyncio.create_task(parts.follow_configuration()))
+            tasks.append(asyncio.create_task(parts.snapshots.run()))
         try:
             yield local
         finally:
--- /dev/null
+++ b/src/lagoontide/report/commands.py
@@ -0,0 +1,299 @@
+"""Commands by which operators see what happens."""
+
+import os
+import re
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from fire.decorators import SetParseFn
+
+from lagoontide.errors import UsageError
+
+__all__ = ["ReportCommands", "WatchCommands"]
+
+TOKEN_VARIABLE = "LAGOONTIDE_TOKEN"
+WATCH_INTERVAL_S = 2.0
+CLEAR = "\x1b[H\x1b[2J"
+EXIT_PROBLEM = 1
+EXIT_INCOMPLETE = 3
+UNITS_S = {"s": 1.0, "m": 60.0, "h": 3600.0}
+MAX_WINDOW_S = 21600.0
+ADDRESS = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}")
+
+
+class ReportCommands:
+    """Reports on service levels."""
+
+    @SetParseFn(str, "window", "html", "entries", "token")
+    def burn(
+        self,
+        *rest: Any,
+        entries: str = "",
+        token: str = "",
+        window: str = "6h",
+        html: str = "",
+        json: bool = False,
+        **flags: Any,
+    ) -> None:
+        """Show error budgets, burn rates and what spent them.
+
+        Exit code: 0 without an alert, 1 with one, 2 for an error, 3 without an
+        alert but with an entry that did not answer.
+
+        Examples
+        --------
+        lagoontide report burn --entries=10.0.0.1:8081,10.0.0.2:8081 --token=SECRET
+        lagoontide report burn --entries=10.0.0.1:8081 --window=30m --json
+        lagoontide report burn --entries=10.0.0.1:8081 --html=burn.html
+
+        Parameters
+        ----------
+        entries
+            Operators' ports of the entries to ask, IP:PORT, comma between them.
+        token
+            An operator's bearer token; else the variable LAGOONTIDE_TOKEN.
+        window
+            What budgets and spending are of: 90s, 5m, 1h, up to 6h.
+        html
+            A file to write the page to.
+        json
+            Print JSON in place of text.
+        """
+        from lagoontide.report.gather import gather_burn
+
+        check_usage(rest, flags)
+        report = gather_burn(
+            parse_entries(entries), find_token(token), parse_window(window)
+        )
+        if html:
+            from lagoontide.report.html import render
+
+            Path(html).write_text(render(report), "utf-8")
+        _print_burn(report, json)
+        sys.exit(_burn_exit(report))
+
+
+class WatchCommands:
+    """Commands about single requests and the state of entries."""
+
+    @SetParseFn(str, "request", "entries", "token")
+    def trace(
+        self,
+        request: str,
+        *rest: Any,
+        entries: str = "",
+        token: str = "",
+        json: bool = False,
+        **flags: Any,
+    ) -> None:
+        """Show the story of a recent request by its X-Request-Id.
+
+        Exit code: 0 if it was found, 1 if no entry that answered keeps it, 2 for
+        an error, 3 if it was not found and an entry did not answer.
+
+        Example
+        -------
+        lagoontide trace 3f2a... --entries=10.0.0.1:8081,10.0.0.2:8081
+        """
+        from lagoontide.report.gather import gather_traces
+        from lagoontide.report.text import format_trace
+
+        check_usage(rest, flags)
+        check_request(request)
+        found = gather_traces(parse_entries(entries), find_token(token), request)
+        trace = next((value for value in found.values if value), None)
+        if trace is not None:
+            print(to_json(trace) if json else format_trace(trace))
+            return
+        _print_errors(found.errors)
+        print(f"lagoontide: no entry keeps request {request}", file=sys.stderr)
+        sys.exit(EXIT_INCOMPLETE if found.errors else EXIT_PROBLEM)
+
+    @SetParseFn(str, "entries", "token")
+    def status(
+        self,
+        *rest: Any,
+        entries: str = "",
+        token: str = "",
+        watch: bool = False,
+        json: bool = False,
+        **flags: Any,
+    ) -> None:
+        """Show entries, pools, targets, queues and the store.
+
+        Exit code: 0 if all is well, 1 with a problem, 2 for an error, 3 if an
+        entry did not answer. ``--watch`` shows it again every 2 s until Ctrl-C.
+
+        Examples
+        --------
+        lagoontide status --entries=10.0.0.1:8081 --watch
+        lagoontide status --entries=10.0.0.1:8081 --json
+        """
+        check_usage(rest, flags)
+        addresses, secret = parse_entries(entries), find_token(token)
+        code = _show_status(addresses, secret, json, "")
+        try:
+            while watch:
+                time.sleep(WATCH_INTERVAL_S)
+                code = _show_status(addresses, secret, json, "" if json else CLEAR)
+        except KeyboardInterrupt:
+            pass
+        sys.exit(code)
+
+    @SetParseFn(str, "route", "entry", "token", "body", "key", "priority")
+    def request(
+        self,
+        route: str,
+        *rest: Any,
+        entry: str = "",
+        token: str = "",
+        body: str = "{}",
+        key: str = "",
+        timeout: float | None = None,
+        priority: str = "",
+        stream: bool = False,
+        **flags: Any,
+    ) -> None:
+        """Send one request to an entry's callers' port, as a caller does.
+
+        Exit code: 0 with the answer, 1 if it was not run, 2 for an error, 3 if
+        it failed, 4 if nobody knows whether it ran.
+
+        Examples
+        --------
+        lagoontide request reseller-query --entry=10.0.0.1:8080 --token=SECRET \
+            --body='{"question": "..."}' --timeout=2
+        lagoontide request issue-credit --entry=10.0.0.1:8080 --body=@credit.json \
+            --key=order-17
+        """
+        from lagoontide.report.caller import (
+            EXIT_BY_OUTCOME,
+            send_request,
+            stream_request,
+        )
+
+        check_usage(rest, flags)
+        (address,) = parse_entries(entry, "entry")[:1]
+        headers = {"Authorization": f"Bearer {find_token(token)}"}
+        headers |= {"Idempotency-Key": key} if key else {}
+        headers |= {"Priority": priority} if priority else {}
+        data, limit = read_body(body), check_timeout(timeout)
+        outcome = ""
+        if stream:
+            for reply in stream_request(address, route, data, headers, limit):
+                print(reply.text, flush=True)
+                outcome = reply.outcome
+        else:
+            reply = send_request(address, route, data, headers, limit)
+            outcome = reply.outcome
+            print(reply.text)
+            print(f"request {reply.request or '(no id)'}", file=sys.stderr)
+        sys.exit(EXIT_BY_OUTCOME.get(outcome, EXIT_BY_OUTCOME["unknown"]))
+
+
+def check_usage(rest: tuple[Any, ...], flags: dict[str, Any]) -> None:
+    """Raise UsageError if something was given that the command does not know."""
+    if flags:
+        raise UsageError(f"unknown flag --{next(iter(flags))}; see --help")
+    if rest:
+        raise UsageError(f"unexpected argument {rest[0]!r}; see --help")
+
+
+def check_request(request: str) -> None:
+    """Raise UsageError unless it looks like a request id."""
+    if not re.fullmatch(r"[0-9A-Za-z_-]{1,64}", request):
+        raise UsageError(f"request id is {request!r}; expected the X-Request-Id")
+
+
+def check_timeout(timeout: Any) -> float | None:
+    """Return the seconds of ``--timeout``."""
+    if timeout is None:
+        return None
+    if isinstance(timeout, int | float) and timeout > 0:
+        return float(timeout)
+    raise UsageError(f"--timeout is {timeout!r}; expected seconds over 0")
+
+
+def parse_entries(text: str, flag: str = "entries") -> tuple[str, ...]:
+    """Return the addresses of ``--entries``."""
+    addresses = tuple(part.strip() for part in text.split(",") if part.strip())
+    if not addresses:
+        raise UsageError(f"--{flag}=IP:PORT is needed")
+    for address in addresses:
+        if not ADDRESS.fullmatch(address):
+            raise UsageError(f"--{flag} has {address!r}; expected IP:PORT")
+    return addresses
+
+
+def find_token(text: str) -> str:
+    """Return the token of the flag or of the environment."""
+    token = text or os.environ.get(TOKEN_VARIABLE, "")
+    if not token or not token.isprintable():
+        raise UsageError(f"--token or the variable {TOKEN_VARIABLE} is needed")
+    return token
+
+
+def parse_window(text: str) -> float:
+    """Return the seconds of ``--window``, as in 90s, 5m or 1h."""
+    match = re.fullmatch(r"(\d+(?:\.\d+)?)([smh])", text)
+    seconds = float(match[1]) * UNITS_S[match[2]] if match else 0.0
+    if not 0 < seconds <= MAX_WINDOW_S:
+        raise UsageError(f"--window is {text!r}; expected 90s, 5m, 1h, up to 6h")
+    return seconds
+
+
+def read_body(text: str) -> bytes:
+    """Return the body, or that of the file after an ``@``."""
+    if not text.startswith("@"):
+        return text.encode()
+    try:
+        return Path(text[1:]).read_bytes()
+    except OSError as exc:
+        raise UsageError(f"--body: {exc}") from exc
+
+
+def to_json(value: Any) -> str:
+    """Return a value as JSON with line breaks."""
+    import msgspec
+
+    return msgspec.json.format(msgspec.json.encode(value)).decode()
+
+
+def _print_errors(errors: dict[str, Any]) -> None:
+    for address, exc in errors.items():
+        print(f"lagoontide: {address} did not answer: {exc}", file=sys.stderr)
+
+
+def _print_burn(report: Any, as_json: bool) -> None:
+    from lagoontide.report.text import format_burn
+
+    print(to_json(report) if as_json else format_burn(report))
+
+
+def _burn_exit(report: Any) -> int:
+    from lagoontide.report.burn import Alert
+    from lagoontide.report.summary import SourceState
+
+    lines = (report.total, *report.routes, *report.accounts)
+    if any(line.alert is not Alert.NONE for line in lines):
+        return EXIT_PROBLEM
+    if any(source.state is SourceState.MISSING for source in report.sources):
+        return EXIT_INCOMPLETE
+    return 0
+
+
+def _show_status(
+    addresses: tuple[str, ...], token: str, as_json: bool, before: str
+) -> int:
+    from lagoontide.report.gather import gather_status
+    from lagoontide.report.text import format_status
+
+    found = gather_status(addresses, token)
+    text = to_json(found.values) if as_json else format_status(found.values)
+    print(f"{before}{text}", flush=True)
+    _print_errors(found.errors)
+    if any(problem for status in found.values for problem in status.problems()):
+        return EXIT_PROBLEM
+    return EXIT_INCOMPLETE if found.errors else 0
