--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -1,6 +1,7 @@
 """Wiring of an entry process."""
 
 import asyncio
+import contextlib
 import random
 
 import zmq
@@ -27,6 +28,10 @@
 from lagoontide.platform.instances import HttpInstances, Instances
 from lagoontide.platform.store import Store
 from lagoontide.protocol import make_protocol
+from lagoontide.report.pages import ReportPages
+from lagoontide.report.reporter import Reporter
+from lagoontide.report.snapshots import SnapshotWriter
+from lagoontide.report.status import StatusMaker
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
 from lagoontide.wire.conn import Context, Identity, connect
@@ -36,6 +41,7 @@
 __all__ = ["EntryParts", "make_entry", "run_entry"]
 
 OPERATOR_THREADS = 8
+LAST_SNAPSHOT_S = 2.0
 
 
 class EntryParts:
@@ -90,6 +96,25 @@
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
         self._store = store
+        self.reporter = Reporter(
+            cfg.name, cfg.failure_domain, self.holder, self._find_domain
+        )
+        self.entry.subscribe(self.reporter.take)
+        self.snapshots = SnapshotWriter(store, self.reporter, random.Random(cfg.name))
+        status = StatusMaker(
+            cfg.name,
+            cfg.failure_domain,
+            self.entry,
+            self.holder,
+            self.directory,
+            store,
+        )
+        self.report_pages = ReportPages(self.reporter, status, store, bridge.call)
+        self.report_pages.mount(self.operators)
+
+    def _find_domain(self, target: str) -> str:
+        links = self.directory.links
+        return next((x.instance.failure_domain for x in links if x.name == target), "")
 
     def _mount_configuration(
         self, cfg: EntrySettings, store: Store, bridge: Bridge
@@ -119,6 +144,14 @@
         """Keep to the store's newest document until cancelled."""
         await follow(self._store, self.holder)
 
+    async def drain(self, bound: float) -> bool:
+        """Drain the entry and leave its counts in the store; see Entry.drain."""
+        ended = await self.entry.drain(bound)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_SNAPSHOT_S):
+                await self.snapshots.write()
+        return ended
+
     async def close(self) -> None:
         """Close both sides; the HTTP servers in threads, as they join their own."""
         await asyncio.gather(
@@ -155,8 +188,9 @@
                 [
                     parts.directory.follow(),
                     parts.follow_configuration(),
+                    parts.snapshots.run(),
                 ],
-                lambda: parts.entry.drain(cfg.drain),
+                lambda: parts.drain(cfg.drain),
             )
         finally:
             await parts.close()
--- a/src/lagoontide/errors.py
+++ b/src/lagoontide/errors.py
@@ -33,6 +33,11 @@
         The stage or operation that was under way.
     peer : str, optional
         The process at the other end.
+
+    Attributes
+    ----------
+    request : str
+        Id of the caller's request that it ended, once that is known.
     """
 
     def __init__(self, message: str, *, step: str = "", peer: str = "") -> None:
@@ -40,6 +45,7 @@
         self.message = message
         self.step = step
         self.peer = peer
+        self.request = ""
 
     def __str__(self) -> str:
         place = " ".join(
