--- a/src/lagoontide/agent/service.py
+++ b/src/lagoontide/agent/service.py
@@ -262,7 +262,7 @@
         try:
             return await self._target.stream(work, sender.add)
         finally:
-            sender.close()
+            await sender.close()
 
     def _end(self, job: Job, result: Final) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/lagoontide/agent/tokens.py
+++ b/src/lagoontide/agent/tokens.py
@@ -56,8 +56,7 @@
         self._sends.add(task)
         task.add_done_callback(self._sends.discard)
 
-    def close(self) -> None:
-        """Drop what is not sent; the result itself has it all."""
-        self._tokens = []
-        if self._timer is not None:
-            self._timer.cancel()
+    async def close(self) -> None:
+        """Send the rest and wait until all is on its way, before the result is."""
+        self.flush()
+        await asyncio.gather(*self._sends, return_exceptions=True)
