Bounded views, paced heartbeats and suspicion that forgives own pauses

Cause: an entry talked to every agent once a second and read the whole list every 2 s, which grows with the fleet; a pause of the entry itself made its agents look dead; a replaced agent stayed unusable until the next beat.

--- a/src/lagoontide/agent/service.py
+++ b/src/lagoontide/agent/service.py
@@ -21,7 +21,12 @@
     is_whole,
 )
 from lagoontide.errors import TargetFailed, TargetUnreachable
-from lagoontide.membership.messages import Hello, Welcome
+from lagoontide.membership.messages import (
+    LEAVING,
+    OTHER_INCARNATION,
+    Hello,
+    Welcome,
+)
 from lagoontide.metrics import Metrics
 from lagoontide.platform.targets import Target, Work
 from lagoontide.scheduling.load import Load
@@ -138,13 +143,13 @@
     def _find_refusal(self, call: Call) -> str:
         """Return why a call is not taken, or an empty string."""
         if call.incarnation != self.incarnation:
-            return "other incarnation"
+            return OTHER_INCARNATION
         if self._log.get(call.attempt) is not None:
             return ""
         if not is_whole(call):
             return "cut call"
         if self.is_leaving:
-            return "leaving"
+            return LEAVING
         if call.budget <= 0:
             return "deadline"
         return ""
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -21,7 +21,8 @@
     is_whole,
 )
 from lagoontide.errors import PeerError, PeerTimeout
-from lagoontide.membership.directory import Directory, Link
+from lagoontide.membership.directory import Directory
+from lagoontide.membership.link import Link
 from lagoontide.routing.choose import Choose
 from lagoontide.wire.conn import Exchange
 
@@ -190,7 +191,11 @@
                     link.observe(load)
                 case Done() if not is_whole(reply):
                     return Failed(reply.attempt, "the result arrived cut", reply.load)
-                case Done(load=load) | NotRun(load=load) | Failed(load=load):
+                case NotRun(reason=reason, load=load):
+                    link.observe(load)
+                    link.refuse(reason)
+                    return reply
+                case Done(load=load) | Failed(load=load):
                     link.observe(load)
                     return reply
                 case Unknown():
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -54,7 +54,9 @@
         self.identity = Identity(cfg.name)
         self.holder = Holder()
         self.directory = Directory(
-            instances, lambda address: connect(ctx, address, codec, self.identity)
+            instances,
+            lambda address: connect(ctx, address, codec, self.identity),
+            cfg.name,
         )
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -1,133 +1,72 @@
-"""The agents that an entry knows, from the platform's list and from themselves."""
+"""The agents that an entry talks to: a bounded view of the platform's list."""
 
 import asyncio
+import random
+from collections import defaultdict
 from collections.abc import Callable
 
 from loguru import logger
 
-from lagoontide.errors import PeerError, StoreError
-from lagoontide.membership.messages import Hello, Welcome
-from lagoontide.platform.instances import Instance, Instances, InstanceState, Role
-from lagoontide.routing.choose import Candidate
-from lagoontide.scheduling.load import Load
+from lagoontide.errors import StoreError
+from lagoontide.membership.link import Link
+from lagoontide.membership.pace import (
+    heartbeat_interval,
+    list_interval,
+    spread,
+    start_delay,
+)
+from lagoontide.membership.subset import pick_subset
+from lagoontide.membership.sums import Cell, estimate_cells
+from lagoontide.platform.instances import Instance, Instances, Role
 from lagoontide.wire.conn import Conn
 
-__all__ = ["Connect", "Directory", "Link"]
+__all__ = ["Connect", "Directory"]
 
-HEARTBEAT_S = 1.0
-LIST_INTERVAL_S = 2.0
-MISSED_HEARTBEATS = 2
+SUBSET_SIZE = 12
+# Bytes of one instance in the platform's answer, for the pace of reading it.
+LISTED_BYTES = 150
 
 Connect = Callable[[str], Conn]
+OnList = Callable[[tuple[Instance, ...]], None]
 
 
-class Link:
-    """One agent as this entry sees it, with a task that keeps in touch.
+class Directory:
+    """The links of an entry, by service.
 
-    Attributes
+    Parameters
     ----------
-    incarnation : str
-        The agent's process; empty before its first word.
-    sent : int
-        Calls of this entry that are under way there.
+    name : str
+        Name of this process, which decides its view.
+    subset : int
+        Agents of each service that it talks to.
     """
 
-    def __init__(self, instance: Instance, conn: Conn) -> None:
-        self.instance = instance
-        self.conn = conn
-        self.incarnation = ""
-        self.load = Load()
-        self.load_at = 0.0
-        self.sent = 0
-        self.is_leaving = False
-        self.missed = 0
-        self._task = asyncio.create_task(self._keep_in_touch(), name=instance.name)
-
-    @property
-    def name(self) -> str:
-        """Name of the agent's instance."""
-        return self.instance.name
-
-    @property
-    def is_usable(self) -> bool:
-        """Whether new work may go there."""
-        return (
-            bool(self.incarnation)
-            and not self.is_leaving
-            and self.instance.state is InstanceState.LIVE
-            and self.missed < MISSED_HEARTBEATS
-        )
-
-    def observe(self, load: Load) -> None:
-        """Take the load that came with a message."""
-        self.load = load
-        self.load_at = asyncio.get_running_loop().time()
-
-    def to_candidate(self, now: float) -> Candidate:
-        """Return the link as routing sees it."""
-        return Candidate(
-            name=self.name,
-            failure_domain=self.instance.failure_domain,
-            queued=self.load.queued,
-            running=self.load.running,
-            limit=max(1, self.load.limit),
-            age=now - self.load_at,
-            sent=self.sent,
-            service_time=self.load.service_time,
-        )
-
-    def close(self) -> None:
-        """End the task and the connection."""
-        self._task.cancel()
-        self.conn.close()
-
-    async def _keep_in_touch(self) -> None:
-        while True:
-            try:
-                await self._beat()
-            except PeerError as exc:
-                self.missed += 1
-                logger.bind(peer=self.name, step="heartbeat").warning("{}", exc)
-                await asyncio.sleep(HEARTBEAT_S)
-
-    async def _beat(self) -> None:
-        """Say hello and take what the agent says until the next beat is due."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + HEARTBEAT_S
-        answered = False
-        with await self.conn.open(Hello()) as exchange:
-            while (left := end - loop.time()) > 0:
-                try:
-                    welcome = await exchange.next(left)
-                except PeerError:
-                    break
-                answered = True
-                self.missed = 0
-                self._apply(welcome)
-        if not answered:
-            self.missed += 1
-
-    def _apply(self, welcome: Welcome) -> None:
-        if welcome.incarnation != self.incarnation:
-            logger.bind(peer=self.name).debug("incarnation {}", welcome.incarnation)
-        self.incarnation = welcome.incarnation
-        self.is_leaving = welcome.leaving
-        self.observe(welcome.load)
-
-
-class Directory:
-    """The links of an entry, by service."""
-
-    def __init__(self, instances: Instances, connect: Connect) -> None:
+    def __init__(
+        self,
+        instances: Instances,
+        connect: Connect,
+        name: str = "",
+        subset: int = SUBSET_SIZE,
+    ) -> None:
         self._instances = instances
         self._connect = connect
+        self._name = name
+        self._subset = subset
+        self._rng = random.Random(name)
         self._links: dict[str, Link] = {}
+        self._listed: tuple[Instance, ...] = ()
+        self._listeners: list[OnList] = []
 
     @property
     def links(self) -> tuple[Link, ...]:
         """All links."""
         return tuple(self._links.values())
 
+    @property
+    def cells(self) -> tuple[Cell, ...]:
+        """Sums by service and failure domain."""
+        return estimate_cells(self._listed, self._links.values())
+
     def usable(self, service: str) -> list[Link]:
         """Return the links of a service that may be given new work."""
         return [
@@ -136,6 +75,10 @@
             if link.instance.service == service and link.is_usable
         ]
 
+    def subscribe(self, listener: OnList) -> None:
+        """Call ``listener`` with each list that was read."""
+        self._listeners.append(listener)
+
     async def follow(self) -> None:
         """Keep to the platform's list until cancelled."""
         while True:
@@ -143,11 +86,35 @@
                 self.apply(await self._instances.list())
             except StoreError as exc:
                 logger.bind(step="instances").warning("{}", exc)
-            await asyncio.sleep(LIST_INTERVAL_S)
+            pause = list_interval(LISTED_BYTES * len(self._listed))
+            await asyncio.sleep(spread(pause, self._rng))
 
     def apply(self, instances: tuple[Instance, ...]) -> None:
-        """Open links to new agents and close those to agents that are gone."""
-        agents = {item.name: item for item in instances if item.role is Role.AGENT}
+        """Open links to agents new in the view and close those that left it."""
+        if instances != self._listed:
+            self._listed = instances
+            self._update(self._pick(instances))
+        for listener in self._listeners:
+            listener(instances)
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    def _pick(self, instances: tuple[Instance, ...]) -> dict[str, Instance]:
+        pools: dict[str, list[Instance]] = defaultdict(list)
+        for item in instances:
+            if item.role is Role.AGENT:
+                pools[item.service].append(item)
+        return {
+            item.name: item
+            for pool in pools.values()
+            for item in pick_subset(self._name, pool, self._subset)
+        }
+
+    def _update(self, agents: dict[str, Instance]) -> None:
         for name in self._links.keys() - agents.keys():
             self._links.pop(name).close()
         for name, instance in agents.items():
@@ -157,10 +124,13 @@
                 continue
             if link is not None:
                 link.close()
-            self._links[name] = Link(instance, self._connect(instance.address))
-
-    def close(self) -> None:
-        """Close all links."""
-        for link in self._links.values():
-            link.close()
-        self._links.clear()
+            self._links[name] = self._open(instance, len(agents))
+
+    def _open(self, instance: Instance, links: int) -> Link:
+        return Link(
+            instance,
+            self._connect(instance.address),
+            lambda: heartbeat_interval(len(self._links)),
+            self._rng,
+            start_delay(links, self._rng),
+        )
--- /dev/null
+++ b/src/lagoontide/membership/link.py
@@ -0,0 +1,152 @@
+"""One agent as an entry sees it, from the list and from the agent itself."""
+
+import asyncio
+import math
+import random
+from collections.abc import Callable
+
+from loguru import logger
+
+from lagoontide.errors import PeerError, PeerTimeout
+from lagoontide.membership.messages import LEAVING, OTHER_INCARNATION, Hello, Welcome
+from lagoontide.membership.pace import is_late, spread
+from lagoontide.platform.instances import Instance, InstanceState
+from lagoontide.routing.choose import Candidate
+from lagoontide.scheduling.load import Load
+from lagoontide.wire.conn import Conn, Exchange
+
+__all__ = ["Link"]
+
+REPLY_S = 1.0
+MAX_REPLY_S = 16.0
+MISSED_HEARTBEATS = 2
+
+
+class Link:
+    """One agent as this entry sees it, with a task that keeps in touch.
+
+    Parameters
+    ----------
+    interval : callable
+        Gives the seconds of silence after which the agent is asked.
+    delay : float
+        Seconds before the first message.
+
+    Attributes
+    ----------
+    incarnation : str
+        The agent's process; empty before its first word.
+    heard_at : float
+        Loop time of its last word.
+    sent : int
+        Calls of this entry that are under way there.
+    """
+
+    def __init__(
+        self,
+        instance: Instance,
+        conn: Conn,
+        interval: Callable[[], float],
+        rng: random.Random,
+        delay: float = 0.0,
+    ) -> None:
+        self.instance = instance
+        self.conn = conn
+        self.incarnation = ""
+        self.load = Load()
+        self.heard_at = -math.inf
+        self.sent = 0
+        self.is_leaving = False
+        self.missed = 0
+        self._interval = interval
+        self._rng = rng
+        self._start(delay)
+
+    @property
+    def name(self) -> str:
+        """Name of the agent's instance."""
+        return self.instance.name
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new work may go there."""
+        return (
+            bool(self.incarnation)
+            and not self.is_leaving
+            and self.instance.state is InstanceState.LIVE
+            and self.missed < MISSED_HEARTBEATS
+        )
+
+    def observe(self, load: Load) -> None:
+        """Take the load that came with a message, which is a sign of life too."""
+        self.load = load
+        self.heard_at = asyncio.get_running_loop().time()
+        self.missed = 0
+
+    def refuse(self, reason: str) -> None:
+        """Take what a refusal says of the agent itself."""
+        if reason == LEAVING:
+            self.is_leaving = True
+        elif reason == OTHER_INCARNATION and self.incarnation:
+            self.incarnation = ""
+            self._task.cancel()
+            self._start(0.0)
+
+    def to_candidate(self, now: float) -> Candidate:
+        """Return the link as routing sees it."""
+        return Candidate(
+            name=self.name,
+            failure_domain=self.instance.failure_domain,
+            queued=self.load.queued,
+            running=self.load.running,
+            limit=max(1, self.load.limit),
+            age=now - self.heard_at,
+            sent=self.sent,
+            service_time=self.load.service_time,
+        )
+
+    def close(self) -> None:
+        """End the task and the connection."""
+        self._task.cancel()
+        self.conn.close()
+
+    def _start(self, delay: float) -> None:
+        self._task = asyncio.create_task(self._keep_in_touch(delay), name=self.name)
+
+    async def _keep_in_touch(self, delay: float) -> None:
+        await asyncio.sleep(delay)
+        while True:
+            try:
+                await self._beat()
+            except PeerError as exc:
+                self.missed += 1
+                logger.bind(peer=self.name, step="heartbeat").warning("{}", exc)
+                await asyncio.sleep(spread(REPLY_S, self._rng))
+
+    async def _beat(self) -> None:
+        """Say hello and take what the agent says until the next beat is due.
+
+        Replies to calls are signs of life as well and put the next beat off.
+        """
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        silence = spread(self._interval(), self._rng)
+        due = started + min(MAX_REPLY_S, REPLY_S * 2**self.missed)
+        with await self.conn.open(Hello()) as exchange:
+            while (left := due - loop.time()) > 0:
+                await self._take_next(exchange, left)
+                if self.heard_at >= started:
+                    due = self.heard_at + silence
+        if self.heard_at < started and not is_late(due, loop.time()):
+            self.missed += 1
+
+    async def _take_next(self, exchange: Exchange, left: float) -> None:
+        try:
+            welcome: Welcome = await exchange.next(left)
+        except PeerTimeout:
+            return
+        if welcome.incarnation != self.incarnation:
+            logger.bind(peer=self.name).debug("incarnation {}", welcome.incarnation)
+        self.incarnation = welcome.incarnation
+        self.is_leaving = welcome.leaving
+        self.observe(welcome.load)
--- a/src/lagoontide/membership/messages.py
+++ b/src/lagoontide/membership/messages.py
@@ -4,7 +4,11 @@
 
 from lagoontide.scheduling.load import Load
 
-__all__ = ["MESSAGES", "Hello", "Welcome"]
+__all__ = ["LEAVING", "MESSAGES", "OTHER_INCARNATION", "Hello", "Welcome"]
+
+# Reasons by which an agent's refusal speaks of the agent itself.
+LEAVING = "leaving"
+OTHER_INCARNATION = "other incarnation"
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
