--- a/src/lagoontide/protocol.py
+++ b/src/lagoontide/protocol.py
@@ -2,6 +2,7 @@
 
 from lagoontide.dispatch.messages import MESSAGES as DISPATCH
 from lagoontide.membership.messages import MESSAGES as MEMBERSHIP
+from lagoontide.spreading.messages import MESSAGES as SPREADING
 from lagoontide.wire.codec import Codec, make_codec
 
 __all__ = ["make_protocol"]
@@ -9,4 +10,4 @@
 
 def make_protocol() -> Codec:
     """Return the codec of the system."""
-    return make_codec(DISPATCH, MEMBERSHIP)
+    return make_codec(DISPATCH, MEMBERSHIP, SPREADING)
--- /dev/null
+++ b/src/lagoontide/spreading/__init__.py
@@ -0,0 +1,1 @@
+"""How an accepted configuration reaches every process, and never reverts there."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,6 +13,7 @@
     {"scheduling", "configuration"},
     {"routing", "operators"},
     {"membership"},
+    {"spreading"},
     {"dispatch"},
     {"claims", "admission"},
     {"pipeline"},
