--- a/src/lagoontide/local.py
+++ b/src/lagoontide/local.py
@@ -131,6 +131,7 @@
         failure_domain=domains[(number - 1) % len(domains)],
         callers=FREE_PORT,
         operators=FREE_PORT,
+        peers=FREE_PORT,
         store="http://127.0.0.1:1",
         instances="http://127.0.0.1:1",
         operator_tokens={hash_token(OPERATOR_TOKEN): "operator"},
@@ -138,6 +139,9 @@
     parts = make_entry(cfg, ctx, local.store, local.instances)
     parts.start_http()
     local.entries.append(parts)
+    local.instances.put(
+        Instance(cfg.name, Role.ENTRY, parts.peers_server.address, cfg.failure_domain)
+    )
     return parts
 
 
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from lagoontide.configuration.document import Document
 from lagoontide.errors import StoreError
 from lagoontide.membership.link import Link
 from lagoontide.membership.pace import (
@@ -15,6 +16,7 @@
     spread,
     start_delay,
 )
+from lagoontide.membership.peers import Peers
 from lagoontide.membership.subset import pick_subset
 from lagoontide.membership.sums import Cell, estimate_cells
 from lagoontide.platform.instances import Instance, Instances, Role
@@ -39,6 +41,11 @@
         Name of this process, which decides its view.
     subset : int
         Agents of each service that it talks to.
+
+    Attributes
+    ----------
+    peers : Peers
+        The other entries.
     """
 
     def __init__(
@@ -56,6 +63,8 @@
         self._links: dict[str, Link] = {}
         self._listed: tuple[Instance, ...] = ()
         self._listeners: list[OnList] = []
+        self.peers = Peers(connect)
+        self._draining: frozenset[str] = frozenset()
 
     @property
     def links(self) -> tuple[Link, ...]:
@@ -72,13 +81,21 @@
         return [
             link
             for link in self._links.values()
-            if link.instance.service == service and link.is_usable
+            if link.instance.service == service
+            and link.is_usable
+            and link.name not in self._draining
         ]
 
     def subscribe(self, listener: OnList) -> None:
         """Call ``listener`` with each list that was read."""
         self._listeners.append(listener)
 
+    def update(self, document: Document) -> None:
+        """Take the drain marks of a new document."""
+        self._draining = frozenset(
+            name for service in document.services.values() for name in service.draining
+        )
+
     async def follow(self) -> None:
         """Keep to the platform's list until cancelled."""
         while True:
@@ -94,11 +111,13 @@
         if instances != self._listed:
             self._listed = instances
             self._update(self._pick(instances))
+            self.peers.apply(instances)
         for listener in self._listeners:
             listener(instances)
 
     def close(self) -> None:
         """Close all links."""
+        self.peers.close()
         for link in self._links.values():
             link.close()
         self._links.clear()
--- a/src/lagoontide/membership/link.py
+++ b/src/lagoontide/membership/link.py
@@ -12,6 +12,7 @@
 from lagoontide.membership.pace import is_late, spread
 from lagoontide.platform.instances import Instance, InstanceState
 from lagoontide.routing.choose import Candidate
+from lagoontide.routing.health import Health
 from lagoontide.scheduling.load import Load
 from lagoontide.wire.conn import Conn, Exchange
 
@@ -40,6 +41,8 @@
         Loop time of its last word.
     sent : int
         Calls of this entry that are under way there.
+    sent_since : int
+        Those sent since the last word of its load.
     """
 
     def __init__(
@@ -56,6 +59,8 @@
         self.load = Load()
         self.heard_at = -math.inf
         self.sent = 0
+        self.sent_since = 0
+        self.health = Health()
         self.is_leaving = False
         self.missed = 0
         self._interval = interval
@@ -80,6 +85,7 @@
     def observe(self, load: Load) -> None:
         """Take the load that came with a message, which is a sign of life too."""
         self.load = load
+        self.sent_since = 0
         self.heard_at = asyncio.get_running_loop().time()
         self.missed = 0
 
@@ -103,6 +109,8 @@
             age=now - self.heard_at,
             sent=self.sent,
             service_time=self.load.service_time,
+            sent_since=self.sent_since,
+            ratio=self.health.ratio,
         )
 
     def close(self) -> None:
--- a/tests/spreading/cluster.py
+++ b/tests/spreading/cluster.py
@@ -101,7 +101,6 @@
             return self._cluster.rng.choice(self._cluster.accepted)
         return entry
 
-
     def _check_way(self, call):
         if self._owner.domain in self._cluster.far_from_store:
             call.close()
