--- a/src/lagoontide/configuration/document.py
+++ b/src/lagoontide/configuration/document.py
@@ -21,6 +21,7 @@
     "decode_document",
     "digest_document",
     "encode_document",
+    "pack_bytes",
 ]
 
 
@@ -211,7 +212,11 @@
 
 def encode_document(document: Document) -> bytes:
     """Return the canonical msgpack of a document, deflated if it is large."""
-    data = _encoder.encode(document)
+    return pack_bytes(_encoder.encode(document))
+
+
+def pack_bytes(data: bytes) -> bytes:
+    """Return the msgpack of a document, deflated if it is large."""
     if len(data) < PACK_FROM_BYTES:
         return data
     return zlib.compress(data, ZLIB_LEVEL)
--- a/src/lagoontide/spreading/copies.py
+++ b/src/lagoontide/spreading/copies.py
@@ -7,13 +7,18 @@
 import msgspec
 from loguru import logger
 
-from lagoontide.configuration.document import digest_document
+from lagoontide.configuration.document import (
+    decode_bytes,
+    digest_document,
+    pack_bytes,
+)
 from lagoontide.spreading.delta import apply_delta, make_delta
 from lagoontide.spreading.messages import Change, Changes, Offer, Piece, State
 
 __all__ = ["Adopt", "Copies", "Copy"]
 
 KEPT_STEPS = 64
+MAX_STEP_BYTES = 16 << 10
 MAX_STEPS_BYTES = 64 << 10
 PIECE_BYTES = 64 << 10
 
@@ -23,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Copy:
-    """An encoded document with its version in the store."""
+    """A document in plain msgpack with its version in the store."""
 
     version: int
     digest: int
@@ -48,6 +53,7 @@
         self.copy = Copy(0, 0, b"")
         self.refused = 0
         self._adopt = adopt
+        self._packed = (0, b"")
         self._steps: deque[Change] = deque(maxlen=KEPT_STEPS)
 
     @property
@@ -60,23 +66,21 @@
 
         Parameters
         ----------
+        data : bytes
+            As the store or a peer gave it, perhaps deflated.
         digest : int or None
             What the document must have; None if it comes from the store.
         """
         if version <= self.version:
             return False
-        found = digest_document(data)
-        if digest is not None and found != digest:
-            return self._refuse(version, "has another digest")
         old = self.copy
         try:
-            self._adopt(version, data)
-            delta = make_delta(old.data, data) if old.version else b""
+            plain = decode_bytes(data)
+            if not self._replace(version, plain, digest):
+                return False
+            self._keep_step(old, self.copy)
         except msgspec.DecodeError as exc:
             return self._refuse(version, f"is no document: {exc}")
-        if old.version:
-            self._steps.append(Change(old.version, version, found, delta))
-        self.copy = Copy(version, found, data)
         return True
 
     def take_steps(self, steps: tuple[Change, ...]) -> bool:
@@ -95,29 +99,57 @@
         steps = self._find_steps(version)
         if steps:
             return Changes(steps, age)
-        return Offer(copy.version, copy.digest, len(copy.data), age)
+        return self._offer(age)
 
     def answer_newest(self, age: float) -> Changes | Offer:
         """Return the newest step, or the offer of the whole."""
-        copy = self.copy
         step = self._steps[-1] if self._steps else None
-        if step is not None and len(step.delta) <= MAX_STEPS_BYTES:
+        if step is not None and step.version == self.version:
             return Changes((step,), age)
-        return Offer(copy.version, copy.digest, len(copy.data), age)
+        return self._offer(age)
 
     def cut(self, version: int, offset: int) -> Piece | None:
         """Return a piece of the version held, or None if it is another one."""
-        if version != self.version or not 0 <= offset < len(self.copy.data):
+        packed = self._pack()
+        if version != self.version or not 0 <= offset < len(packed):
             return None
-        data = self.copy.data[offset : offset + PIECE_BYTES]
-        return Piece(version, offset, data)
+        return Piece(version, offset, packed[offset : offset + PIECE_BYTES])
 
     def _take_step(self, step: Change) -> bool:
         try:
-            data = apply_delta(self.copy.data, step.delta)
+            plain = apply_delta(self.copy.data, step.delta)
+            if not self._replace(step.version, plain, step.digest):
+                return False
         except msgspec.DecodeError as exc:
             return self._refuse(step.version, f"is no document: {exc}")
-        return self.take(step.version, data, step.digest)
+        self._steps.append(step)
+        return True
+
+    def _replace(self, version: int, plain: bytes, digest: int | None) -> bool:
+        found = digest_document(plain)
+        if digest is not None and found != digest:
+            return self._refuse(version, "has another digest")
+        self._adopt(version, plain)
+        self.copy = Copy(version, found, plain)
+        return True
+
+    def _keep_step(self, old: Copy, new: Copy) -> None:
+        """Keep the step from one copy to the next if it is short and exact."""
+        if not old.version:
+            return
+        delta = make_delta(old.data, new.data)
+        if len(delta) <= MAX_STEP_BYTES and apply_delta(old.data, delta) == new.data:
+            self._steps.append(Change(old.version, new.version, new.digest, delta))
+
+    def _offer(self, age: float) -> Offer:
+        copy = self.copy
+        return Offer(copy.version, copy.digest, len(self._pack()), age)
+
+    def _pack(self) -> bytes:
+        """Return the copy as it travels, deflated once for each version."""
+        if self._packed[0] != self.version:
+            self._packed = (self.version, pack_bytes(self.copy.data))
+        return self._packed[1]
 
     def _find_steps(self, version: int) -> tuple[Change, ...]:
         """Return the steps from a version on; none if they are not kept or long."""
