--- a/src/lagoontide/agent/daemon.py
+++ b/src/lagoontide/agent/daemon.py
@@ -5,15 +5,15 @@
 import zmq
 from loguru import logger
 
+from lagoontide.agent.parts import AgentParts
 from lagoontide.agent.service import Agent
 from lagoontide.lifecycle import run_until_signal
 from lagoontide.logs import set_up_logs
 from lagoontide.metrics import make_metrics
+from lagoontide.platform.httpstore import HttpStore
+from lagoontide.platform.instances import HttpInstances
 from lagoontide.platform.targets import HttpTarget
-from lagoontide.protocol import make_protocol
 from lagoontide.settings import AgentSettings
-from lagoontide.wire.conn import Identity
-from lagoontide.wire.server import bind
 
 __all__ = ["run_agent"]
 
@@ -26,15 +26,20 @@
     metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
     target = HttpTarget(cfg.target, threads=cfg.slots)
     agent = Agent(cfg.name, cfg.service, target, cfg.slots, metrics)
+    store = HttpStore(cfg.store)
+    instances = HttpInstances(cfg.instances)
     with zmq.Context() as ctx:
-        server = bind(
+        parts = AgentParts(
+            agent,
+            cfg.failure_domain,
+            cfg.listen,
             ctx,
-            f"tcp://{cfg.listen}",
-            make_protocol(),
-            Identity(cfg.name),
-            agent.handle,
+            store,
+            instances,
+            metrics,
+            cfg.stale_after,
         )
-        logger.info("agent of {} at {}", cfg.service, server.address)
+        logger.info("agent of {} at {}", cfg.service, parts.server.address)
 
         async def drain() -> bool:
             ended = await agent.drain(cfg.drain)
@@ -43,7 +48,9 @@
             return ended
 
         try:
-            return await run_until_signal([], drain)
+            return await run_until_signal([parts.follow()], drain)
         finally:
-            server.close()
+            parts.close()
             target.close()
+            store.close()
+            instances.close()
--- a/src/lagoontide/bench/fleet.py
+++ b/src/lagoontide/bench/fleet.py
@@ -186,7 +186,7 @@
     items = []
     for place in place_replicas(document):
         target = _make_target(place, ports, seed, instant)
-        agent = _make_agent(place, ports, target, folder)
+        agent = _make_agent(place, ports, target, fleet, folder)
         fleet.targets[target.name] = target
         fleet.agents[agent.name] = agent
         items.append(
@@ -248,7 +248,7 @@
 
 
 def _make_agent(
-    place: Placement, ports: _Ports, target: Process, folder: Path
+    place: Placement, ports: _Ports, target: Process, fleet: Fleet, folder: Path
 ) -> Process:
     listen = ports.take()
     path = folder / f"agent-{place.name}.toml"
@@ -258,6 +258,8 @@
         f'service = "{place.service.name}"\n'
         f'listen = "{listen}"\n'
         f'target = "http://{target.address}"\n'
+        f'store = "http://{fleet.store.address}"\n'
+        f'instances = "http://{fleet.instances.address}"\n'
         f"slots = {place.service.slots}\n"
     )
     return Process(f"agent-{place.name}", ["agent", f"--settings={path}"], listen)
--- a/src/lagoontide/configuration/holder.py
+++ b/src/lagoontide/configuration/holder.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from lagoontide.configuration.document import Document
+from lagoontide.configuration.document import Document, decode_document
 
 __all__ = ["Holder"]
 
@@ -53,6 +53,10 @@
             listener(document)
         return True
 
+    def put(self, version: int, data: bytes) -> None:
+        """Put an encoded document in force; raises msgspec.DecodeError."""
+        self.adopt(version, decode_document(data))
+
     async def wait_ready(self) -> None:
         """Wait until a document is in force."""
         await self._ready.wait()
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -10,7 +10,6 @@
 from lagoontide.configuration.acceptance import Acceptance
 from lagoontide.configuration.force import make_own_view
 from lagoontide.configuration.holder import Holder
-from lagoontide.configuration.source import follow
 from lagoontide.console.api import mount_api
 from lagoontide.console.app import mount_console
 from lagoontide.dispatch.caller import Dispatcher
@@ -29,6 +28,8 @@
 from lagoontide.protocol import make_protocol
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
+from lagoontide.spreading.messages import MESSAGES as SPREADING
+from lagoontide.spreading.node import Spreader
 from lagoontide.wire.conn import Context, Identity, connect
 from lagoontide.wire.router import Router
 from lagoontide.wire.server import bind
@@ -72,10 +73,22 @@
             ctx, f"tcp://{cfg.peers}", codec, self.identity, self.router.handle
         )
         self.holder.subscribe(self.directory.update)
+        self.spreader = Spreader(
+            self.identity,
+            cfg.failure_domain,
+            store,
+            lambda address: connect(ctx, address, codec, self.identity),
+            lambda version, data: self.holder.put(version, data),
+            cfg.stale_after,
+        )
+        self.directory.subscribe(self.spreader.apply)
+        for kind in SPREADING:
+            self.router.register(kind, self.spreader.handle)
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
         self.entry = Entry(self.holder, dispatcher, SimpleClaims(store), metrics)
+        self.entry.is_current = lambda: self.spreader.is_current
         bridge = Bridge(asyncio.get_running_loop())
         self.http = HttpServer(
             cfg.callers,
@@ -91,7 +104,6 @@
         self.operators_http = HttpServer(
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
-        self._store = store
 
     def _mount_configuration(
         self, cfg: EntrySettings, store: Store, bridge: Bridge
@@ -117,9 +129,9 @@
         self.http.start()
         self.operators_http.start()
 
-    async def follow_configuration(self) -> None:
-        """Keep to the store's newest document until cancelled."""
-        await follow(self._store, self.holder)
+    async def follow(self) -> None:
+        """Keep to the platform's list and the newest document until cancelled."""
+        await asyncio.gather(self.directory.follow(), self.spreader.run())
 
     async def close(self) -> None:
         """Close both sides; the HTTP servers in threads, as they join their own."""
@@ -128,6 +140,7 @@
             asyncio.to_thread(self.operators_http.stop),
         )
         self.directory.close()
+        self.spreader.close()
         self.peers_server.close()
 
 
@@ -154,10 +167,7 @@
         logger.info("operators at http://{}", parts.operators_http.address)
         try:
             return await run_until_signal(
-                [
-                    parts.directory.follow(),
-                    parts.follow_configuration(),
-                ],
+                [parts.follow()],
                 lambda: parts.entry.drain(cfg.drain),
             )
         finally:
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -45,7 +46,13 @@
 
 
 class Entry:
-    """Serves callers' requests."""
+    """Serves callers' requests.
+
+    Attributes
+    ----------
+    is_current : callable
+        Tells whether the configuration in force may still be served.
+    """
 
     def __init__(
         self,
@@ -64,12 +71,13 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self.is_leaving = False
+        self.is_current: Callable[[], bool] = lambda: True
         holder.subscribe(self._accounts.update)
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self._holder.is_ready and not self.is_leaving
+        return self._holder.is_ready and self.is_current() and not self.is_leaving
 
     async def drain(self, bound: float) -> bool:
         """Turn unready and wait for what is under way; return whether all ended."""
--- a/src/lagoontide/local.py
+++ b/src/lagoontide/local.py
@@ -12,6 +12,7 @@
 import zmq
 from loguru import logger
 
+from lagoontide.agent.parts import AgentParts
 from lagoontide.agent.service import Agent
 from lagoontide.configuration.document import Document
 from lagoontide.configuration.source import publish
@@ -27,15 +28,13 @@
 from lagoontide.metrics import NoMetrics
 from lagoontide.platform.instances import Instance, Role
 from lagoontide.platform.pool import HttpPool
-from lagoontide.protocol import make_protocol
 from lagoontide.settings import EntrySettings
 from lagoontide.standins.compute import compute_answer
 from lagoontide.standins.http import StandIn
 from lagoontide.standins.instances import LaggingList
 from lagoontide.standins.process import make_target
 from lagoontide.standins.store import MemoryStore
-from lagoontide.wire.conn import Context, Identity
-from lagoontide.wire.server import Server, bind
+from lagoontide.wire.conn import Context
 
 __all__ = ["LocalDeployment", "Sent", "run_local", "start_local"]
 
@@ -84,12 +83,10 @@
         store = MemoryStore()
         await publish(store, document, 0)
         local = LocalDeployment(document, store, LaggingList(()), {}, {}, [])
-        servers = list(_start_agents(local, ctx, seed))
-        tasks: list[asyncio.Task[None]] = []
-        for number in range(1, ENTRIES + 1):
-            parts = _start_entry(local, ctx, number)
-            tasks.append(asyncio.create_task(parts.directory.follow()))
-            tasks.append(asyncio.create_task(parts.follow_configuration()))
+        agents = list(_start_agents(local, ctx, seed))
+        follow = [_start_entry(local, ctx, x).follow() for x in range(1, ENTRIES + 1)]
+        follow += [parts.follow() for parts in agents]
+        tasks = [asyncio.create_task(item) for item in follow]
         try:
             yield local
         finally:
@@ -97,18 +94,25 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            for server in servers:
-                server.close()
+            for item in agents:
+                item.close()
 
 
-def _start_agents(local: LocalDeployment, ctx: Context, seed: int) -> Iterator[Server]:
-    codec = make_protocol()
+def _start_agents(
+    local: LocalDeployment, ctx: Context, seed: int
+) -> Iterator[AgentParts]:
     for place in place_replicas(local.document):
         service = place.service
         target = make_target(place.name, service.kind, service.slots, seed)
         agent = Agent(place.name, service.name, target, service.slots, NoMetrics())
-        server = bind(
-            ctx, f"tcp://{FREE_PORT}", codec, Identity(place.name), agent.handle
+        parts = AgentParts(
+            agent,
+            place.failure_domain,
+            FREE_PORT,
+            ctx,
+            local.store,
+            local.instances,
+            NoMetrics(),
         )
         local.targets[place.name] = target
         local.agents[place.name] = agent
@@ -116,12 +120,12 @@
             Instance(
                 place.name,
                 Role.AGENT,
-                server.address,
+                parts.server.address,
                 place.failure_domain,
                 service.name,
             )
         )
-        yield server
+        yield parts
 
 
 def _start_entry(local: LocalDeployment, ctx: Context, number: int) -> EntryParts:
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -1,21 +1,13 @@
 """The agents that an entry talks to: a bounded view of the platform's list."""
 
-import asyncio
 import random
 from collections import defaultdict
 from collections.abc import Callable
 
-from loguru import logger
-
 from lagoontide.configuration.document import Document
-from lagoontide.errors import StoreError
 from lagoontide.membership.link import Link
-from lagoontide.membership.pace import (
-    heartbeat_interval,
-    list_interval,
-    spread,
-    start_delay,
-)
+from lagoontide.membership.listing import OnList, follow_list
+from lagoontide.membership.pace import heartbeat_interval, start_delay
 from lagoontide.membership.peers import Peers
 from lagoontide.membership.subset import pick_subset
 from lagoontide.membership.sums import Cell, estimate_cells
@@ -25,11 +17,8 @@
 __all__ = ["Connect", "Directory"]
 
 SUBSET_SIZE = 12
-# Bytes of one instance in the platform's answer, for the pace of reading it.
-LISTED_BYTES = 150
 
 Connect = Callable[[str], Conn]
-OnList = Callable[[tuple[Instance, ...]], None]
 
 
 class Directory:
@@ -98,13 +87,7 @@
 
     async def follow(self) -> None:
         """Keep to the platform's list until cancelled."""
-        while True:
-            try:
-                self.apply(await self._instances.list())
-            except StoreError as exc:
-                logger.bind(step="instances").warning("{}", exc)
-            pause = list_interval(LISTED_BYTES * len(self._listed))
-            await asyncio.sleep(spread(pause, self._rng))
+        await follow_list(self._instances, self.apply, self._rng)
 
     def apply(self, instances: tuple[Instance, ...]) -> None:
         """Open links to agents new in the view and close those that left it."""
--- a/src/lagoontide/settings.py
+++ b/src/lagoontide/settings.py
@@ -28,6 +28,7 @@
 TokenHash = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 SessionKey = Annotated[str, Meta(pattern=r"^$|^.{32,256}$")]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
+OptionalSeconds = Annotated[float, Meta(ge=0, le=86400)]
 Threads = Annotated[int, Meta(ge=1, le=1024)]
 Bytes = Annotated[int, Meta(ge=1024, le=1 << 30)]
 
@@ -63,6 +64,9 @@
         Operators' names by the SHA-256 hex digest of their bearer token.
     session_key : str
         Secret that signs the console's sessions; the same at all entries.
+    stale_after : float
+        Seconds without word of the store after which it is not ready; 0 means
+        never.
     max_body : int
         Bytes of a caller's body.
     silence : float
@@ -78,6 +82,7 @@
     peers: Address
     store: Url
     instances: Url
+    stale_after: OptionalSeconds = 0.0
     operator_tokens: dict[TokenHash, Name] = {}
     session_key: SessionKey = ""
     threads: Threads = 64
@@ -95,7 +100,11 @@
     Attributes
     ----------
     listen : str
-        ``IP:PORT`` for entries.
+        ``IP:PORT`` for entries and other agents.
+    store, instances : str
+        URLs of the platform's services.
+    stale_after : float
+        Seconds without word of the store after which it stops; 0 means never.
     target : str
         URL of the target beside it.
     slots : int
@@ -109,6 +118,9 @@
     service: Name
     listen: Address
     target: Url
+    store: Url
+    instances: Url
+    stale_after: OptionalSeconds = 0.0
     slots: Annotated[int, Meta(ge=1, le=4096)] = 8
     drain: Seconds = 30.0
     log: LogSettings = LogSettings()
--- a/src/lagoontide/spreading/node.py
+++ b/src/lagoontide/spreading/node.py
@@ -63,6 +63,7 @@
         self._peers = Peers(connect)
         self._stale_after = stale_after
         self._rng = random.Random(identity.name)
+        self._loop = asyncio.get_running_loop()
         self._instances: tuple[Instance, ...] = ()
         self._is_listed = asyncio.Event()
         self._roles_changed = asyncio.Event()
@@ -82,12 +83,15 @@
     @property
     def age(self) -> float:
         """Seconds since the store confirmed the version held."""
-        return asyncio.get_running_loop().time() - self._confirmed_at
+        return self._loop.time() - self._confirmed_at
 
     @property
     def is_current(self) -> bool:
-        """Whether this process may go on serving with what it holds."""
-        now = asyncio.get_running_loop().time()
+        """Whether this process may go on serving with what it holds.
+
+        May be read from any thread.
+        """
+        now = self._loop.time()
         if not self.version or now - self._behind_since > BEHIND_S:
             return False
         return not self._stale_after or self.age <= self._stale_after
@@ -107,7 +111,7 @@
         if version <= max(self.version, self._wanted):
             return
         if not self._behind.is_set():
-            self._behind_since = asyncio.get_running_loop().time()
+            self._behind_since = self._loop.time()
         self._wanted = version
         self._source = peer
         self._behind.set()
@@ -177,7 +181,7 @@
             if entry is not None:
                 self._take(entry.version, entry.value)
             elif before == self.version:
-                self._confirmed_at = asyncio.get_running_loop().time()
+                self._confirmed_at = self._loop.time()
 
     async def _compare(self) -> None:
         """Compare with one peer of the view after the other, at random."""
@@ -226,7 +230,7 @@
         if self.copies.take(version, data):
             self._settle()
         if version == self.version:
-            self._confirmed_at = asyncio.get_running_loop().time()
+            self._confirmed_at = self._loop.time()
 
     def _note_age(self, version: int, digest: int, age: float) -> None:
         if version != self.version:
@@ -240,7 +244,7 @@
                 digest,
             )
         else:
-            now = asyncio.get_running_loop().time()
+            now = self._loop.time()
             self._confirmed_at = max(self._confirmed_at, now - max(0.0, age))
 
     def _settle(self) -> None:
--- a/src/lagoontide/wire/conn.py
+++ b/src/lagoontide/wire/conn.py
@@ -18,6 +18,9 @@
 
 SEND_QUEUE_MESSAGES = 10_000
 KEEPALIVE_IDLE_S = 10
+# Each try waits longer, by chance, so that a restart of many makes no storm.
+RECONNECT_MS = 250
+MAX_RECONNECT_MS = 4000
 
 Context = zmq.Context[zmq.Socket[bytes]]
 
@@ -159,5 +162,7 @@
     sock.set(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
     sock.set(zmq.TCP_KEEPALIVE, 1)
     sock.set(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
+    sock.set(zmq.RECONNECT_IVL, RECONNECT_MS)
+    sock.set(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
     sock.connect(address)
     return Conn(sock, address, codec, identity)
