--- a/src/lagoontide/dispatch/tail.py
+++ b/src/lagoontide/dispatch/tail.py
@@ -11,7 +11,7 @@
 from lagoontide.dispatch.messages import Cancel, Done, Failed, NotRun, Unknown
 from lagoontide.dispatch.pace import Budget, Pace
 from lagoontide.errors import PeerError
-from lagoontide.membership.directory import Link
+from lagoontide.membership.link import Link
 from lagoontide.routing.health import (
     Standing,
     Verdict,
