Keep pydantic out of the agent's process

Cause: an idle agent grew from 34.8 to 45.4 MB (bound 45): the command line imported the configuration's border models for every command.

--- a/src/lagoontide/configuration/commands.py
+++ b/src/lagoontide/configuration/commands.py
@@ -1,18 +1,22 @@
-"""Commands for the configuration document."""
+"""Commands for the configuration document.
+
+Like all commands they import what they need when they run: the daemons start by
+the same command line and stay small.
+"""
 
 import os
 import secrets
 import sys
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from lagoontide.configuration.model import dump_document, load_data, parse_document
-from lagoontide.configuration.toml import render_toml
 from lagoontide.errors import RequestError, SettingsError
-from lagoontide.operators.client import OperatorsClient
+
+if TYPE_CHECKING:
+    from lagoontide.operators.client import OperatorsClient
 
 __all__ = ["ConfigCommands"]
 
@@ -42,7 +46,9 @@
 
     def validate(self, file: str) -> None:
         """Check a document and print every problem in it."""
-        document = parse_document(load_data(Path(file)))
+        from lagoontide.configuration.model import load_document
+
+        document = load_document(Path(file))
         print(
             f"{file}: valid; {len(document.routes)} routes, "
             f"{len(document.services)} services, {len(document.accounts)} accounts"
@@ -50,6 +56,8 @@
 
     def show(self, address: str = "", json: bool = False) -> None:
         """Print the newest accepted document as TOML; its version as a comment."""
+        from lagoontide.configuration.toml import render_toml
+
         answer = _connect(address).ask("GET", API)
         if json:
             print(msgspec.json.encode(answer).decode())
@@ -93,7 +101,9 @@
             _print_entry(entry)
 
 
-def _connect(address: str) -> OperatorsClient:
+def _connect(address: str) -> "OperatorsClient":
+    from lagoontide.operators.client import OperatorsClient
+
     address = address or os.environ.get(ADDRESS_VARIABLE, "")
     token = os.environ.get(TOKEN_VARIABLE, "")
     if not address:
@@ -104,6 +114,12 @@
 
 
 def _read_document(file: str) -> dict[str, Any]:
+    from lagoontide.configuration.model import (
+        dump_document,
+        load_data,
+        parse_document,
+    )
+
     return dump_document(parse_document(load_data(Path(file))))
 
 
