Refuse at the door and by stage what there is no time for

Cause: under overload every request went through its first stages and ended at the last; all priorities and accounts met the same queue.

--- a/src/lagoontide/bench/arm.py
+++ b/src/lagoontide/bench/arm.py
@@ -126,7 +126,7 @@
     choose = _make_choose(arm, tactics, rng)
     dispatcher = Dispatcher(directory, choose, tactics.tail)
     claims = SimpleClaims(MemoryStore())
-    entry = Entry(holder, dispatcher, claims, NoMetrics())
+    entry = Entry(holder, dispatcher, claims, NoMetrics(), tactics.sheds)
     holder.adopt(1, arm.document)
     arm.entries.append(entry)
     arm.directories.append(directory)
--- a/src/lagoontide/bench/figures.py
+++ b/src/lagoontide/bench/figures.py
@@ -47,8 +47,8 @@
     goodput : float
         Right answers in time, a second.
     cost_by_stage : dict of str to float
-        Target-seconds for each request answered in time, by operation; work
-        of attempts whose result was used.
+        Target-seconds for each request answered in time, by service and
+        operation; work of attempts whose result was used.
     wasted : float
         Target-seconds of all other work, for each request answered in time.
     extra : float
@@ -165,14 +165,15 @@
 
 
 def _sum_work(arm: Arm, samples: list[Sample]) -> tuple[dict[str, float], float]:
-    """Return work whose results were used, by operation, and the rest."""
+    """Return work whose results were used, by service and operation, and the rest."""
     winners = set(chain.from_iterable(x.winners for x in samples if x.in_time))
     used: dict[str, float] = defaultdict(float)
     wasted = 0.0
-    for target in arm.targets.values():
+    for name, target in arm.targets.items():
+        service = arm.agents[name].service
         for attempt, spending in target.ledger.spendings.items():
             if attempt in winners:
-                used[spending.operation] += spending.seconds
+                used[f"{service}.{spending.operation}"] += spending.seconds
             else:
                 wasted += spending.seconds
     return used, wasted
@@ -181,16 +182,16 @@
 def _count_doubles(arm: Arm) -> int:
     """Count executions beyond the first of operations that may not be repeated."""
     once = {
-        stage.operation
+        (stage.service, stage.operation)
         for route in arm.document.routes.values()
         for stage in route.stages
         if not stage.repeatable
     }
     done = Counter(
-        (item.request, item.operation)
-        for target in arm.targets.values()
+        (item.request, item.operation, arm.agents[name].service)
+        for name, target in arm.targets.items()
         for item in target.ledger.executions
-        if item.operation in once
+        if (arm.agents[name].service, item.operation) in once
     )
     return sum(times - 1 for times in done.values())
 
--- a/src/lagoontide/bench/policies.py
+++ b/src/lagoontide/bench/policies.py
@@ -36,18 +36,21 @@
         In which an agent's waiting calls start.
     tail : TailPolicy
         What an entry does about late calls.
+    sheds : bool
+        Whether an entry refuses at the door what it has no time for.
     """
 
     policy: Policy | None
     order: Order = ByArrival()
     tail: TailPolicy = NoHedge()
+    sheds: bool = False
 
 
-SHIPPED = Tactics(Default(), ByShare(), HedgeLate())
+SHIPPED = Tactics(Default(), ByShare(), HedgeLate(), sheds=True)
 
 TACTICS = {
     "default": SHIPPED,
-    "oracle": Tactics(None, ByShare()),
+    "oracle": Tactics(None, ByShare(), sheds=True),
     "random": Tactics(RandomChoice()),
     "round-robin": Tactics(RoundRobin()),
     "least-outstanding": Tactics(LeastOutstanding()),
@@ -56,6 +59,7 @@
     "first": Tactics(FirstVersion()),
     "without-refusal": replace(SHIPPED, order=ByShare(refuses=False)),
     "without-long-lanes": replace(SHIPPED, order=ByShare(separates=False)),
+    "without-shedding": replace(SHIPPED, sheds=False),
     "without-tail": replace(SHIPPED, tail=NoHedge()),
     "without-hedges": replace(SHIPPED, tail=HedgeLate(hedges=False)),
     "without-probation": replace(SHIPPED, tail=HedgeLate(puts_out=False)),
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -105,6 +105,12 @@
             )
         return Outcome(result, peer, tuple(attempts))
 
+    def expected_wait(self, service: str) -> float:
+        """Return the seconds that a new call of a service has to wait."""
+        links = self._directory.usable(service)
+        fit = [link for link in links if link.health.standing is Standing.IN]
+        return min((link.expected_wait for link in fit or links), default=0.0)
+
     def _start_race(self, call: StageCall, link: Link, before: list[Attempt]) -> Race:
         """Begin an attempt that may get a second one beside it."""
         tried = {link.name, *(item.target for item in before)}
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -9,13 +9,26 @@
 from loguru import logger
 
 from lagoontide.admission.accounts import Accounts
+from lagoontide.admission.shedding import (
+    Demand,
+    Shares,
+    find_retry_after,
+    should_shed,
+)
 from lagoontide.claims.baseline import Claim, SimpleClaims
-from lagoontide.configuration.document import Document, Priority, Service
+from lagoontide.configuration.document import (
+    Account,
+    Document,
+    Priority,
+    Route,
+    Service,
+)
 from lagoontide.configuration.holder import Holder
 from lagoontide.dispatch.caller import Dispatcher, OnTokens
 from lagoontide.entry.story import Listener, Story
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.metrics import Metrics
+from lagoontide.pipeline.slack import find_pace
 from lagoontide.pipeline.walk import Answer, Fields, Request, check_body, walk
 
 __all__ = ["CallerRequest", "Entry"]
@@ -45,7 +58,13 @@
 
 
 class Entry:
-    """Serves callers' requests."""
+    """Serves callers' requests.
+
+    Parameters
+    ----------
+    sheds : bool
+        Whether requests for which there is no time are refused at the door.
+    """
 
     def __init__(
         self,
@@ -53,12 +72,15 @@
         dispatcher: Dispatcher,
         claims: SimpleClaims,
         metrics: Metrics,
+        sheds: bool = True,
     ) -> None:
         self._holder = holder
         self._dispatcher = dispatcher
         self._claims = claims
         self._metrics = metrics
         self._accounts = Accounts()
+        self._shares = Shares()
+        self._sheds = sheds
         self._listeners: list[Listener] = []
         self._under_way = 0
         self._idle = asyncio.Event()
@@ -159,10 +181,36 @@
         priority = call.priority or route.priority
         self._accounts.admit(account, route, priority, now)
         budget = min(route.deadline, call.timeout or route.deadline)
+        if self._sheds:
+            self._shed(account, route, priority, budget, now)
         return Request(
             request_id, route, account, priority, now + budget, body, on_tokens
         )
 
+    def _shed(
+        self,
+        account: Account,
+        route: Route,
+        priority: Priority,
+        budget: float,
+        now: float,
+    ) -> None:
+        """Refuse a request for which there is no time; raises RequestError 503."""
+        pace = self._dispatcher.tail.pace
+        work = sum(find_pace(pace, stage).ran.value for stage in route.stages)
+        services = {stage.service for stage in route.stages}
+        wait = sum(map(self._dispatcher.expected_wait, services))
+        use = self._shares.use_of(account.name, now) if wait else 0.0
+        demand = Demand(priority, work, wait, budget, use)
+        if should_shed(demand):
+            raise RequestError(
+                STATUS_UNAVAILABLE,
+                f"overloaded: {wait:.3f} s to wait",
+                step="admission",
+                retry_after=find_retry_after(demand),
+            )
+        self._shares.note(account.name, account.weight, work, now)
+
     async def _claim(self, call: CallerRequest, request: Request) -> None:
         digest = xxhash.xxh3_64_intdigest(call.route.encode() + b"\0" + call.body)
         left = request.deadline - asyncio.get_running_loop().time()
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -64,6 +64,14 @@
             and self.missed < MISSED_HEARTBEATS
         )
 
+    @property
+    def expected_wait(self) -> float:
+        """Seconds that a call sent now is expected to wait there."""
+        load = self.load
+        if load.queued + load.running + self.sent_since < load.limit:
+            return 0.0
+        return load.wait + self.sent_since * load.service_time / max(1, load.limit)
+
     def observe(self, load: Load) -> None:
         """Take the load that came with a message."""
         self.load = load
--- a/src/lagoontide/pipeline/walk.py
+++ b/src/lagoontide/pipeline/walk.py
@@ -18,6 +18,7 @@
 from lagoontide.dispatch.caller import Dispatcher, OnTokens, Outcome, StageCall
 from lagoontide.dispatch.messages import Done, Failed, NotRun, Unknown
 from lagoontide.errors import RequestError, RequestFailed
+from lagoontide.pipeline.slack import find_pace, size_of, stage_deadline
 
 __all__ = ["Answer", "Fields", "Request", "StageReport", "check_body", "walk"]
 
@@ -106,10 +107,16 @@
     """
     loop = asyncio.get_running_loop()
     outputs: dict[str, Fields] = {REQUEST_ORIGIN: request.body}
-    for stage in request.route.stages:
+    stages = request.route.stages
+    pace = dispatcher.tail.pace
+    for index, stage in enumerate(stages):
         service = find_service(stage.service)
-        call = _make_call(request, stage, service, outputs, answer)
+        due = stage_deadline(pace, stages, index, request.deadline)
+        call = _make_call(request, stage, service, outputs, answer, due)
         started = loop.time()
+        if started + find_pace(pace, stage).quick.value >= due:
+            kind = "failed" if _has_run(answer) else "not_run"
+            raise _fail(kind, "too late for the rest", stage.name, "", answer)
         outcome = await dispatcher.call(call)
         answer.stages.append(
             StageReport(
@@ -136,6 +143,7 @@
     service: Service,
     outputs: dict[str, Fields],
     answer: Answer,
+    deadline: float,
 ) -> StageCall:
     inputs: dict[str, object] = {
         name: _pick(outputs, source, stage.name, answer)
@@ -149,23 +157,14 @@
         account=request.account.name,
         weight=request.account.weight,
         priority=request.priority,
-        deadline=request.deadline,
+        deadline=deadline,
         body=msgspec.json.encode(inputs),
         streams=service.kind is ServiceKind.ENGINE,
         on_tokens=request.on_tokens if is_last else None,
-        size=_size_of(stage),
+        size=size_of(stage),
     )
 
 
-def _size_of(stage: Stage) -> int:
-    """Return the tokens that a stage may give, or 0 if the document says none."""
-    match stage.constants.get("max_tokens"):
-        case int(size) if size > 0:
-            return size
-        case _:
-            return 0
-
-
 def _pick(
     outputs: dict[str, Fields], source: str, step: str, answer: Answer
 ) -> msgspec.Raw:
--- a/src/lagoontide/scheduling/sketch.py
+++ b/src/lagoontide/scheduling/sketch.py
@@ -26,7 +26,7 @@
     """
 
     share: float
-    step: float = 0.05
+    step: float = 0.03
     value: float = 0.0
     count: int = 0
 
