--- a/src/lagoontide/cli.py
+++ b/src/lagoontide/cli.py
@@ -6,9 +6,11 @@
 
 import fire
 
+from lagoontide.arguments import check_flags, set_parsers
 from lagoontide.bench.commands import BenchCommands
 from lagoontide.configuration.commands import ConfigCommands
 from lagoontide.errors import DocumentError, LagoontideError
+from lagoontide.report.commands import ReportCommands, WatchCommands
 from lagoontide.standins.commands import StandinCommands
 
 __all__ = ["main"]
@@ -16,7 +18,7 @@
 EXIT_ERROR = 2
 
 
-class Commands:
+class Commands(WatchCommands):
     """A serving system for multi-stage model pipelines.
 
     Examples: ``lagoontide local --deployment=swanreach``,
@@ -27,6 +29,7 @@
     def __init__(self) -> None:
         self.bench = BenchCommands()
         self.config = ConfigCommands()
+        self.report = ReportCommands()
         self.standin = StandinCommands()
 
     def entry(self, settings: str) -> None:
@@ -65,10 +68,14 @@
 
 def main() -> None:
     """Run the command line; errors go to standard error with exit code 2."""
+    commands = Commands()
+    for group in (commands, *vars(commands).values()):
+        set_parsers(type(group))
     try:
-        fire.Fire(Commands, name="lagoontide")
+        check_flags(commands, sys.argv[1:])
+        fire.Fire(commands, name="lagoontide")
     except DocumentError as exc:
-        print("\n".join(exc.problems), file=sys.stderr)
+        print("\n".join(map(str, exc.problems)), file=sys.stderr)
         sys.exit(EXIT_ERROR)
     except LagoontideError as exc:
         print(f"lagoontide: {exc}", file=sys.stderr)
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -1,14 +1,19 @@
 """Wiring of an entry process."""
 
 import asyncio
+import contextlib
 import random
 
 import zmq
 from loguru import logger
 
 from lagoontide.claims.baseline import SimpleClaims
+from lagoontide.configuration.acceptance import Acceptance
+from lagoontide.configuration.force import make_own_view
 from lagoontide.configuration.holder import Holder
 from lagoontide.configuration.source import follow
+from lagoontide.console.api import mount_api
+from lagoontide.console.app import mount_console
 from lagoontide.dispatch.caller import Dispatcher
 from lagoontide.entry.http import make_app
 from lagoontide.entry.service import Entry
@@ -18,10 +23,15 @@
 from lagoontide.membership.directory import Directory
 from lagoontide.metrics import make_metrics
 from lagoontide.operators.app import OperatorsApp
+from lagoontide.operators.signin import mount_sign_in
 from lagoontide.platform.httpstore import HttpStore
 from lagoontide.platform.instances import HttpInstances, Instances
 from lagoontide.platform.store import Store
 from lagoontide.protocol import make_protocol
+from lagoontide.report.pages import ReportPages
+from lagoontide.report.reporter import Reporter
+from lagoontide.report.snapshots import SnapshotWriter
+from lagoontide.report.status import StatusMaker
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
 from lagoontide.wire.conn import Context, Identity, connect
@@ -31,6 +41,7 @@
 __all__ = ["EntryParts", "make_entry", "run_entry"]
 
 OPERATOR_THREADS = 8
+LAST_SNAPSHOT_S = 2.0
 
 
 class EntryParts:
@@ -64,6 +75,7 @@
         self.peers_server = bind(
             ctx, f"tcp://{cfg.peers}", codec, self.identity, self.router.handle
         )
+        self.holder.subscribe(self.directory.update)
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
@@ -77,11 +89,51 @@
             max_body=2 * cfg.max_body,
             timeout=cfg.silence,
         )
-        self.operators = OperatorsApp(cfg.operator_tokens)
+        self.operators = OperatorsApp(cfg.operator_tokens, cfg.session_key)
+        mount_sign_in(self.operators)
+        self._mount_configuration(cfg, store, bridge)
         self.operators_http = HttpServer(
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
         self._store = store
+        self.reporter = Reporter(
+            cfg.name, cfg.failure_domain, self.holder, self._find_domain
+        )
+        self.entry.subscribe(self.reporter.take)
+        self.snapshots = SnapshotWriter(store, self.reporter, random.Random(cfg.name))
+        status = StatusMaker(
+            cfg.name,
+            cfg.failure_domain,
+            self.entry,
+            self.holder,
+            self.directory,
+            store,
+        )
+        self.report_pages = ReportPages(self.reporter, status, store, bridge.call)
+        self.report_pages.mount(self.operators)
+
+    def _find_domain(self, target: str) -> str:
+        links = self.directory.links
+        return next((x.instance.failure_domain for x in links if x.name == target), "")
+
+    def _mount_configuration(
+        self, cfg: EntrySettings, store: Store, bridge: Bridge
+    ) -> None:
+        acceptance = Acceptance(store)
+        read_force = make_own_view(self.holder, cfg.failure_domain)
+        mount_api(self.operators, acceptance, bridge, read_force)
+        mount_console(
+            self.operators,
+            acceptance,
+            self.holder,
+            bridge,
+            read_force,
+            self._list_targets,
+        )
+
+    def _list_targets(self, service: str) -> tuple[str, ...]:
+        links = self.directory.links
+        return tuple(sorted(x.name for x in links if x.instance.service == service))
 
     def start_http(self) -> None:
         """Begin to serve callers and operators."""
@@ -92,6 +144,14 @@
         """Keep to the store's newest document until cancelled."""
         await follow(self._store, self.holder)
 
+    async def drain(self, bound: float) -> bool:
+        """Drain the entry and leave its counts in the store; see Entry.drain."""
+        ended = await self.entry.drain(bound)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_SNAPSHOT_S):
+                await self.snapshots.write()
+        return ended
+
     async def close(self) -> None:
         """Close both sides; the HTTP servers in threads, as they join their own."""
         await asyncio.gather(
@@ -128,8 +188,9 @@
                 [
                     parts.directory.follow(),
                     parts.follow_configuration(),
+                    parts.snapshots.run(),
                 ],
-                lambda: parts.entry.drain(cfg.drain),
+                lambda: parts.drain(cfg.drain),
             )
         finally:
             await parts.close()
--- a/src/lagoontide/errors.py
+++ b/src/lagoontide/errors.py
@@ -1,10 +1,13 @@
 """The tree of errors; each carries the step and the peer where it arose."""
 
+from dataclasses import dataclass
+
 __all__ = [
     "DocumentError",
     "LagoontideError",
     "PeerError",
     "PeerTimeout",
+    "Problem",
     "RequestError",
     "RequestFailed",
     "SettingsError",
@@ -14,6 +17,7 @@
     "TargetError",
     "TargetFailed",
     "TargetUnreachable",
+    "UsageError",
     "WireError",
 ]
 
@@ -29,6 +33,11 @@
         The stage or operation that was under way.
     peer : str, optional
         The process at the other end.
+
+    Attributes
+    ----------
+    request : str
+        Id of the caller's request that it ended, once that is known.
     """
 
     def __init__(self, message: str, *, step: str = "", peer: str = "") -> None:
@@ -36,6 +45,7 @@
         self.message = message
         self.step = step
         self.peer = peer
+        self.request = ""
 
     def __str__(self) -> str:
         place = " ".join(
@@ -50,17 +60,40 @@
     """A settings file cannot be used."""
 
 
+class UsageError(LagoontideError):
+    """A command was called with arguments that it does not take."""
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Something that is wrong in a configuration document.
+
+    Attributes
+    ----------
+    place : str
+        Keys from the top, joined by dots; items of lists by their index.
+    """
+
+    place: str
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.text}" if self.place else self.text
+
+
 class DocumentError(LagoontideError):
     """A configuration document is not valid.
 
     Parameters
     ----------
-    problems : tuple of str
+    problems : tuple of Problem
         Every problem found, each with its place in the document.
     """
 
-    def __init__(self, problems: tuple[str, ...], *, step: str = "validate") -> None:
-        super().__init__("; ".join(problems), step=step)
+    def __init__(
+        self, problems: tuple[Problem, ...], *, step: str = "validate"
+    ) -> None:
+        super().__init__("; ".join(map(str, problems)), step=step)
         self.problems = problems
 
 
