--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -30,6 +30,8 @@
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
 from lagoontide.wire.conn import Context, Identity, connect
+from lagoontide.wire.router import Router
+from lagoontide.wire.server import bind
 
 __all__ = ["EntryParts", "make_entry", "run_entry"]
 
@@ -45,6 +47,8 @@
         The callers' and the operators' port.
     operators : OperatorsApp
         Where slices mount their pages.
+    router : Router
+        Where slices register for messages of other entries.
     """
 
     def __init__(
@@ -62,6 +66,10 @@
             instances, lambda address: connect(ctx, address, codec, self.identity)
         )
         self.holder.subscribe(self.directory.update)
+        self.router = Router()
+        self.peers_server = bind(
+            ctx, f"tcp://{cfg.peers}", codec, self.identity, self.router.handle
+        )
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
@@ -118,6 +126,7 @@
             asyncio.to_thread(self.operators_http.stop),
         )
         self.directory.close()
+        self.peers_server.close()
 
 
 def make_entry(
@@ -143,7 +152,10 @@
         logger.info("operators at http://{}", parts.operators_http.address)
         try:
             return await run_until_signal(
-                [parts.directory.follow(), parts.follow_configuration()],
+                [
+                    parts.directory.follow(),
+                    parts.follow_configuration(),
+                ],
                 lambda: parts.entry.drain(cfg.drain),
             )
         finally:
--- a/src/lagoontide/errors.py
+++ b/src/lagoontide/errors.py
@@ -17,6 +17,7 @@
     "TargetError",
     "TargetFailed",
     "TargetUnreachable",
+    "UsageError",
     "WireError",
 ]
 
@@ -70,6 +71,10 @@
         return f"{self.place}: {self.text}" if self.place else self.text
 
 
+class UsageError(LagoontideError):
+    """A command was called with arguments that it does not take."""
+
+
 class DocumentError(LagoontideError):
     """A configuration document is not valid.
 
