--- a/src/lagoontide/arguments.py
+++ b/src/lagoontide/arguments.py
@@ -18,6 +18,7 @@
 TRUE_WORDS = frozenset({"true", "1", "yes"})
 FALSE_WORDS = frozenset({"false", "0", "no"})
 END_OF_COMMAND = "--"
+VARIABLE_KINDS = (inspect.Parameter.VAR_POSITIONAL, inspect.Parameter.VAR_KEYWORD)
 
 
 def _parse_bool(text: str) -> bool:
@@ -86,7 +87,7 @@
         return
     shown = ", ".join(f"--{flag}" for flag in _parameters(command))
     raise UsageError(
-        f"there is no flag --{name}; there are {shown or 'none'}", step="arguments"
+        f"unknown flag --{name}; there are {shown or 'none'}", step="arguments"
     )
 
 
@@ -99,4 +100,8 @@
 
 def _parameters(command: Callable[..., Any]) -> dict[str, inspect.Parameter]:
     parameters = inspect.signature(command, eval_str=True).parameters
-    return {name: item for name, item in parameters.items() if name != "self"}
+    return {
+        name: item
+        for name, item in parameters.items()
+        if name != "self" and item.kind not in VARIABLE_KINDS
+    }
--- a/src/lagoontide/errors.py
+++ b/src/lagoontide/errors.py
@@ -33,6 +33,11 @@
         The stage or operation that was under way.
     peer : str, optional
         The process at the other end.
+
+    Attributes
+    ----------
+    request : str
+        Id of the caller's request that it ended, once that is known.
     """
 
     def __init__(self, message: str, *, step: str = "", peer: str = "") -> None:
@@ -40,6 +45,7 @@
         self.message = message
         self.step = step
         self.peer = peer
+        self.request = ""
 
     def __str__(self) -> str:
         place = " ".join(
@@ -54,6 +60,10 @@
     """A settings file cannot be used."""
 
 
+class UsageError(LagoontideError):
+    """A command was called with arguments that it does not take."""
+
+
 @dataclass(frozen=True, slots=True)
 class Problem:
     """Something that is wrong in a configuration document.
@@ -71,10 +81,6 @@
         return f"{self.place}: {self.text}" if self.place else self.text
 
 
-class UsageError(LagoontideError):
-    """A command was called with arguments that it does not take."""
-
-
 class DocumentError(LagoontideError):
     """A configuration document is not valid.
 
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -138,8 +138,8 @@
         self._instances = instances
         self._connect = connect
         self._links: dict[str, Link] = {}
-        self._draining: frozenset[str] = frozenset()
         self.peers = Peers(connect)
+        self._draining: frozenset[str] = frozenset()
 
     @property
     def links(self) -> tuple[Link, ...]:
