--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -11,7 +11,6 @@
 from lagoontide.configuration.acceptance import Acceptance
 from lagoontide.configuration.force import make_own_view
 from lagoontide.configuration.holder import Holder
-from lagoontide.configuration.source import follow
 from lagoontide.console.api import mount_api
 from lagoontide.console.app import mount_console
 from lagoontide.dispatch.caller import Dispatcher
@@ -34,6 +33,8 @@
 from lagoontide.report.status import StatusMaker
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
+from lagoontide.spreading.messages import MESSAGES as SPREADING
+from lagoontide.spreading.node import Spreader
 from lagoontide.wire.conn import Context, Identity, connect
 from lagoontide.wire.router import Router
 from lagoontide.wire.server import bind
@@ -69,17 +70,31 @@
         self.identity = Identity(cfg.name)
         self.holder = Holder()
         self.directory = Directory(
-            instances, lambda address: connect(ctx, address, codec, self.identity)
+            instances,
+            lambda address: connect(ctx, address, codec, self.identity),
+            cfg.name,
         )
         self.router = Router()
         self.peers_server = bind(
             ctx, f"tcp://{cfg.peers}", codec, self.identity, self.router.handle
         )
         self.holder.subscribe(self.directory.update)
+        self.spreader = Spreader(
+            self.identity,
+            cfg.failure_domain,
+            store,
+            lambda address: connect(ctx, address, codec, self.identity),
+            lambda version, data: self.holder.put(version, data),
+            cfg.stale_after,
+        )
+        self.directory.subscribe(self.spreader.apply)
+        for kind in SPREADING:
+            self.router.register(kind, self.spreader.handle)
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
         self.entry = Entry(self.holder, dispatcher, SimpleClaims(store), metrics)
+        self.entry.is_current = lambda: self.spreader.is_current
         bridge = Bridge(asyncio.get_running_loop())
         self.http = HttpServer(
             cfg.callers,
@@ -95,7 +110,6 @@
         self.operators_http = HttpServer(
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
-        self._store = store
         self.reporter = Reporter(
             cfg.name, cfg.failure_domain, self.holder, self._find_domain
         )
@@ -140,9 +154,11 @@
         self.http.start()
         self.operators_http.start()
 
-    async def follow_configuration(self) -> None:
-        """Keep to the store's newest document until cancelled."""
-        await follow(self._store, self.holder)
+    async def follow(self) -> None:
+        """Do what an entry does beside requests, until cancelled."""
+        await asyncio.gather(
+            self.directory.follow(), self.spreader.run(), self.snapshots.run()
+        )
 
     async def drain(self, bound: float) -> bool:
         """Drain the entry and leave its counts in the store; see Entry.drain."""
@@ -159,6 +175,7 @@
             asyncio.to_thread(self.operators_http.stop),
         )
         self.directory.close()
+        self.spreader.close()
         self.peers_server.close()
 
 
@@ -185,12 +202,7 @@
         logger.info("operators at http://{}", parts.operators_http.address)
         try:
             return await run_until_signal(
-                [
-                    parts.directory.follow(),
-                    parts.follow_configuration(),
-                    parts.snapshots.run(),
-                ],
-                lambda: parts.drain(cfg.drain),
+                [parts.follow()], lambda: parts.drain(cfg.drain)
             )
         finally:
             await parts.close()
