--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -39,6 +39,12 @@
         experiment = Experiment(deployment, scenario, policies, seed, seconds, clock)
         sys.exit(run_bench(experiment, json, out))
 
+    def configuration(self, json: bool = False) -> None:
+        """Measure what the document costs by its size."""
+        from lagoontide.bench.configuration import run_configuration
+
+        sys.exit(run_configuration(json))
+
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
     ) -> None:
