--- a/src/lagoontide/bench/fleet.py
+++ b/src/lagoontide/bench/fleet.py
@@ -157,6 +157,7 @@
     entries: int = 2,
     instant: bool = False,
     limited: bool = True,
+    replicas: int = 0,
     first_port: int = FIRST_PORT,
 ) -> Fleet:
     """Write the settings of a fleet and return it, not yet started.
@@ -167,8 +168,12 @@
         Whether the stand-in targets take no time.
     limited : bool
         Whether the accounts keep the deployment's rate limits.
+    replicas : int
+        Replicas of each service; 0 for as many as the deployment has.
     """
     document = load_deployment(deployment)
+    if replicas:
+        document = _set_replicas(document, replicas)
     if not limited:
         document = _lift_limits(document)
     ports = _Ports(first_port)
@@ -193,10 +198,11 @@
                 place.service.name,
             )
         )
-    listed.write_bytes(msgspec.json.encode(items))
     for number in range(1, entries + 1):
-        entry = _make_entry(number, document, ports, fleet, folder)
+        entry, item = _make_entry(number, document, ports, fleet, folder)
         fleet.entries[entry.name] = entry
+        items.append(item)
+    listed.write_bytes(msgspec.json.encode(items))
     return fleet
 
 
@@ -210,6 +216,14 @@
     return msgspec.structs.replace(document, accounts=accounts)
 
 
+def _set_replicas(document: Document, replicas: int) -> Document:
+    services = {
+        name: msgspec.structs.replace(service, replicas=replicas)
+        for name, service in document.services.items()
+    }
+    return msgspec.structs.replace(document, services=services)
+
+
 def _make_platform(kind: str, ports: _Ports, *options: str) -> Process:
     listen, control = ports.take(), ports.take()
     arguments = ["standin", kind, f"--listen={listen}", f"--control={control}"]
@@ -251,8 +265,8 @@
 
 def _make_entry(
     number: int, document: Document, ports: _Ports, fleet: Fleet, folder: Path
-) -> Process:
-    callers, operators = ports.take(), ports.take()
+) -> tuple[Process, Instance]:
+    callers, operators, peers = ports.take(), ports.take(), ports.take()
     domain = document.failure_domains[(number - 1) % len(document.failure_domains)]
     path = folder / f"entry-{number}.toml"
     path.write_text(
@@ -260,14 +274,15 @@
         f'failure_domain = "{domain}"\n'
         f'callers = "{callers}"\n'
         f'operators = "{operators}"\n'
+        f'peers = "{peers}"\n'
         f'store = "http://{fleet.store.address}"\n'
         f'instances = "http://{fleet.instances.address}"\n'
         "[operator_tokens]\n"
         f'{hash_token(OPERATOR_TOKEN)} = "operator"\n'
     )
-    return Process(
-        f"entry-{number}", ["entry", f"--settings={path}"], callers, operators
-    )
+    name = f"entry-{number}"
+    process = Process(name, ["entry", f"--settings={path}"], callers, operators)
+    return process, Instance(name, Role.ENTRY, f"tcp://{peers}", domain)
 
 
 @contextlib.contextmanager
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 
-import zmq.asyncio
+import zmq
 from loguru import logger
 
 from lagoontide.claims.baseline import SimpleClaims
@@ -29,7 +29,9 @@
 from lagoontide.report.status import StatusMaker
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
-from lagoontide.wire.conn import Identity, connect
+from lagoontide.wire.conn import Context, Identity, connect
+from lagoontide.wire.router import Router
+from lagoontide.wire.server import bind
 
 __all__ = ["EntryParts", "make_entry", "run_entry"]
 
@@ -46,12 +48,14 @@
         The callers' and the operators' port.
     operators : OperatorsApp
         Where slices mount their pages.
+    router : Router
+        Where slices register for messages of other entries.
     """
 
     def __init__(
         self,
         cfg: EntrySettings,
-        ctx: zmq.asyncio.Context,
+        ctx: Context,
         store: Store,
         instances: Instances,
         policy: Policy,
@@ -62,6 +66,10 @@
         self.directory = Directory(
             instances, lambda address: connect(ctx, address, codec, self.identity)
         )
+        self.router = Router()
+        self.peers_server = bind(
+            ctx, f"tcp://{cfg.peers}", codec, self.identity, self.router.handle
+        )
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
@@ -124,11 +132,12 @@
             asyncio.to_thread(self.operators_http.stop),
         )
         self.directory.close()
+        self.peers_server.close()
 
 
 def make_entry(
     cfg: EntrySettings,
-    ctx: zmq.asyncio.Context,
+    ctx: Context,
     store: Store,
     instances: Instances,
     policy: Policy | None = None,
@@ -142,7 +151,7 @@
     set_up_logs(cfg.log, cfg.name)
     store = HttpStore(cfg.store)
     instances = HttpInstances(cfg.instances)
-    with zmq.asyncio.Context() as ctx:
+    with zmq.Context() as ctx:
         parts = make_entry(cfg, ctx, store, instances)
         parts.start_http()
         logger.info("callers at http://{}", parts.http.address)
