--- a/src/lagoontide/report/commands.py
+++ b/src/lagoontide/report/commands.py
@@ -1,5 +1,6 @@
 """Commands by which operators see what happens."""
 
+import math
 import os
 import re
 import sys
@@ -7,12 +8,11 @@
 from pathlib import Path
 from typing import Any
 
-from fire.decorators import SetParseFn
-
 from lagoontide.errors import UsageError
 
 __all__ = ["ReportCommands", "WatchCommands"]
 
+ENTRIES_VARIABLE = "LAGOONTIDE_OPERATORS"
 TOKEN_VARIABLE = "LAGOONTIDE_TOKEN"
 WATCH_INTERVAL_S = 2.0
 CLEAR = "\x1b[H\x1b[2J"
@@ -26,16 +26,13 @@
 class ReportCommands:
     """Reports on service levels."""
 
-    @SetParseFn(str, "window", "html", "entries", "token")
     def burn(
         self,
-        *rest: Any,
         entries: str = "",
         token: str = "",
         window: str = "6h",
         html: str = "",
         json: bool = False,
-        **flags: Any,
     ) -> None:
         """Show error budgets, burn rates and what spent them.
 
@@ -51,7 +48,8 @@
         Parameters
         ----------
         entries
-            Operators' ports of the entries to ask, IP:PORT, comma between them.
+            Operators' ports of the entries to ask, IP:PORT, comma between them;
+            else the variable LAGOONTIDE_OPERATORS.
         token
             An operator's bearer token; else the variable LAGOONTIDE_TOKEN.
         window
@@ -63,7 +61,6 @@
         """
         from lagoontide.report.gather import gather_burn
 
-        check_usage(rest, flags)
         report = gather_burn(
             parse_entries(entries), find_token(token), parse_window(window)
         )
@@ -78,15 +75,12 @@
 class WatchCommands:
     """Commands about single requests and the state of entries."""
 
-    @SetParseFn(str, "request", "entries", "token")
     def trace(
         self,
         request: str,
-        *rest: Any,
         entries: str = "",
         token: str = "",
         json: bool = False,
-        **flags: Any,
     ) -> None:
         """Show the story of a recent request by its X-Request-Id.
 
@@ -100,7 +94,6 @@
         from lagoontide.report.gather import gather_traces
         from lagoontide.report.text import format_trace
 
-        check_usage(rest, flags)
         check_request(request)
         found = gather_traces(parse_entries(entries), find_token(token), request)
         trace = next((value for value in found.values if value), None)
@@ -111,15 +104,12 @@
         print(f"lagoontide: no entry keeps request {request}", file=sys.stderr)
         sys.exit(EXIT_INCOMPLETE if found.errors else EXIT_PROBLEM)
 
-    @SetParseFn(str, "entries", "token")
     def status(
         self,
-        *rest: Any,
         entries: str = "",
         token: str = "",
         watch: bool = False,
         json: bool = False,
-        **flags: Any,
     ) -> None:
         """Show entries, pools, targets, queues and the store.
 
@@ -131,7 +121,6 @@
         lagoontide status --entries=10.0.0.1:8081 --watch
         lagoontide status --entries=10.0.0.1:8081 --json
         """
-        check_usage(rest, flags)
         addresses, secret = parse_entries(entries), find_token(token)
         code = _show_status(addresses, secret, json, "")
         try:
@@ -142,19 +131,16 @@
             pass
         sys.exit(code)
 
-    @SetParseFn(str, "route", "entry", "token", "body", "key", "priority")
     def request(
         self,
         route: str,
-        *rest: Any,
         entry: str = "",
         token: str = "",
         body: str = "{}",
         key: str = "",
-        timeout: float | None = None,
+        timeout: float = 0.0,
         priority: str = "",
         stream: bool = False,
-        **flags: Any,
     ) -> None:
         """Send one request to an entry's callers' port, as a caller does.
 
@@ -174,7 +160,6 @@
             stream_request,
         )
 
-        check_usage(rest, flags)
         (address,) = parse_entries(entry, "entry")[:1]
         headers = {"Authorization": f"Bearer {find_token(token)}"}
         headers |= {"Idempotency-Key": key} if key else {}
@@ -193,31 +178,23 @@
         sys.exit(EXIT_BY_OUTCOME.get(outcome, EXIT_BY_OUTCOME["unknown"]))
 
 
-def check_usage(rest: tuple[Any, ...], flags: dict[str, Any]) -> None:
-    """Raise UsageError if something was given that the command does not know."""
-    if flags:
-        raise UsageError(f"unknown flag --{next(iter(flags))}; see --help")
-    if rest:
-        raise UsageError(f"unexpected argument {rest[0]!r}; see --help")
-
-
 def check_request(request: str) -> None:
     """Raise UsageError unless it looks like a request id."""
     if not re.fullmatch(r"[0-9A-Za-z_-]{1,64}", request):
         raise UsageError(f"request id is {request!r}; expected the X-Request-Id")
 
 
-def check_timeout(timeout: Any) -> float | None:
-    """Return the seconds of ``--timeout``."""
-    if timeout is None:
-        return None
-    if isinstance(timeout, int | float) and timeout > 0:
-        return float(timeout)
-    raise UsageError(f"--timeout is {timeout!r}; expected seconds over 0")
+def check_timeout(timeout: float) -> float | None:
+    """Return the seconds of ``--timeout``; None for 0, which leaves it to the route."""
+    if timeout < 0 or not math.isfinite(timeout):
+        raise UsageError(f"--timeout is {timeout!r}; expected seconds over 0")
+    return timeout or None
 
 
 def parse_entries(text: str, flag: str = "entries") -> tuple[str, ...]:
-    """Return the addresses of ``--entries``."""
+    """Return the addresses of ``--entries``, else of ``LAGOONTIDE_OPERATORS``."""
+    if not text and flag == "entries":
+        text = os.environ.get(ENTRIES_VARIABLE, "")
     addresses = tuple(part.strip() for part in text.split(",") if part.strip())
     if not addresses:
         raise UsageError(f"--{flag}=IP:PORT is needed")
