--- a/features/report.feature
+++ b/features/report.feature
@@ -24,7 +24,7 @@
 
   Scenario: Wrong input is named
     Given the deployment "swanreach" is running
-    Then "status --colour=red" exits with 2 and shows "no flag --colour"
+    Then "status --colour=red" exits with 2 and shows "unknown flag --colour"
     And "report burn --window=7d" exits with 2 and shows "7d"
 
   Scenario: One request from the command line
