--- a/src/lagoontide/agent/peers.py
+++ b/src/lagoontide/agent/peers.py
@@ -2,12 +2,13 @@
 
 from dataclasses import dataclass
 
+from lagoontide.membership.messages import Hello
 from lagoontide.wire.server import Send
 
 __all__ = ["PeerTable"]
 
-SILENCE_S = 3.0
-FORGET_S = 60.0
+MISSED = 2  # Heartbeats, after which an entry counts as gone.
+FORGET = 10  # Such silences, after which it is forgotten.
 
 
 @dataclass(slots=True)
@@ -19,13 +20,16 @@
     send : callable
         Sends to its newest heartbeat's exchange.
     heard_at : float
-        Loop time of that heartbeat.
+        Loop time of its last message.
+    silence : float
+        Seconds without a message after which it counts as gone.
     """
 
     name: str
     incarnation: str
     send: Send
     heard_at: float
+    silence: float
 
     @property
     def owner(self) -> str:
@@ -42,11 +46,20 @@
     def __len__(self) -> int:
         return len(self._peers)
 
-    def hear(self, name: str, incarnation: str, send: Send, now: float) -> None:
+    def touch(self, name: str, now: float) -> None:
+        """Take note that an entry has sent something."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.heard_at = now
+
+    def hear(self, name: str, hello: Hello, send: Send, now: float) -> None:
         """Take note of a heartbeat and forget entries long silent."""
-        self._peers[name] = Peer(name, incarnation, send, now)
+        silence = MISSED * hello.interval
+        self._peers[name] = Peer(name, hello.incarnation, send, now, silence)
         old = [
-            peer.name for peer in self._peers.values() if now - peer.heard_at > FORGET_S
+            peer.name
+            for peer in self._peers.values()
+            if now - peer.heard_at > FORGET * peer.silence
         ]
         for item in old:
             del self._peers[item]
@@ -63,7 +76,7 @@
         peer = self._peers.get(owner.rpartition("/")[0])
         if peer is None or peer.owner != owner:
             return True
-        return now - peer.heard_at > SILENCE_S
+        return now - peer.heard_at > peer.silence
 
     def sends(self) -> list[Send]:
         """Return how to reach each entry."""
--- a/src/lagoontide/agent/service.py
+++ b/src/lagoontide/agent/service.py
@@ -7,6 +7,8 @@
 from loguru import logger
 
 from lagoontide.agent.peers import PeerTable
+from lagoontide.agent.planner import Planner
+from lagoontide.agent.tokens import TokenSender
 from lagoontide.dispatch.attempts import (
     EPOCH_S,
     AttemptLog,
@@ -32,30 +34,29 @@
     is_whole,
 )
 from lagoontide.errors import TargetFailed, TargetUnreachable
-from lagoontide.membership.messages import Hello, Welcome
+from lagoontide.membership.messages import (
+    LEAVING,
+    OTHER_INCARNATION,
+    Hello,
+    Welcome,
+)
 from lagoontide.metrics import Metrics
 from lagoontide.platform.targets import Target, Work
 from lagoontide.scheduling.load import Load
-from lagoontide.scheduling.queue import Queue, Waiting
+from lagoontide.scheduling.tactics import ByShare, Order
+from lagoontide.scheduling.waiting import Waiting
 from lagoontide.wire.server import Send
 
 __all__ = ["Agent"]
 
-RECORD_WINDOW_S = 120.0
+RECORD_WINDOW_S = 200.0
 RECORD_BYTES = 4 << 20
-SERVICE_TIME_WEIGHT = 0.1
 RESULT_GRACE_S = 10.0  # For the result of work that may not be repeated.
 
 
 @dataclass(slots=True)
 class Job:
-    """A call that waits or runs, and where its replies go.
-
-    Attributes
-    ----------
-    owner : str
-        The entry process that waits for it.
-    """
+    """A call that waits or runs, and where its replies go."""
 
     call: Call
     send: Send
@@ -63,6 +64,7 @@
     deadline: float
     queued_at: float
     owner: str = ""
+    timer: asyncio.TimerHandle | None = None
 
 
 class Agent:
@@ -78,41 +80,46 @@
         Calls that the target has at the same time.
     metrics : Metrics
         Where counters and timings go.
+    order : Order
+        In which waiting calls start.
     """
 
     def __init__(
-        self, name: str, service: str, target: Target, limit: int, metrics: Metrics
+        self,
+        name: str,
+        service: str,
+        target: Target,
+        limit: int,
+        metrics: Metrics,
+        order: Order | None = None,
     ) -> None:
         self.name = name
         self.service = service
         self.incarnation = uuid.uuid4().hex
         self.is_leaving = False
         self._target = target
-        self._limit = limit
         self._metrics = metrics
-        self._queue = Queue()
+        self._planner = Planner(order or ByShare(), limit)
         self._log = AttemptLog(RECORD_WINDOW_S, RECORD_BYTES)
         self._jobs: dict[str, Job] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
         self._peers = PeerTable()
         self._answers = AnswerStore()
         self._started_at = asyncio.get_running_loop().time()
-        self._service_time = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
 
     @property
     def load(self) -> Load:
         """The load at this moment."""
-        return Load(
-            len(self._queue), len(self._running), self._limit, self._service_time
-        )
+        return self._planner.load
 
     async def handle(self, peer: str, message: object, send: Send) -> None:
         """Answer one message of a peer."""
+        self._peers.touch(peer, self._now())
         match message:
-            case Hello(incarnation=incarnation):
-                self._peers.hear(peer, incarnation, send, self._now())
+            case Hello():
+                self._peers.hear(peer, message, send, self._now())
                 await send(self._welcome())
             case Call():
                 await self._take(peer, message, send)
@@ -162,7 +169,7 @@
     async def _take(self, peer: str, call: Call, send: Send) -> None:
         if not self._is_mine(call):
             # An earlier copy may have run, with its record gone by now.
-            await send(Unknown(call.attempt, "for an agent that is gone"))
+            await send(Unknown(call.attempt, OTHER_INCARNATION))
             return
         record = self._log.get(call.attempt)
         if record is None:
@@ -181,7 +188,10 @@
         """Take a call, or see to it that no copy of it is taken later."""
         refusal = self._find_refusal(call)
         if not refusal:
-            return self._enqueue(peer, call, send)
+            item = self._planner.plan(call, self._now())
+            if not self._planner.comes_too_late(item, self._now()):
+                return self._enqueue(peer, call, send, item)
+            refusal = "overloaded"
         self._metrics.count(f"agent.not_run.{refusal.replace(' ', '_')}")
         record = self._log.add(call.attempt)
         self._log.end(record, NotRun(call.attempt, refusal, self.load), self._now())
@@ -192,26 +202,31 @@
         if not is_whole(call):
             return "cut call"
         if self.is_leaving:
-            return "leaving"
+            return LEAVING
         if call.budget <= 0:
             return "deadline"
         if not call.repeatable and self._log.is_full:
             return "no room to keep the result"
         return ""
 
-    def _enqueue(self, peer: str, call: Call, send: Send) -> Record:
-        now = self._now()
+    def _enqueue(self, peer: str, call: Call, send: Send, item: Waiting) -> Record:
+        loop = asyncio.get_running_loop()
         record = self._log.add(call.attempt, call.repeatable, len(call.resume))
         owner = self._peers.owner(peer)
-        job = Job(call, send, record, now + call.budget, now, owner)
+        job = Job(call, send, record, item.deadline, loop.time(), owner)
         self._jobs[call.attempt] = job
-        self._queue.push(
-            Waiting(call.attempt, call.account, call.priority, job.deadline)
-        )
+        self._planner.push(item)
         self._idle.clear()
         self._start_next()
+        if record.state is AttemptState.QUEUED:
+            job.timer = loop.call_at(item.latest_start, self._give_up, job)
         return record
 
+    def _give_up(self, job: Job) -> None:
+        """End a call that waited until it could no longer make its deadline."""
+        if self._planner.remove(job.call.attempt) is not None:
+            self._end(job, NotRun(job.call.attempt, "deadline", self.load))
+
     def _settle(self, question: Settle) -> Final | Pending | Tokens:
         attempt = question.attempt
         record = self._log.get(attempt)
@@ -233,22 +248,21 @@
             if self._log.get(attempt) is None and self._is_mine(message):
                 self._log.bury(attempt, "cancelled", self._now())
             return
-        if self._queue.remove(attempt) is not None:
+        if self._planner.remove(attempt) is not None:
             self._end(job, NotRun(attempt, "cancelled", self.load))
         elif job.call.repeatable:
             await self._target.cancel(attempt)
 
     def _start_next(self) -> None:
         loop = asyncio.get_running_loop()
-        while len(self._running) < self._limit:
-            item = self._queue.pop()
-            if item is None:
-                return
+        while (item := self._planner.pop()) is not None:
             job = self._jobs[item.attempt]
-            if loop.time() >= job.deadline:
+            if loop.time() >= min(job.deadline, item.latest_start):
+                self._planner.end(job.call, None)
                 self._end(job, NotRun(item.attempt, "deadline", self.load))
                 continue
             if self._peers.is_gone(job.owner, loop.time()):
+                self._planner.end(job.call, None)
                 self._end(job, NotRun(item.attempt, "entry gone", self.load))
                 continue
             job.record.state = AttemptState.RUNNING
@@ -260,8 +274,7 @@
         result = await self._execute(job, started)
         elapsed = loop.time() - started
         del self._running[job.call.attempt]
-        if isinstance(result, Done):
-            self._note_service_time(elapsed)
+        self._planner.end(job.call, elapsed if isinstance(result, Done) else None)
         self._metrics.time(f"agent.target.{self.service}", elapsed)
         self._end(job, result)
         self._start_next()
@@ -311,24 +324,22 @@
         if not call.streams:
             return await self._target.run(work)
 
+        sender = TokenSender(call.attempt, job.send)
+
         def on_tokens(offset: int, tokens: list[str]) -> None:
             job.record.tokens.extend(tokens)
-            message = Tokens(call.attempt, offset, tokens)
-            task = asyncio.ensure_future(job.send(message))
-            sends.add(task)
-            task.add_done_callback(sends.discard)
+            sender.add(offset, tokens)
 
-        sends: set[asyncio.Future[None]] = set()
-        return await self._target.stream(work, on_tokens)
-
-    def _note_service_time(self, elapsed: float) -> None:
-        if self._service_time == 0.0:
-            self._service_time = elapsed
-        self._service_time += SERVICE_TIME_WEIGHT * (elapsed - self._service_time)
+        try:
+            return await self._target.stream(work, on_tokens)
+        finally:
+            await sender.close()
 
     def _end(self, job: Job, result: Final) -> None:
         now = asyncio.get_running_loop().time()
         self._log.end(job.record, result, now)
         del self._jobs[job.call.attempt]
+        if job.timer is not None:
+            job.timer.cancel()
         if not self._jobs:
             self._idle.set()
--- a/src/lagoontide/bench/fleet.py
+++ b/src/lagoontide/bench/fleet.py
@@ -157,6 +157,7 @@
     entries: int = 2,
     instant: bool = False,
     limited: bool = True,
+    replicas: int = 0,
     first_port: int = FIRST_PORT,
 ) -> Fleet:
     """Write the settings of a fleet and return it, not yet started.
@@ -167,8 +168,12 @@
         Whether the stand-in targets take no time.
     limited : bool
         Whether the accounts keep the deployment's rate limits.
+    replicas : int
+        Replicas of each service; 0 for as many as the deployment has.
     """
     document = load_deployment(deployment)
+    if replicas:
+        document = _set_replicas(document, replicas)
     if not limited:
         document = _lift_limits(document)
     ports = _Ports(first_port)
@@ -181,7 +186,7 @@
     items = []
     for place in place_replicas(document):
         target = _make_target(place, ports, seed, instant)
-        agent = _make_agent(place, ports, target, folder)
+        agent = _make_agent(place, ports, target, fleet, folder)
         fleet.targets[target.name] = target
         fleet.agents[agent.name] = agent
         items.append(
@@ -211,6 +216,14 @@
     return msgspec.structs.replace(document, accounts=accounts)
 
 
+def _set_replicas(document: Document, replicas: int) -> Document:
+    services = {
+        name: msgspec.structs.replace(service, replicas=replicas)
+        for name, service in document.services.items()
+    }
+    return msgspec.structs.replace(document, services=services)
+
+
 def _make_platform(kind: str, ports: _Ports, *options: str) -> Process:
     listen, control = ports.take(), ports.take()
     arguments = ["standin", kind, f"--listen={listen}", f"--control={control}"]
@@ -235,7 +248,7 @@
 
 
 def _make_agent(
-    place: Placement, ports: _Ports, target: Process, folder: Path
+    place: Placement, ports: _Ports, target: Process, fleet: Fleet, folder: Path
 ) -> Process:
     listen = ports.take()
     path = folder / f"agent-{place.name}.toml"
@@ -245,6 +258,8 @@
         f'service = "{place.service.name}"\n'
         f'listen = "{listen}"\n'
         f'target = "http://{target.address}"\n'
+        f'store = "http://{fleet.store.address}"\n'
+        f'instances = "http://{fleet.instances.address}"\n'
         f"slots = {place.service.slots}\n"
     )
     return Process(f"agent-{place.name}", ["agent", f"--settings={path}"], listen)
--- a/src/lagoontide/dispatch/attempts.py
+++ b/src/lagoontide/dispatch/attempts.py
@@ -21,7 +21,7 @@
 # had heard of. One that names an older epoch than these is refused, so a record
 # that is kept for longer than (MAX_EPOCH_AGE + 1) * EPOCH_S cannot be missed by a
 # copy that comes late.
-EPOCH_S = 30.0
+EPOCH_S = 60.0
 MAX_EPOCH_AGE = 2
 
 Final = Done | NotRun | Failed | Unknown
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -6,16 +6,14 @@
 from loguru import logger
 
 from lagoontide.dispatch.budget import RetryBudget
-from lagoontide.dispatch.follow import (
-    Follower,
-    OnTokens,
-    Result,
-    StageCall,
-    make_message,
-)
+from lagoontide.dispatch.call import OnTokens, StageCall
+from lagoontide.dispatch.follow import Follower, Result, make_message
 from lagoontide.dispatch.messages import Done, NotRun
-from lagoontide.membership.directory import Directory, Link
+from lagoontide.dispatch.tail import HedgeLate, Race, Tail, TailPolicy, Try
+from lagoontide.membership.directory import Directory
+from lagoontide.membership.link import Link
 from lagoontide.routing.choose import Choose
+from lagoontide.routing.health import Standing
 
 __all__ = ["Attempt", "Dispatcher", "OnTokens", "Outcome", "StageCall"]
 
@@ -53,12 +51,17 @@
         The agents that this entry knows.
     choose : callable
         Picks one of the candidates.
+    tail : TailPolicy
+        What is done about late calls.
     """
 
-    def __init__(self, directory: Directory, choose: Choose) -> None:
+    def __init__(
+        self, directory: Directory, choose: Choose, tail: TailPolicy | None = None
+    ) -> None:
         self._directory = directory
         self._choose = choose
         self._retries = RetryBudget()
+        self.tail = Tail(tail or HedgeLate())
 
     async def call(self, call: StageCall) -> Outcome:
         """Try targets until the outcome is final or the deadline has passed."""
@@ -67,19 +70,22 @@
         result: Result = NotRun("", "no target is known")
         peer = ""
         while len(attempts) < MAX_ATTEMPTS and loop.time() < call.deadline:
-            link = self._pick(call.stage.service, {item.target for item in attempts})
+            link = self._pick(
+                call.stage.service,
+                {item.target for item in attempts},
+                probes=call.stage.repeatable and self.tail.may_probe,
+            )
             if link is None:
                 if attempts:
                     break
                 await asyncio.sleep(NO_TARGET_PAUSE_S)
                 continue
-            started = loop.time()
-            peer = link.name
-            attempt = f"{call.request}.{call.stage.name}.{len(attempts)}"
-            result = await self._attempt(call, link, attempt, attempts)
-            reason = "" if isinstance(result, Done) else result.reason
-            kind = type(result).__name__
-            attempts.append(Attempt(attempt, peer, kind, started, loop.time(), reason))
+            race = self._start_race(call, link, attempts)
+            winner = await self.tail.run(race)
+            result = winner.task.result()
+            peer = winner.link.name
+            attempts.extend(map(_tell, race.tries))
+            kind, reason = attempts[-1].outcome, attempts[-1].reason
             if not self._may_go_on(call, result):
                 break
             logger.bind(request=call.request, stage=call.stage.name, peer=peer).info(
@@ -87,6 +93,24 @@
             )
         return Outcome(result, peer, tuple(attempts))
 
+    def expected_wait(self, service: str) -> float:
+        """Return the seconds that a new call of a service has to wait."""
+        links = self._directory.usable(service)
+        fit = [link for link in links if link.health.standing is Standing.IN]
+        return min((link.expected_wait for link in fit or links), default=0.0)
+
+    def _start_race(self, call: StageCall, link: Link, before: list[Attempt]) -> Race:
+        """Begin an attempt that may get a second one beside it."""
+        tried = {link.name, *(item.target for item in before)}
+        race = Race(
+            call,
+            begin=lambda link, attempt: self._attempt(call, link, attempt, tried),
+            pick_other=lambda: self._pick_idle(call.stage.service, tried),
+            number=len(before),
+        )
+        race.start(link)
+        return race
+
     def _may_go_on(self, call: StageCall, result: Result) -> bool:
         match result:
             case Done():
@@ -97,23 +121,49 @@
             case _:
                 return call.stage.repeatable and self._retries.take()
 
-    def _pick(self, service: str, tried: set[str]) -> Link | None:
+    def _pick(self, service: str, tried: set[str], probes: bool = False) -> Link | None:
         links = self._directory.usable(service)
+        now = asyncio.get_running_loop().time()
+        self.tail.review(service, links, now)
         fresh = [link for link in links if link.name not in tried]
+        if probes and len(fresh) > 1:
+            for link in fresh:
+                if link.health.take_probe(now):
+                    return link
+        # Stragglers are better than nothing.
+        fresh = [x for x in fresh if x.health.standing is Standing.IN] or fresh
         if not fresh:
             return None
-        now = asyncio.get_running_loop().time()
         index = self._choose([link.to_candidate(now) for link in fresh])
         return fresh[index]
 
+    def _pick_idle(self, service: str, tried: set[str]) -> Link | None:
+        """Return a target for a second attempt, unless that would have to wait."""
+        link = self._pick(service, tried)
+        if link is None or link.health.standing is Standing.OUT:
+            return None
+        load = link.load
+        is_busy = load.queued or load.running + link.sent_since >= load.limit
+        return None if is_busy else link
+
     async def _attempt(
-        self, call: StageCall, link: Link, attempt: str, before: list[Attempt]
+        self, call: StageCall, link: Link, attempt: str, tried: set[str]
     ) -> Result:
-        tried = {link.name, *(item.target for item in before)}
-
         def can_move() -> bool:
             links = self._directory.usable(call.stage.service)
-            return any(item.name not in tried for item in links)
+            return any(item.name not in tried | {link.name} for item in links)
 
         message = make_message(call, link, attempt)
         return await Follower(call, link, message, can_move).run()
+
+
+def _tell(item: Try) -> Attempt:
+    """Return an attempt of a race for the request's story."""
+    if item.task.cancelled() or not item.task.done():
+        return Attempt(
+            item.id, item.link.name, "Cancelled", item.started, item.ended, "overtaken"
+        )
+    result = item.task.result()
+    reason = "" if isinstance(result, Done) else result.reason
+    kind = type(result).__name__
+    return Attempt(item.id, item.link.name, kind, item.started, item.ended, reason)
--- a/src/lagoontide/dispatch/follow.py
+++ b/src/lagoontide/dispatch/follow.py
@@ -2,9 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
-from lagoontide.configuration.document import Priority, Stage
+from lagoontide.dispatch.call import StageCall
 from lagoontide.dispatch.messages import (
     Call,
     Cancel,
@@ -20,55 +19,19 @@
     is_whole,
 )
 from lagoontide.errors import PeerError, PeerTimeout
-from lagoontide.membership.directory import Link
+from lagoontide.membership.link import Link
 from lagoontide.wire.conn import Exchange
 
-__all__ = ["Follower", "OnTokens", "Result", "StageCall", "make_message"]
+__all__ = ["Follower", "Result", "make_message"]
 
 SILENCE_S = 0.5
 SETTLE_S = 0.5
 SETTLE_TRIES = 3
 STALL_S = 1.0
 
-OnTokens = Callable[[int, list[str]], None]
 Result = Done | NotRun | Failed | Unknown
 
 
-@dataclass(slots=True)
-class StageCall:
-    """What an entry wants of a service.
-
-    Attributes
-    ----------
-    deadline : float
-        Loop time by which the outcome is due.
-    tokens : list of str
-        Tokens received so far, over all attempts.
-    """
-
-    request: str
-    stage: Stage
-    account: str
-    weight: float
-    priority: Priority
-    deadline: float
-    body: bytes
-    streams: bool = False
-    on_tokens: OnTokens | None = None
-    tokens: list[str] = field(default_factory=list)
-
-    def take_tokens(self, offset: int, tokens: list[str]) -> bool:
-        """Keep the tokens that are new; return False if some before are missing."""
-        have = len(self.tokens)
-        if offset > have:
-            return False
-        fresh = tokens[have - offset :]
-        self.tokens.extend(fresh)
-        if fresh and self.on_tokens is not None:
-            self.on_tokens(have, fresh)
-        return True
-
-
 def make_message(call: StageCall, link: Link, attempt: str) -> Call:
     """Return the message of an attempt at the agent of a link."""
     return Call(
@@ -86,6 +49,7 @@
         body=call.body,
         digest=digest(call.body),
         resume=tuple(call.tokens),
+        size=call.size,
         epoch=link.epoch,
     )
 
@@ -122,6 +86,7 @@
             # The socket took nothing, so nothing can arrive.
             return NotRun(message.attempt, str(exc))
         self._link.sent += 1
+        self._link.sent_since += 1
         try:
             with exchange:
                 return await self._follow(exchange)
@@ -175,7 +140,7 @@
             return None
         match reply:
             case Tokens(offset=offset, tokens=tokens):
-                self._moved_at = asyncio.get_running_loop().time()
+                self._note_progress()
                 self._ask_now = not self._call.take_tokens(offset, tokens)
                 return None
             case Pending(load=load, running=running):
@@ -184,16 +149,29 @@
                 return None
             case Done():
                 return self._take_done(reply)
-            case NotRun(load=load) | Failed(load=load):
+            case NotRun(reason=reason, load=load):
                 self._link.observe(load)
+                self._link.refuse(reason)
+                self._note_progress()
+            case Failed(load=load):
+                self._link.observe(load)
+                self._note_progress()
+            case Unknown(reason=reason):
+                self._link.refuse(reason)
         return reply
 
+    def _note_progress(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._moved_at = now
+        self._link.health.note_progress(now)
+
     def _take_done(self, reply: Done) -> Result | None:
         self._link.observe(reply.load)
         if not is_whole(reply):
             # The agent has it whole; the next silence ends in asking for it.
             self.dropped += 1
             return None
+        self._note_progress()
         if reply.tokens:
             self._call.take_tokens(reply.offset, reply.tokens)
         return reply
--- a/src/lagoontide/dispatch/messages.py
+++ b/src/lagoontide/dispatch/messages.py
@@ -46,6 +46,8 @@
         Hash of the body.
     resume : tuple of str
         Tokens of a generation that earlier attempts gave.
+    size : int
+        Tokens that the work may give at most; 0 if that is no matter.
     epoch : int
         Newest epoch of the agent that the sender had heard of.
     """
@@ -64,6 +66,7 @@
     body: bytes
     digest: int
     resume: tuple[str, ...] = ()
+    size: int = 0
     epoch: int = 0
 
 
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -1,15 +1,19 @@
 """Wiring of an entry process."""
 
 import asyncio
+import contextlib
 import random
 
-import zmq.asyncio
+import zmq
 from loguru import logger
 
 from lagoontide.claims.messages import ClaimAsk, ReleaseAsk
 from lagoontide.claims.service import PartitionClaims
+from lagoontide.configuration.acceptance import Acceptance
+from lagoontide.configuration.force import make_own_view
 from lagoontide.configuration.holder import Holder
-from lagoontide.configuration.source import follow
+from lagoontide.console.api import mount_api
+from lagoontide.console.app import mount_console
 from lagoontide.dispatch.caller import Dispatcher
 from lagoontide.dispatch.kept import Keepers
 from lagoontide.entry.http import make_app
@@ -20,19 +24,27 @@
 from lagoontide.membership.directory import Directory
 from lagoontide.metrics import make_metrics
 from lagoontide.operators.app import OperatorsApp
+from lagoontide.operators.signin import mount_sign_in
 from lagoontide.platform.httpstore import HttpStore
 from lagoontide.platform.instances import HttpInstances, Instances
 from lagoontide.platform.store import Store
 from lagoontide.protocol import make_protocol
+from lagoontide.report.pages import ReportPages
+from lagoontide.report.reporter import Reporter
+from lagoontide.report.snapshots import SnapshotWriter
+from lagoontide.report.status import StatusMaker
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
-from lagoontide.wire.conn import Identity, connect
+from lagoontide.spreading.messages import MESSAGES as SPREADING
+from lagoontide.spreading.node import Spreader
+from lagoontide.wire.conn import Context, Identity, connect
 from lagoontide.wire.router import Router
 from lagoontide.wire.server import bind
 
 __all__ = ["EntryParts", "make_entry", "run_entry"]
 
 OPERATOR_THREADS = 8
+LAST_SNAPSHOT_S = 2.0
 
 
 class EntryParts:
@@ -51,7 +63,7 @@
     def __init__(
         self,
         cfg: EntrySettings,
-        ctx: zmq.asyncio.Context,
+        ctx: Context,
         store: Store,
         instances: Instances,
         policy: Policy,
@@ -60,22 +72,37 @@
         self.identity = Identity(cfg.name)
         self.holder = Holder()
         self.directory = Directory(
-            instances, lambda address: connect(ctx, address, codec, self.identity)
+            instances,
+            lambda address: connect(ctx, address, codec, self.identity),
+            cfg.name,
         )
         self.router = Router()
         self.peers_server = bind(
             ctx, f"tcp://{cfg.peers}", codec, self.identity, self.router.handle
         )
+        self.holder.subscribe(self.directory.update)
+        self.spreader = Spreader(
+            self.identity,
+            cfg.failure_domain,
+            store,
+            lambda address: connect(ctx, address, codec, self.identity),
+            lambda version, data: self.holder.put(version, data),
+            cfg.stale_after,
+        )
+        self.directory.subscribe(self.spreader.apply)
+        for kind in SPREADING:
+            self.router.register(kind, self.spreader.handle)
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
         self.claims = PartitionClaims(
             store, self.directory.peers, lambda: self.peers_server.address
         )
-        for kind in (ClaimAsk, ReleaseAsk):
-            self.router.register(kind, self.claims.handle)
+        self.router.register(ClaimAsk, self.claims.handle)
+        self.router.register(ReleaseAsk, self.claims.handle)
         keepers = Keepers(self.directory)
         self.entry = Entry(self.holder, dispatcher, self.claims, metrics, keepers)
+        self.entry.is_current = lambda: self.spreader.is_current
         bridge = Bridge(asyncio.get_running_loop())
         self.http = HttpServer(
             cfg.callers,
@@ -85,24 +112,72 @@
             max_body=2 * cfg.max_body,
             timeout=cfg.silence,
         )
-        self.operators = OperatorsApp(cfg.operator_tokens)
+        self.operators = OperatorsApp(cfg.operator_tokens, cfg.session_key)
+        mount_sign_in(self.operators)
+        self._mount_configuration(cfg, store, bridge)
         self.operators_http = HttpServer(
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
-        self._store = store
+        self.reporter = Reporter(
+            cfg.name, cfg.failure_domain, self.holder, self._find_domain
+        )
+        self.entry.subscribe(self.reporter.take)
+        self.snapshots = SnapshotWriter(store, self.reporter, random.Random(cfg.name))
+        status = StatusMaker(
+            cfg.name,
+            cfg.failure_domain,
+            self.entry,
+            self.holder,
+            self.directory,
+            store,
+        )
+        self.report_pages = ReportPages(self.reporter, status, store, bridge.call)
+        self.report_pages.mount(self.operators)
+
+    def _find_domain(self, target: str) -> str:
+        links = self.directory.links
+        return next((x.instance.failure_domain for x in links if x.name == target), "")
+
+    def _mount_configuration(
+        self, cfg: EntrySettings, store: Store, bridge: Bridge
+    ) -> None:
+        acceptance = Acceptance(store)
+        read_force = make_own_view(self.holder, cfg.failure_domain)
+        mount_api(self.operators, acceptance, bridge, read_force)
+        mount_console(
+            self.operators,
+            acceptance,
+            self.holder,
+            bridge,
+            read_force,
+            self._list_targets,
+        )
+
+    def _list_targets(self, service: str) -> tuple[str, ...]:
+        links = self.directory.links
+        return tuple(sorted(x.name for x in links if x.instance.service == service))
 
     def start_http(self) -> None:
         """Begin to serve callers and operators."""
         self.http.start()
         self.operators_http.start()
 
-    async def serve_peers(self) -> None:
-        """Answer other entries until cancelled."""
-        await self.peers_server.serve()
+    async def follow(self) -> None:
+        """Do what an entry does beside requests, until cancelled."""
+        await asyncio.gather(
+            self.directory.follow(),
+            self.spreader.run(),
+            self.snapshots.run(),
+            self.claims.keep_lease(),
+        )
 
-    async def follow_configuration(self) -> None:
-        """Keep to the store's newest document until cancelled."""
-        await follow(self._store, self.holder)
+    async def drain(self, bound: float) -> bool:
+        """Drain the entry and leave its counts in the store; see Entry.drain."""
+        ended = await self.entry.drain(bound)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_SNAPSHOT_S):
+                await self.snapshots.write()
+        return ended
 
     async def close(self) -> None:
         """Close both sides; the HTTP servers in threads, as they join their own."""
@@ -112,12 +187,13 @@
         )
         self.claims.close()
         self.directory.close()
+        self.spreader.close()
         self.peers_server.close()
 
 
 def make_entry(
     cfg: EntrySettings,
-    ctx: zmq.asyncio.Context,
+    ctx: Context,
     store: Store,
     instances: Instances,
     policy: Policy | None = None,
@@ -131,20 +207,14 @@
     set_up_logs(cfg.log, cfg.name)
     store = HttpStore(cfg.store)
     instances = HttpInstances(cfg.instances)
-    with zmq.asyncio.Context() as ctx:
+    with zmq.Context() as ctx:
         parts = make_entry(cfg, ctx, store, instances)
         parts.start_http()
         logger.info("callers at http://{}", parts.http.address)
         logger.info("operators at http://{}", parts.operators_http.address)
         try:
             return await run_until_signal(
-                [
-                    parts.directory.follow(),
-                    parts.follow_configuration(),
-                    parts.serve_peers(),
-                    parts.claims.keep_lease(),
-                ],
-                lambda: parts.entry.drain(cfg.drain),
+                [parts.follow()], lambda: parts.drain(cfg.drain)
             )
         finally:
             await parts.close()
--- a/src/lagoontide/entry/http.py
+++ b/src/lagoontide/entry/http.py
@@ -11,7 +11,7 @@
 from lagoontide.configuration.document import Priority
 from lagoontide.entry.service import CallerRequest, Entry
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
-from lagoontide.httpd import Bridge, read_body
+from lagoontide.httpd import Bridge, give_up_body, read_body
 from lagoontide.pipeline.walk import Answer, Fields
 
 __all__ = ["Problem", "make_app", "to_problem"]
@@ -40,6 +40,8 @@
         ``not_run``, ``failed`` or ``unknown``.
     repeat_safe : bool
         Whether the caller may send the request again without a key.
+    request : str
+        Id under which the entry keeps the request's trace.
     """
 
     title: str
@@ -49,6 +51,7 @@
     repeat_safe: bool
     step: str = ""
     peer: str = ""
+    request: str = ""
 
 
 class StreamLine(msgspec.Struct, omit_defaults=True):
@@ -71,7 +74,14 @@
             outcome, safe = exc.outcome, exc.repeat_safe
             status = OUTCOME_STATUS[outcome]
     return Problem(
-        status.phrase, status.value, exc.message, outcome, safe, exc.step, exc.peer
+        status.phrase,
+        status.value,
+        exc.message,
+        outcome,
+        safe,
+        exc.step,
+        exc.peer,
+        exc.request,
     )
 
 
@@ -128,9 +138,19 @@
         try:
             body = read_body(environ, self._max_body + 1)
         except (OSError, ValueError) as exc:
+            give_up_body(environ)
             raise RequestError(
-                HTTPStatus.REQUEST_TIMEOUT, f"the body did not arrive: {exc}"
+                HTTPStatus.REQUEST_TIMEOUT,
+                f"the body did not arrive: {exc}",
+                step="body",
             ) from exc
+        declared = environ.get("CONTENT_LENGTH")
+        if declared and len(body) < min(int(declared), self._max_body):
+            raise RequestError(
+                HTTPStatus.BAD_REQUEST,
+                f"the body was cut: {len(body)} of {declared} bytes",
+                step="body",
+            )
         if len(body) > self._max_body:
             raise RequestError(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -239,7 +259,7 @@
 
 def _send_problem(start: StartResponse, exc: LagoontideError) -> Iterator[bytes]:
     problem = to_problem(exc)
-    headers = []
+    headers = [("X-Request-Id", exc.request)] if exc.request else []
     retry_after = getattr(exc, "retry_after", None)
     if retry_after is not None:
         headers.append(("Retry-After", f"{retry_after:.3f}"))
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -9,14 +10,27 @@
 from loguru import logger
 
 from lagoontide.admission.accounts import Accounts
+from lagoontide.admission.shedding import (
+    Demand,
+    Shares,
+    find_retry_after,
+    should_shed,
+)
 from lagoontide.claims.baseline import Claim, Claims
-from lagoontide.configuration.document import Document, Priority, Service
+from lagoontide.configuration.document import (
+    Account,
+    Document,
+    Priority,
+    Route,
+    Service,
+)
 from lagoontide.configuration.holder import Holder
 from lagoontide.dispatch.caller import Dispatcher, OnTokens
 from lagoontide.dispatch.kept import Keepers
-from lagoontide.entry.story import Listener, Story
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.metrics import Metrics
+from lagoontide.pipeline.slack import find_pace
+from lagoontide.pipeline.story import Listener, Story
 from lagoontide.pipeline.walk import Answer, Fields, Request, check_body, walk
 
 __all__ = ["CallerRequest", "Entry"]
@@ -47,7 +61,18 @@
 
 
 class Entry:
-    """Serves callers' requests."""
+    """Serves callers' requests.
+
+    Parameters
+    ----------
+    sheds : bool
+        Whether requests for which there is no time are refused at the door.
+
+    Attributes
+    ----------
+    is_current : callable
+        Tells whether the configuration in force may still be served.
+    """
 
     def __init__(
         self,
@@ -56,6 +81,7 @@
         claims: Claims,
         metrics: Metrics,
         keepers: Keepers,
+        sheds: bool = True,
     ) -> None:
         self._holder = holder
         self._dispatcher = dispatcher
@@ -63,17 +89,20 @@
         self._keepers = keepers
         self._metrics = metrics
         self._accounts = Accounts()
+        self._shares = Shares()
+        self._sheds = sheds
         self._listeners: list[Listener] = []
         self._under_way = 0
         self._idle = asyncio.Event()
         self._idle.set()
         self.is_leaving = False
+        self.is_current: Callable[[], bool] = lambda: True
         holder.subscribe(self._accounts.update)
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self._holder.is_ready and not self.is_leaving
+        return self._holder.is_ready and self.is_current() and not self.is_leaving
 
     async def drain(self, bound: float) -> bool:
         """Turn unready and wait for what is under way; return whether all ended."""
@@ -110,6 +139,7 @@
                 return await self._serve_keyed(call, request, answer)
             return await walk(request, self._dispatcher, self._find_service, answer)
         except LagoontideError as exc:
+            exc.request = answer.request
             error = exc
             raise
         finally:
@@ -163,10 +193,36 @@
         priority = call.priority or route.priority
         self._accounts.admit(account, route, priority, now)
         budget = min(route.deadline, call.timeout or route.deadline)
+        if self._sheds:
+            self._shed(account, route, priority, budget, now)
         return Request(
             request_id, route, account, priority, now + budget, body, on_tokens
         )
 
+    def _shed(
+        self,
+        account: Account,
+        route: Route,
+        priority: Priority,
+        budget: float,
+        now: float,
+    ) -> None:
+        """Refuse a request for which there is no time; raises RequestError 503."""
+        pace = self._dispatcher.tail.pace
+        work = sum(find_pace(pace, stage).ran.value for stage in route.stages)
+        services = {stage.service for stage in route.stages}
+        wait = sum(map(self._dispatcher.expected_wait, services))
+        use = self._shares.use_of(account.name, now) if wait else 0.0
+        demand = Demand(priority, work, wait, budget, use)
+        if should_shed(demand):
+            raise RequestError(
+                STATUS_UNAVAILABLE,
+                f"overloaded: {wait:.3f} s to wait",
+                step="admission",
+                retry_after=find_retry_after(demand),
+            )
+        self._shares.note(account.name, account.weight, work, now)
+
     async def _serve_keyed(
         self, call: CallerRequest, request: Request, answer: Answer
     ) -> Answer:
