--- a/src/lagoontide/bench/fleet.py
+++ b/src/lagoontide/bench/fleet.py
@@ -305,6 +305,7 @@
         print(f"{len(fleet.processes)} processes; settings and logs: {fleet.folder}")
         for entry in fleet.entries.values():
             print(f"{entry.name}: callers at http://{entry.address}/v1/routes/ROUTE")
+            print(f"  console at http://{entry.control}/ (token {OPERATOR_TOKEN})")
         with contextlib.suppress(KeyboardInterrupt):
             signal.pause()
         print("stopping")
--- a/src/lagoontide/local.py
+++ b/src/lagoontide/local.py
@@ -210,7 +210,10 @@
         for address in addresses:
             print(f"callers: http://{address}/v1/routes/ROUTE")
         for parts in local.entries:
-            print(f"operators: http://{parts.operators_http.address}/")
+            print(
+                f"console: http://{parts.operators_http.address}/ "
+                f"(token {OPERATOR_TOKEN})"
+            )
         if keep:
             print("running until Ctrl-C")
             await asyncio.Event().wait()
