Refusals of the operators' port carry their answer; agents load no border models

Cause: the command line printed an entry's JSON as it came, and the commands of the configuration loaded pydantic in every process, agents too. Change: OperatorsClient raises Refusal with the answer in it; the commands load the models when they need them, and a test keeps pydantic and jinja2 out of an agent's imports.

--- a/src/lagoontide/configuration/commands.py
+++ b/src/lagoontide/configuration/commands.py
@@ -9,10 +9,9 @@
 
 import msgspec
 
-from lagoontide.configuration.model import dump_document, load_data, parse_document
 from lagoontide.configuration.toml import render_toml
-from lagoontide.errors import RequestError, SettingsError
-from lagoontide.operators.client import OperatorsClient
+from lagoontide.errors import SettingsError
+from lagoontide.operators.client import OperatorsClient, Refusal
 
 __all__ = ["ConfigCommands"]
 
@@ -42,7 +41,9 @@
 
     def validate(self, file: str) -> None:
         """Check a document and print every problem in it."""
-        document = parse_document(load_data(Path(file)))
+        from lagoontide.configuration.model import load_document
+
+        document = load_document(Path(file))
         print(
             f"{file}: valid; {len(document.routes)} routes, "
             f"{len(document.services)} services, {len(document.accounts)} accounts"
@@ -104,18 +105,19 @@
 
 
 def _read_document(file: str) -> dict[str, Any]:
-    return dump_document(parse_document(load_data(Path(file))))
+    from lagoontide.configuration.model import dump_document, load_document
+
+    return dump_document(load_document(Path(file)))
 
 
 def _send(address: str, step: str, order: dict[str, Any]) -> dict[str, Any]:
     """Send an order; print why and exit if it is not accepted."""
     try:
         return _connect(address).ask("POST", f"{API}/{step}", order)
-    except RequestError as exc:
+    except Refusal as exc:
         if exc.status not in EXITS:
             raise
-        answer = msgspec.json.decode(exc.message, type=dict[str, Any])
-        _print_refusal(answer)
+        _print_refusal(exc.answer)
         if exc.status == STATUS_UNKNOWN:
             print(f"--writer={order['writer']}", file=sys.stderr)
         sys.exit(EXITS[exc.status])
@@ -133,14 +135,18 @@
 
 
 def _print_entry(entry: dict[str, Any]) -> None:
-    at = datetime.fromtimestamp(entry["at"], UTC).strftime("%Y-%m-%d %H:%M:%S")
-    print(
-        f"version {entry['version']} {at} {entry['operator'] or '-'}: "
-        f"{entry['total']} changes"
-    )
+    at, operator = _show_time(entry["at"]), entry["operator"] or "-"
+    print(f"version {entry['version']} {at} {operator}: {entry['total']} changes")
     _print_changes(entry["changes"])
 
 
+def _show_time(at: float) -> str:
+    """Return seconds since the epoch as UTC; nothing for 0."""
+    if not at:
+        return "-"
+    return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%d %H:%M:%S")
+
+
 def _print_changes(changes: list[dict[str, str]]) -> None:
     for change in changes:
         place, before, after = change["place"], change["before"], change["after"]
--- a/src/lagoontide/configuration/model.py
+++ b/src/lagoontide/configuration/model.py
@@ -31,7 +31,6 @@
     "ServiceModel",
     "StageModel",
     "dump_document",
-    "load_data",
     "load_document",
     "parse_document",
 ]
@@ -229,14 +228,6 @@
     return draft.to_document()
 
 
-def load_data(path: Path) -> dict[str, Any]:
-    """Return the parsed TOML of a file; raises DocumentError."""
-    try:
-        return tomllib.loads(path.read_text("utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
-        raise DocumentError((Problem(str(path), str(exc)),), step="read") from exc
-
-
 def load_document(path: Path) -> Document:
     """Return the document of a TOML file.
 
@@ -245,7 +236,11 @@
     DocumentError
         If the file cannot be read, is not TOML or not a valid document.
     """
-    return parse_document(load_data(path))
+    try:
+        data = tomllib.loads(path.read_text("utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        raise DocumentError((Problem(str(path), str(exc)),), step="read") from exc
+    return parse_document(data)
 
 
 def dump_document(document: Document) -> dict[str, Any]:
--- a/src/lagoontide/operators/client.py
+++ b/src/lagoontide/operators/client.py
@@ -7,12 +7,27 @@
 
 from lagoontide.errors import PeerError, RequestError
 
-__all__ = ["OperatorsClient"]
+__all__ = ["OperatorsClient", "Refusal"]
 
 TIMEOUT_S = 10.0
 FIRST_ERROR_STATUS = 400
 
 
+class Refusal(RequestError):
+    """An entry refused an operator's request.
+
+    Attributes
+    ----------
+    answer : dict
+        The JSON object that came with it; empty if there was none.
+    """
+
+    def __init__(self, status: int, text: str, *, step: str, peer: str) -> None:
+        self.answer = _read_object(text)
+        detail = self.answer.get("detail", text)
+        super().__init__(status, str(detail), step=step, peer=peer)
+
+
 class OperatorsClient:
     """Asks an entry on behalf of an operator.
 
@@ -36,7 +51,7 @@
         ------
         PeerError
             If the entry cannot be reached.
-        RequestError
+        Refusal
             If it refuses.
         """
         body = None if value is None else msgspec.json.encode(value)
@@ -49,5 +64,12 @@
             ) from exc
         if response.status >= FIRST_ERROR_STATUS:
             text = response.data.decode("utf-8", "replace")
-            raise RequestError(response.status, text, step=path, peer=self._address)
+            raise Refusal(response.status, text, step=path, peer=self._address)
         return msgspec.json.decode(response.data)
+
+
+def _read_object(text: str) -> dict[str, Any]:
+    try:
+        return msgspec.json.decode(text, type=dict[str, Any])
+    except msgspec.DecodeError:
+        return {}
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,6 +1,8 @@
 """Imports point downward only."""
 
 import ast
+import subprocess
+import sys
 from pathlib import Path
 
 SOURCE = Path(__file__).resolve().parent.parent / "src" / "lagoontide"
@@ -68,3 +70,12 @@
         and any(module.split(".")[0] in banned for module in _imports(path))
     ]
     assert wrong == []
+
+
+def test_agents_load_no_models_of_the_border():
+    code = (
+        "import sys, lagoontide.cli, lagoontide.agent.daemon;"
+        "print(*({'pydantic', 'jinja2'} & sys.modules.keys()))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert (done.returncode, done.stdout.strip()) == (0, ""), done
