Go through the console in chromium; fold away stages that are not used

Cause: HTTP tests do not show what a browser makes of a page. Change: make browser drives Debian's chromium by keyboard and mouse with scripts switched off, at a phone's width: sign-in, a problem beside its field, a change up to its being in force, a race with another operator, no sideways scrolling. A route's form was 5,600 pixels long on a phone; stages that are not used are folded.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: test demo run format clean
+.PHONY: test demo run browser format clean
 
 $(READY): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -18,6 +18,9 @@
 run: $(READY)
 	$(BIN)/lagoontide bench fleet --deployment=swanreach
 
+browser: $(READY)
+	PYTHONPATH=. $(BIN)/python tools/browser.py
+
 format: $(READY)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- a/src/lagoontide/console/edit.py
+++ b/src/lagoontide/console/edit.py
@@ -16,6 +16,7 @@
 from lagoontide.configuration.model import dump_document, parse_document
 from lagoontide.console.fields import FieldKind
 from lagoontide.console.forms import (
+    STAGES,
     Form,
     Typed,
     build_item,
@@ -65,6 +66,11 @@
     is_removal: bool = False
     clashes: Typed = field(default_factory=dict)
 
+    def uses_stage(self, index: int) -> bool:
+        """Whether anything stands in the fields of a stage."""
+        prefix = f"{STAGES}.{index}."
+        return any(x for name, x in self.typed.items() if name.startswith(prefix))
+
 
 def start_edit(form: Form, name: str, version: int, item: Mapping[str, Any]) -> Edit:
     """Return the form as it is filled at first."""
--- a/src/lagoontide/console/forms.py
+++ b/src/lagoontide/console/forms.py
@@ -16,7 +16,15 @@
 from lagoontide.console.fields import Field, FieldKind, read_value, show_value
 from lagoontide.errors import Problem
 
-__all__ = ["Form", "Typed", "build_item", "close_gaps", "flatten_item", "make_form"]
+__all__ = [
+    "STAGES",
+    "Form",
+    "Typed",
+    "build_item",
+    "close_gaps",
+    "flatten_item",
+    "make_form",
+]
 
 STAGES = "stages"
 ONCE = "once"
@@ -52,7 +60,12 @@
     def list_fields(self) -> Iterator[Field]:
         """Yield every field under its full name."""
         yield from self.fields
-        for index, field in itertools.product(self.slots, self.stages):
+        for index in self.slots:
+            yield from self.list_stage(index)
+
+    def list_stage(self, index: int) -> Iterator[Field]:
+        """Yield the fields of one stage under their full names."""
+        for field in self.stages:
             yield replace(field, name=f"{STAGES}.{index}.{field.name}")
 
     def name_place(self, field: str) -> str:
