--- a/src/lagoontide/configuration/commands.py
+++ b/src/lagoontide/configuration/commands.py
@@ -1,17 +1,22 @@
-"""Commands for the configuration document."""
+"""Commands for the configuration document.
+
+Like all commands they import what they need when they run: the daemons start by
+the same command line and stay small.
+"""
 
 import os
 import secrets
 import sys
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from lagoontide.configuration.toml import render_toml
 from lagoontide.errors import SettingsError
-from lagoontide.operators.client import OperatorsClient, Refusal
+
+if TYPE_CHECKING:
+    from lagoontide.operators.client import OperatorsClient
 
 __all__ = ["ConfigCommands"]
 
@@ -51,6 +56,8 @@
 
     def show(self, address: str = "", json: bool = False) -> None:
         """Print the newest accepted document as TOML; its version as a comment."""
+        from lagoontide.configuration.toml import render_toml
+
         answer = _connect(address).ask("GET", API)
         if json:
             print(msgspec.json.encode(answer).decode())
@@ -94,7 +101,9 @@
             _print_entry(entry)
 
 
-def _connect(address: str) -> OperatorsClient:
+def _connect(address: str) -> "OperatorsClient":
+    from lagoontide.operators.client import OperatorsClient
+
     address = address or os.environ.get(ADDRESS_VARIABLE, "")
     token = os.environ.get(TOKEN_VARIABLE, "")
     if not address:
@@ -112,11 +121,14 @@
 
 def _send(address: str, step: str, order: dict[str, Any]) -> dict[str, Any]:
     """Send an order; print why and exit if it is not accepted."""
+    from lagoontide.operators.client import Refusal
+
     try:
         return _connect(address).ask("POST", f"{API}/{step}", order)
     except Refusal as exc:
         if exc.status not in EXITS:
             raise
+        print(exc.message, file=sys.stderr)
         _print_refusal(exc.answer)
         if exc.status == STATUS_UNKNOWN:
             print(f"--writer={order['writer']}", file=sys.stderr)
@@ -124,7 +136,6 @@
 
 
 def _print_refusal(answer: dict[str, Any]) -> None:
-    print(answer["detail"], file=sys.stderr)
     for problem in answer.get("problems", []):
         print(problem, file=sys.stderr)
     for entry in answer.get("since", []):
