Serve accounts within their share ahead of a flood at the door too

Cause: the expected wait at the door and on arrival at an agent counted the flood's queue against accounts that the fair queue would serve at once, and a flood of high priority came before everybody's normal work. Change: the wait that counts is the account's own; an account beyond its share has no priority while others wait; the agent's estimate goes by share.

--- a/src/lagoontide/admission/shedding.py
+++ b/src/lagoontide/admission/shedding.py
@@ -5,7 +5,13 @@
 
 from lagoontide.configuration.document import Priority
 
-__all__ = ["Demand", "Shares", "find_retry_after", "should_shed"]
+__all__ = [
+    "Demand",
+    "Shares",
+    "find_priority",
+    "find_retry_after",
+    "should_shed",
+]
 
 # Share of a request's time that its expected time may take, by priority.
 ROOM = {Priority.HIGH: 1.0, Priority.NORMAL: 0.8, Priority.LOW: 0.6}
@@ -14,7 +20,9 @@
 OVER_SHARE = 1.2
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
-SHARE_MEMORY_S = 2.0
+SHARE_MEMORY_S = 5.0
+# Up to this part of its share an account waits for nobody else's work.
+CALM_USE = 0.75
 # An account with less of the work than this is not counted among the active.
 ACTIVE_SHARE = 0.01
 
@@ -42,17 +50,38 @@
     use: float = 1.0
 
 
+def _own_wait(demand: Demand) -> float:
+    """Return the wait that the account itself meets.
+
+    The agents serve accounts by share, so one that uses little of its own does
+    not wait for what others have queued.
+    """
+    above = (demand.use - CALM_USE) / (1 - CALM_USE)
+    return demand.wait * min(1.0, max(0.0, above))
+
+
+def find_priority(demand: Demand) -> Priority:
+    """Return the priority with which a request is served.
+
+    While others wait, an account beyond its share has none over them.
+    """
+    if demand.wait > 0 and demand.use > OVER_SHARE:
+        return Priority.LOW
+    return demand.priority
+
+
 def should_shed(demand: Demand) -> bool:
     """Whether a request is refused because it would hardly be served in time.
 
     Without waiting nothing is shed: only queues make priorities and shares matter.
     """
-    if demand.wait <= 0:
+    wait = _own_wait(demand)
+    if wait <= 0:
         return False
     room = ROOM[demand.priority]
     if demand.use > OVER_SHARE:
         room *= OVER_SHARE_FACTOR
-    return demand.wait > max(0.0, room * demand.budget - demand.work)
+    return wait > max(0.0, room * demand.budget - demand.work)
 
 
 def find_retry_after(demand: Demand) -> float:
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -12,6 +12,7 @@
 from lagoontide.admission.shedding import (
     Demand,
     Shares,
+    find_priority,
     find_retry_after,
     should_shed,
 )
@@ -183,7 +184,7 @@
         self._accounts.admit(account, route, priority, now)
         budget = min(route.deadline, call.timeout or route.deadline)
         if self._sheds:
-            self._shed(account, route, priority, budget, now)
+            priority = self._shed(account, route, priority, budget, now)
         return Request(
             request_id, route, account, priority, now + budget, body, on_tokens
         )
@@ -195,8 +196,14 @@
         priority: Priority,
         budget: float,
         now: float,
-    ) -> None:
-        """Refuse a request for which there is no time; raises RequestError 503."""
+    ) -> Priority:
+        """Return the priority to serve a request with.
+
+        Raises
+        ------
+        RequestError
+            503, if there is no time for it.
+        """
         pace = self._dispatcher.tail.pace
         work = sum(find_pace(pace, stage).ran.value for stage in route.stages)
         services = {stage.service for stage in route.stages}
@@ -211,6 +218,7 @@
                 retry_after=find_retry_after(demand),
             )
         self._shares.note(account.name, account.weight, work, now)
+        return find_priority(demand)
 
     async def _claim(self, call: CallerRequest, request: Request) -> None:
         digest = xxhash.xxh3_64_intdigest(call.route.encode() + b"\0" + call.body)
--- a/src/lagoontide/scheduling/queue.py
+++ b/src/lagoontide/scheduling/queue.py
@@ -1,6 +1,7 @@
 """Order of the work that waits at an agent."""
 
 import heapq
+from dataclasses import dataclass
 from itertools import count
 from typing import Protocol
 
@@ -73,6 +74,61 @@
         return 0.0
 
 
+@dataclass(slots=True)
+class Part:
+    """What waits of one account."""
+
+    weight: float
+    calls: int = 0
+    work: float = 0.0
+
+
+class Backlog:
+    """Expected work of the waiting calls of a class, in all and by account.
+
+    Attributes
+    ----------
+    work : float
+        Expected seconds.
+    """
+
+    def __init__(self) -> None:
+        self.work = 0.0
+        self._weights = 0.0
+        self._parts: dict[str, Part] = {}
+
+    def add(self, item: Waiting) -> None:
+        """Count a call that waits."""
+        part = self._parts.get(item.account)
+        if part is None:
+            part = self._parts[item.account] = Part(item.weight)
+            self._weights += item.weight
+        part.calls += 1
+        part.work += item.cost
+        self.work += item.cost
+
+    def remove(self, item: Waiting) -> None:
+        """Count a call that waits no more."""
+        part = self._parts[item.account]
+        part.calls -= 1
+        part.work -= item.cost
+        self.work -= item.cost
+        if not part.calls:
+            del self._parts[item.account]
+            self._weights -= part.weight
+
+    def work_before(self, item: Waiting) -> float:
+        """Return the work that starts before a new call of an account.
+
+        While its account has its share, what others have beyond theirs does
+        not come before it.
+        """
+        part = self._parts.get(item.account)
+        if part is None:
+            return 0.0
+        return min(self.work, part.work * self._weights / part.weight)
+
+
 class FairQueue:
     """Priority, then fair shares between accounts, then least slack.
 
@@ -85,7 +141,7 @@
         self._short = tuple(FairLane() for _ in range(RANKS))
         self._long = tuple(FairLane() for _ in range(RANKS))
         self._waiting: dict[str, Waiting] = {}
-        self._work = [0.0] * RANKS
+        self._backlogs = tuple(Backlog() for _ in range(RANKS))
         self._turns = count(1)
 
     def __len__(self) -> int:
@@ -95,7 +151,8 @@
         """See Queue."""
         self._waiting[item.attempt] = item
         self._lane_of(item).push(item)
-        self._note(item, item.cost)
+        if not item.is_long:
+            self._backlogs[RANK[item.priority]].add(item)
 
     def pop(self, long_slots: int) -> Waiting | None:
         """See Queue."""
@@ -108,7 +165,7 @@
             item = self._pop_rank(rank, long_slots)
             if item is not None:
                 del self._waiting[item.attempt]
-                self._note(item, -item.cost)
+                self._leave(item)
                 return item
         return None
 
@@ -117,12 +174,14 @@
         item = self._waiting.pop(attempt, None)
         if item is not None:
             self._lane_of(item).remove(attempt)
-            self._note(item, -item.cost)
+            self._leave(item)
         return item
 
     def work_before(self, item: Waiting) -> float:
         """See Queue."""
-        return max(0.0, sum(self._work[: RANK[item.priority] + 1]))
+        rank = RANK[item.priority]
+        above = sum(backlog.work for backlog in self._backlogs[:rank])
+        return max(0.0, above + self._backlogs[rank].work_before(item))
 
     def _lane_of(self, item: Waiting) -> FairLane:
         lanes = self._long if item.is_long else self._short
@@ -133,6 +192,6 @@
             return self._long[rank].pop()
         return self._short[rank].pop()
 
-    def _note(self, item: Waiting, cost: float) -> None:
+    def _leave(self, item: Waiting) -> None:
         if not item.is_long:
-            self._work[RANK[item.priority]] += cost
+            self._backlogs[RANK[item.priority]].remove(item)
