--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -39,6 +39,31 @@
         experiment = Experiment(deployment, scenario, policies, seed, seconds, clock)
         sys.exit(run_bench(experiment, json, out))
 
+    def campaign(
+        self,
+        deployment: str = "swanreach",
+        seeds: int = 5,
+        seconds: float = 15.0,
+        workers: int = 4,
+        out: str = "",
+    ) -> None:
+        """Run all scenarios with several seeds and print medians and targets."""
+        from lagoontide.bench.campaign import run_campaign
+
+        sys.exit(run_campaign(deployment, seeds, seconds, workers, out))
+
+    def plot(self, source: str, out: str = "run.svg") -> None:
+        """Draw the file that ``bench run --out=FILE`` wrote, as SVG."""
+        from lagoontide.bench.plot import run_plot
+
+        sys.exit(run_plot(source, out))
+
+    def decisions(self, seed: int = 1, json: bool = False) -> None:
+        """Time single decisions of routing, scheduling and admission."""
+        from lagoontide.bench.decisions import run_decisions
+
+        sys.exit(run_decisions(seed, json))
+
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
     ) -> None:
--- a/src/lagoontide/dispatch/tail.py
+++ b/src/lagoontide/dispatch/tail.py
@@ -26,6 +26,8 @@
 Begin = Callable[[Link, str], Coroutine[Any, Any, Result]]
 PickOther = Callable[[], Link | None]
 
+# The targets of a pool are looked over at most this often.
+REVIEW_S = 0.01
 HEDGE_SHARE = 0.05
 HEDGE_BURST = 20.0
 MAX_TRIES = 2
@@ -137,6 +139,7 @@
     def __init__(self, policy: TailPolicy) -> None:
         self.pace = Pace()
         self._policy = policy
+        self._review_at: dict[str, float] = {}
         self._hedges = Budget(HEDGE_SHARE, HEDGE_BURST, HEDGE_BURST)
 
     async def run(self, race: Race) -> Try:
@@ -164,6 +167,9 @@
         """Put stragglers of a pool out and take recovered ones back."""
         if not isinstance(self._policy, HedgeLate) or not self._policy.puts_out:
             return
+        if now < self._review_at.get(service, 0.0):
+            return
+        self._review_at[service] = now + REVIEW_S
         pool = [link.health for link in links]
         usual = find_usual_silence(pool)
         for link in links:
--- a/src/lagoontide/routing/choose.py
+++ b/src/lagoontide/routing/choose.py
@@ -1,6 +1,5 @@
 """Policies that pick one of several candidates; all are pure but for chance."""
 
-import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -106,7 +105,8 @@
     reported = candidate.queued + candidate.running
     trust = 0.5 ** (candidate.age / HALF_LIFE_S)
     ahead = usual + (reported - usual) * trust + candidate.sent_since
-    ahead = max(ahead, candidate.sent)
+    if ahead < candidate.sent:
+        ahead = candidate.sent
     return candidate.ratio * (1 + ahead / candidate.limit)
 
 
@@ -118,15 +118,12 @@
 
 
 def _find_least(candidates: Sequence[Candidate], rng: random.Random) -> int:
-    usual = sum(x.queued + x.running for x in candidates) / len(candidates)
-    best, least = 0, math.inf
-    start = rng.randrange(len(candidates))
-    for offset in range(len(candidates)):
-        index = (start + offset) % len(candidates)
-        value = expected_completion(candidates[index], usual)
-        if value < least:
-            best, least = index, value
-    return best
+    usual = sum([x.queued + x.running for x in candidates]) / len(candidates)
+    times = [expected_completion(x, usual) for x in candidates]
+    least = min(times)
+    if times.count(least) == 1:
+        return times.index(least)
+    return rng.choice([i for i, time in enumerate(times) if time == least])
 
 
 def make_choose(policy: Policy, rng: random.Random) -> Choose:
