--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -64,6 +64,12 @@
 
         sys.exit(run_plot(source, out))
 
+    def claims(self, seconds: float = 4.0, json: bool = False) -> None:
+        """Count writes to the store at 50, 500 and 5,000 keyed requests a second."""
+        from lagoontide.bench.claims import run_claims
+
+        sys.exit(run_claims(seconds, json))
+
     def decisions(self, seed: int = 1, json: bool = False) -> None:
         """Time single decisions of routing, scheduling and admission."""
         from lagoontide.bench.decisions import run_decisions
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -44,6 +44,7 @@
 __all__ = ["EntryParts", "make_entry", "run_entry"]
 
 OPERATOR_THREADS = 8
+WRITTEN_POLL_S = 0.02
 LAST_SNAPSHOT_S = 2.0
 
 
@@ -104,9 +105,11 @@
         self.entry = Entry(self.holder, dispatcher, self.claims, metrics, keepers)
         self.entry.is_current = lambda: self.spreader.is_current
         bridge = Bridge(asyncio.get_running_loop())
+        self._linger = cfg.linger
+        self.app = make_app(self.entry, bridge, cfg.max_body)
         self.http = HttpServer(
             cfg.callers,
-            make_app(self.entry, bridge, cfg.max_body),
+            self.app,
             threads=cfg.threads,
             max_header=cfg.max_header,
             max_body=2 * cfg.max_body,
@@ -173,7 +176,11 @@
 
     async def drain(self, bound: float) -> bool:
         """Drain the entry and leave its counts in the store; see Entry.drain."""
-        ended = await self.entry.drain(bound)
+        end = asyncio.get_running_loop().time() + bound
+        ended = await self.entry.drain(bound, self._linger)
+        while self.app.active and asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(WRITTEN_POLL_S)
+        ended = ended and not self.app.active
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LAST_SNAPSHOT_S):
                 await self.snapshots.write()
--- a/src/lagoontide/entry/http.py
+++ b/src/lagoontide/entry/http.py
@@ -2,7 +2,7 @@
 
 import queue
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
 
@@ -14,7 +14,7 @@
 from lagoontide.httpd import Bridge, give_up_body, read_body
 from lagoontide.pipeline.walk import Answer, Fields
 
-__all__ = ["Problem", "make_app", "to_problem"]
+__all__ = ["CallersApp", "Problem", "make_app", "to_problem"]
 
 ROUTE_PREFIX = "/v1/routes/"
 NDJSON = "application/x-ndjson"
@@ -85,9 +85,29 @@
     )
 
 
+class _Body:
+    """An answer's parts; says when the server is done with them."""
+
+    def __init__(self, parts: Iterator[bytes], on_end: Callable[[], None]) -> None:
+        self._parts = parts
+        self._on_end = on_end
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._parts
+
+    def close(self) -> None:
+        """See PEP 3333."""
+        self._on_end()
+
+
 class CallersApp:
     """WSGI application of the callers' port.
 
+    Attributes
+    ----------
+    active : set
+        One mark for each request whose answer is not written yet.
+
     Parameters
     ----------
     entry : Entry
@@ -100,8 +120,25 @@
         self._entry = entry
         self._bridge = bridge
         self._max_body = max_body
+        self.active: set[object] = set()
+
+    def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        """Answer one request; see PEP 3333."""
+        self.active.add(token := object())
+        return _Body(
+            self._answer(environ, self._mark(start)),
+            lambda: self.active.discard(token),
+        )
+
+    def _mark(self, start: StartResponse) -> StartResponse:
+        """Have callers open a new connection elsewhere once this entry leaves."""
+        if not self._entry.is_leaving:
+            return start
+        return lambda status, headers: start(
+            status, [*headers, ("Connection", "close")]
+        )
 
-    def __call__(self, environ: Environ, start: StartResponse) -> Iterator[bytes]:
+    def _answer(self, environ: Environ, start: StartResponse) -> Iterator[bytes]:
         path = environ["PATH_INFO"]
         try:
             if path == "/livez":
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -105,11 +105,18 @@
         """Whether the balancer should send callers here."""
         return self._holder.is_ready and self.is_current() and not self.is_leaving
 
-    async def drain(self, bound: float) -> bool:
-        """Turn unready and wait for what is under way; return whether all ended."""
+    async def drain(self, bound: float, linger: float = 0.0) -> bool:
+        """Turn unready and wait for what is under way; return whether all ended.
+
+        Parameters
+        ----------
+        linger : float
+            Seconds in which callers who do not know yet are still served.
+        """
         self.is_leaving = True
         try:
             async with asyncio.timeout(bound):
+                await asyncio.sleep(linger)
                 await self._idle.wait()
         except TimeoutError:
             return False
--- a/src/lagoontide/settings.py
+++ b/src/lagoontide/settings.py
@@ -71,6 +71,9 @@
         Bytes of a caller's body.
     silence : float
         Seconds that a caller's connection may be silent.
+    linger : float
+        Seconds of a graceful stop in which new requests are still served, for
+        callers and balancers that do not know yet.
     drain : float
         Seconds that a graceful stop may take.
     """
@@ -89,6 +92,7 @@
     max_body: Bytes = 1 << 20
     max_header: Bytes = 16 << 10
     silence: Seconds = 5.0
+    linger: Seconds = 2.0
     drain: Seconds = 30.0
     log: LogSettings = LogSettings()
     statsd: StatsdSettings = StatsdSettings()
