--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: test demo run format clean
+.PHONY: test demo run capacity format clean
 
 $(READY): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -18,6 +18,9 @@
 run: $(READY)
 	$(BIN)/lagoontide bench fleet --deployment=swanreach
 
+capacity: $(READY)
+	$(BIN)/python tools/capacity.py
+
 format: $(READY)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -39,6 +39,18 @@
         experiment = Experiment(deployment, scenario, policies, seed, seconds, clock)
         sys.exit(run_bench(experiment, json, out))
 
+    def capacity(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        json: bool = False,
+        out: str = "",
+    ) -> None:
+        """Measure the slopes from which docs/CAPACITY.md is worked out."""
+        from lagoontide.bench.capacity import run_capacity
+
+        sys.exit(run_capacity(deployment, seed, json, out))
+
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
     ) -> None:
