--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -224,9 +224,9 @@
         f"| {RESTARTS_PER_DAY:,} restarts a day | {RESTARTS_PER_DAY / DAY_S:.3f}/s: "
         f"each opens {known_by():.0f} links to an agent or {links()} from an entry "
         "| subsets by rendezvous hashing, connects at 100/s at most | - |",
-        f"| a failure domain lost and back | {lost:.0f} processes: {links() / DOMAINS:.0f} "
-        f"of {links()} links of an entry move; {lost / STARTS_PER_S:.1f} s to spread "
-        f"{lost:.0f} reads of the store at the start | subsets; start spread by "
+        f"| a failure domain lost and back | {lost:.0f} processes: "
+        f"{links() / DOMAINS:.0f} of {links()} links of an entry "
+        f"move; {lost / STARTS_PER_S:.1f} s to spread {lost:.0f} reads of the store at the start | subsets; start spread by "
         f"{STARTS_PER_S:.0f}/s | 2,000 reads/s: kept |",
         f"| all started at once | {members / STARTS_PER_S:.1f} s, "
         f"{STARTS_PER_S:.0f} reads/s | the same | 2,000 reads/s: kept |",
@@ -253,10 +253,10 @@
     """Return the page with the tables between their marks replaced."""
     for name, rows in tables.items():
         block = "\n".join([f"<!-- table: {name} -->", *rows, "<!-- end -->"])
-        pattern = rf"<!-- table: {name} -->.*?<!-- end -->"
-        page, found = re.subn(pattern, lambda _: block, page, flags=re.S)
-        if not found:
+        old = re.search(rf"<!-- table: {name} -->.*?<!-- end -->", page, re.S)
+        if old is None:
             raise SystemExit(f"{PAGE}: no table {name!r}")
+        page = page.replace(old.group(), block)
     return page
 
 
