--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -70,6 +70,18 @@
 
         sys.exit(run_decisions(seed, json))
 
+    def capacity(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        json: bool = False,
+        out: str = "",
+    ) -> None:
+        """Measure the slopes from which docs/CAPACITY.md is worked out."""
+        from lagoontide.bench.capacity import run_capacity
+
+        sys.exit(run_capacity(deployment, seed, json, out))
+
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
     ) -> None:
