What a cut-off entry serves follows the policies of the document

Cause: the document had policies by kind of change that nothing heeded, and an entry that has heard nothing cannot know which kinds it lacks. Change: cut_off chooses by the request at hand: serve, repeatable or stop; an entry refuses the others as not run once the store has been silent, directly and through peers, for cut_off_after seconds. Serve is the default. Conclusion: a scenario sets it on the console and sees both outcomes.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -51,3 +51,12 @@
     When the command line applies a document with two problems
     Then it exits with 2
     And it names both places
+
+  Scenario: A cut-off entry serves what the policies allow
+    When operator "operator" sets the policy "cut_off" to "repeatable" at entry 1
+    Then it is accepted
+    And every entry has word of the store
+    When entry 1 has had no word of the store for 31 seconds
+    Then "reseller-metro" gets 200 for "reseller-query" at entry 1
+    And "reseller-metro" gets 503 for "issue-credit" at entry 1
+    And "reseller-metro" gets 200 for "issue-credit" at entry 2
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -265,3 +265,32 @@
 def check_places(context):
     assert "routes.reseller-query.deadline" in context.printed
     assert "accounts.school-bursars.routes.0" in context.printed
+
+
+@when('operator "{name}" sets the policy "{field}" to "{value}" at entry {entry:d}')
+def set_policy(context, name, field, value, entry):
+    console = Console(context.running)
+    fields = open_form(console, "/policies", entry) | {field: value}
+    context.page = console.change("/policies", entry, fields)
+
+
+@when("entry {entry:d} has had no word of the store for {age:d} seconds")
+def cut_off(context, entry, age):
+    parts = context.running.local.entries[entry - 1]
+    wait_until(lambda: parts.holder.document.policies.cut_off == "repeatable")
+    parts.entry.confirmed_age = lambda: float(age)
+
+
+@then("every entry has word of the store")
+def check_word(context):
+    for parts in context.running.local.entries:
+        wait_until(lambda parts=parts: parts.entry.confirmed_age() < BOUND_S)
+
+
+@then('"{account}" gets {status:d} for "{route}" at entry {entry:d}')
+def check_served(context, account, status, route, entry):
+    sample = context.running.make_sample(account, route, f"{route} {entry}")
+    response = context.running.ask(sample, entry=entry - 1)
+    assert response.status == status, response.data
+    if status == 503:
+        assert msgspec.json.decode(response.data)["outcome"] == "not_run"
--- a/src/lagoontide/configuration/diff.py
+++ b/src/lagoontide/configuration/diff.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from lagoontide.configuration.document import ChangeKind, Document
+from lagoontide.configuration.document import Document
 
-__all__ = ["Change", "diff_documents", "find_kinds"]
+__all__ = ["Change", "diff_documents"]
 
 NAMED_SECTIONS = ("services", "routes", "accounts")
 STAGES = "stages"
@@ -29,13 +29,6 @@
     before: str
     after: str
 
-    def __str__(self) -> str:
-        if not self.before:
-            return f"+ {self.place} = {self.after}"
-        if not self.after:
-            return f"- {self.place} (was {self.before})"
-        return f"~ {self.place}: {self.before} -> {self.after}"
-
 
 def diff_documents(old: Document | None, new: Document) -> tuple[Change, ...]:
     """Return what changes from one document to the other; all of it without an old."""
@@ -54,15 +47,6 @@
     )
 
 
-def find_kinds(changes: tuple[Change, ...]) -> frozenset[ChangeKind]:
-    """Return the kinds that changes belong to; failure domains are services'."""
-    tops = {change.place.partition(".")[0] for change in changes}
-    return frozenset(
-        ChangeKind.SERVICES if top == "failure_domains" else ChangeKind(top)
-        for top in tops
-    )
-
-
 def _compare_section(name: str, old: Document, new: Document) -> Iterator[Change]:
     """Compare items as they are first: most of thousands are equal."""
     before, after = getattr(old, name), getattr(new, name)
--- a/src/lagoontide/configuration/document.py
+++ b/src/lagoontide/configuration/document.py
@@ -8,7 +8,6 @@
 
 __all__ = [
     "Account",
-    "ChangeKind",
     "CutOff",
     "Document",
     "Policies",
@@ -43,19 +42,11 @@
     PLAIN = "plain"
 
 
-class ChangeKind(StrEnum):
-    """The part of the document that a change belongs to."""
-
-    ROUTES = "routes"
-    SERVICES = "services"
-    ACCOUNTS = "accounts"
-    POLICIES = "policies"
-
-
 class CutOff(StrEnum):
-    """What a process does that knows of a newer version and cannot get it."""
+    """What an entry goes on serving that has had no word of the store for long."""
 
     SERVE = "serve"
+    REPEATABLE = "repeatable"
     STOP = "stop"
 
 
@@ -176,15 +167,28 @@
     objective_window : float
         Seconds over which objectives count.
     cut_off_after : float
-        Seconds after which a process that knows of a newer version and cannot
-        get it does what ``cut_off`` says for the kinds of change it lacks.
-    cut_off : dict of ChangeKind to CutOff
-        Kinds that are not named go on serving.
+        Seconds without word of the store, its own or through peers, after which
+        an entry counts as cut off.
+    cut_off : CutOff
+        Whether it then serves on, serves routes without non-repeatable stages
+        only, or refuses all requests as not run.
     """
 
     objective_window: float = 30 * 86400.0
     cut_off_after: float = 30.0
-    cut_off: dict[ChangeKind, CutOff] = {}
+    cut_off: CutOff = CutOff.SERVE
+
+    def allows(self, route: Route, age: float) -> bool:
+        """Return whether a route is served ``age`` seconds after word of the store."""
+        if age <= self.cut_off_after:
+            return True
+        match self.cut_off:
+            case CutOff.SERVE:
+                return True
+            case CutOff.REPEATABLE:
+                return route.is_repeatable
+            case CutOff.STOP:
+                return False
 
 
 class Document(msgspec.Struct, frozen=True):
--- a/src/lagoontide/console/forms.py
+++ b/src/lagoontide/console/forms.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from lagoontide.configuration.document import (
-    ChangeKind,
     CutOff,
     Document,
     Priority,
@@ -184,15 +183,14 @@
     ),
     Field(
         "cut_off_after",
-        "Seconds until a cut-off process counts as cut off",
-        help="It knows of a newer version and cannot get it.",
+        "Seconds without word of the store until an entry counts as cut off",
     ),
     Field(
         "cut_off",
-        "What a cut-off process does, by the kind of change that it lacks",
-        FieldKind.PAIRS,
-        f"One KIND = {' or '.join(CutOff)} on each line; kinds: "
-        f"{', '.join(ChangeKind)}. Others serve.",
+        "What it serves then",
+        FieldKind.CHOICE,
+        "All, routes without non-repeatable stages only, or nothing.",
+        tuple(map(str, CutOff)),
     ),
 )
 
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -95,6 +95,7 @@
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
         self.entry = Entry(self.holder, dispatcher, SimpleClaims(store), metrics)
         self.entry.is_current = lambda: self.spreader.is_current
+        self.entry.confirmed_age = lambda: self.spreader.age
         bridge = Bridge(asyncio.get_running_loop())
         self.http = HttpServer(
             cfg.callers,
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -70,6 +70,8 @@
     ----------
     is_current : callable
         Tells whether the configuration in force may still be served.
+    confirmed_age : callable
+        Tells the seconds since the store confirmed the version in force.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         self._idle.set()
         self.is_leaving = False
         self.is_current: Callable[[], bool] = lambda: True
+        self.confirmed_age: Callable[[], float] = lambda: 0.0
         holder.subscribe(self._accounts.update)
 
     @property
@@ -184,6 +187,7 @@
         route = document.routes.get(call.route)
         if route is None:
             raise RequestError(STATUS_NOT_FOUND, f"no route {call.route!r}")
+        self._check_cut_off(document, route)
         body = _parse_body(call.body)
         check_body(route, body)
         priority = call.priority or route.priority
@@ -195,6 +199,18 @@
             request_id, route, account, priority, now + budget, body, on_tokens
         )
 
+    def _check_cut_off(self, document: Document, route: Route) -> None:
+        """Raise RequestError 503 if the policies keep a route from being served."""
+        age = self.confirmed_age()
+        if not document.policies.allows(route, age):
+            raise RequestError(
+                STATUS_UNAVAILABLE,
+                f"no word of the store for {age:.0f} s; the policies keep route "
+                f"{route.name!r} from being served",
+                step="admission",
+                retry_after=RETRY_AFTER_S,
+            )
+
     def _shed(
         self,
         account: Account,
