--- a/src/lagoontide/bench/virtual.py
+++ b/src/lagoontide/bench/virtual.py
@@ -5,7 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-__all__ = ["VirtualLoop", "run_virtual"]
+__all__ = ["VirtualLoop", "close_loop", "run_virtual"]
 
 TIMER_RESOLUTION_S = 1e-9
 
@@ -23,6 +23,9 @@
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
         ready = super().select(0)
+        # Each turn takes a little, or a wait shorter than the clock's
+        # resolution would be taken up again without end.
+        self.now += TIMER_RESOLUTION_S
         if ready:
             return ready
         if timeout is None:
@@ -44,13 +47,20 @@
         return self._jumping.now
 
 
+def close_loop(loop: asyncio.AbstractEventLoop) -> None:
+    """Cancel what is left and close the loop."""
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        loop.run_until_complete(asyncio.wait(tasks))
+    loop.close()
+
+
 def run_virtual(coro: Coroutine[Any, Any, Result]) -> Result:
     """Run a coroutine on a virtual clock and return its result."""
     loop = VirtualLoop()
     try:
         return loop.run_until_complete(coro)
     finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
+        close_loop(loop)
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -5,33 +5,19 @@
 
 from loguru import logger
 
+from lagoontide.dispatch.budget import RetryBudget
 from lagoontide.dispatch.call import OnTokens, StageCall
-from lagoontide.dispatch.messages import (
-    Call,
-    Cancel,
-    Done,
-    Failed,
-    NotRun,
-    Pending,
-    Settle,
-    Tokens,
-    Unknown,
-    digest,
-    is_whole,
-)
+from lagoontide.dispatch.follow import Follower, Result, make_message
+from lagoontide.dispatch.messages import Done, NotRun
 from lagoontide.dispatch.tail import HedgeLate, Race, Tail, TailPolicy, Try
-from lagoontide.errors import PeerError, PeerTimeout
 from lagoontide.membership.directory import Directory
 from lagoontide.membership.link import Link
 from lagoontide.routing.choose import Choose
 from lagoontide.routing.health import Standing
-from lagoontide.wire.conn import Exchange
 
 __all__ = ["Attempt", "Dispatcher", "OnTokens", "Outcome", "StageCall"]
 
 MAX_ATTEMPTS = 4
-SILENCE_S = 0.5
-SETTLE_S = 0.5
 NO_TARGET_PAUSE_S = 0.05
 
 
@@ -51,7 +37,7 @@
 class Outcome:
     """How a stage call ended, at which peer and after which attempts."""
 
-    result: Done | NotRun | Failed | Unknown
+    result: Result
     peer: str
     attempts: tuple[Attempt, ...]
 
@@ -74,13 +60,14 @@
     ) -> None:
         self._directory = directory
         self._choose = choose
+        self._retries = RetryBudget()
         self.tail = Tail(tail or HedgeLate())
 
     async def call(self, call: StageCall) -> Outcome:
         """Try targets until the outcome is final or the deadline has passed."""
         loop = asyncio.get_running_loop()
         attempts: list[Attempt] = []
-        result: Done | NotRun | Failed | Unknown = NotRun("", "no target is known")
+        result: Result = NotRun("", "no target is known")
         peer = ""
         while len(attempts) < MAX_ATTEMPTS and loop.time() < call.deadline:
             link = self._pick(
@@ -117,22 +104,22 @@
         tried = {link.name, *(item.target for item in before)}
         race = Race(
             call,
-            begin=lambda link, attempt: self._attempt(call, link, attempt),
+            begin=lambda link, attempt: self._attempt(call, link, attempt, tried),
             pick_other=lambda: self._pick_idle(call.stage.service, tried),
             number=len(before),
         )
         race.start(link)
         return race
 
-    @staticmethod
-    def _may_go_on(call: StageCall, result: Done | NotRun | Failed | Unknown) -> bool:
+    def _may_go_on(self, call: StageCall, result: Result) -> bool:
         match result:
             case Done():
+                self._retries.note_success()
                 return False
             case NotRun():
                 return True
             case _:
-                return call.stage.repeatable
+                return call.stage.repeatable and self._retries.take()
 
     def _pick(self, service: str, tried: set[str], probes: bool = False) -> Link | None:
         links = self._directory.usable(service)
@@ -160,104 +147,14 @@
         return None if is_busy else link
 
     async def _attempt(
-        self, call: StageCall, link: Link, attempt: str
-    ) -> Done | NotRun | Failed | Unknown:
-        message = self._make_message(call, link, attempt)
-        link.sent += 1
-        link.sent_since += 1
-        try:
-            with await link.conn.open(message) as exchange:
-                return await self._follow(call, link, message, exchange)
-        except PeerError as exc:
-            return NotRun(attempt, str(exc))
-        except asyncio.CancelledError:
-            await self._cancel(link, attempt)
-            raise
-        finally:
-            link.sent -= 1
-
-    @staticmethod
-    async def _cancel(link: Link, attempt: str) -> None:
-        try:
-            await link.conn.tell(Cancel(attempt))
-        except PeerError:
-            return  # It then ends by itself.
-
-    @staticmethod
-    def _make_message(call: StageCall, link: Link, attempt: str) -> Call:
-        return Call(
-            attempt=attempt,
-            request=call.request,
-            stage=call.stage.name,
-            incarnation=link.incarnation,
-            operation=call.stage.operation,
-            account=call.account,
-            weight=call.weight,
-            priority=call.priority,
-            budget=call.deadline - asyncio.get_running_loop().time(),
-            repeatable=call.stage.repeatable,
-            streams=call.streams,
-            body=call.body,
-            digest=digest(call.body),
-            resume=tuple(call.tokens),
-            size=call.size,
-        )
-
-    async def _follow(
-        self, call: StageCall, link: Link, message: Call, exchange: Exchange
-    ) -> Done | NotRun | Failed | Unknown:
-        """Wait for the last reply; ask about the attempt after each silence."""
-        loop = asyncio.get_running_loop()
-        while (left := call.deadline - loop.time()) > 0:
-            try:
-                reply = await exchange.next(min(left, SILENCE_S))
-            except PeerTimeout:
-                reply = await self._settle(link, message, left)
-            match reply:
-                case Tokens(offset=offset, tokens=tokens):
-                    link.health.note_progress(loop.time())
-                    self._take_tokens(call, offset, tokens)
-                case Pending(load=load):
-                    link.observe(load)
-                case Done() if not is_whole(reply):
-                    return Failed(reply.attempt, "the result arrived cut", reply.load)
-                case NotRun(reason=reason, load=load):
-                    link.observe(load)
-                    link.refuse(reason)
-                    link.health.note_progress(loop.time())
-                    return reply
-                case Done(load=load) | Failed(load=load):
-                    link.observe(load)
-                    link.health.note_progress(loop.time())
-                    return reply
-                case Unknown():
-                    return reply
-        await self._cancel(link, message.attempt)
-        final = await self._settle(link, message, SETTLE_S)
-        if isinstance(final, Done | NotRun | Failed):
-            return final
-        return Unknown(message.attempt, "no answer by the deadline")
-
-    @staticmethod
-    async def _settle(
-        link: Link, message: Call, left: float
-    ) -> Done | NotRun | Failed | Unknown | Pending | None:
-        question = Settle(message.attempt, message.incarnation)
-        try:
-            return await link.conn.ask(question, min(SETTLE_S, left))
-        except PeerError:
-            return None
-
-    @staticmethod
-    def _take_tokens(call: StageCall, offset: int, tokens: list[str]) -> None:
-        """Keep the tokens that are new; a repeated one is passed on once."""
-        have = len(call.tokens)
-        fresh = tokens[have - offset :] if offset <= have else []
-        if not fresh:
-            return
-        call.tokens.extend(fresh)
-        if call.on_tokens is not None:
-            call.on_tokens(have, fresh)
+        self, call: StageCall, link: Link, attempt: str, tried: set[str]
+    ) -> Result:
+        def can_move() -> bool:
+            links = self._directory.usable(call.stage.service)
+            return any(item.name not in tried | {link.name} for item in links)
+
+        message = make_message(call, link, attempt)
+        return await Follower(call, link, message, can_move).run()
 
 
 def _tell(item: Try) -> Attempt:
--- a/src/lagoontide/membership/link.py
+++ b/src/lagoontide/membership/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import uuid
 from collections.abc import Callable
 
 from loguru import logger
@@ -21,6 +22,11 @@
 REPLY_S = 1.0
 MAX_REPLY_S = 16.0
 MISSED_HEARTBEATS = 2
+MAX_MISSED = 10
+RECONNECT_S = 0.2
+# The agent's epoch has to be heard again within one epoch.
+MAX_BEAT_S = 30.0
+INCARNATION = uuid.uuid4().hex
 
 
 class Link:
@@ -37,6 +43,8 @@
     ----------
     incarnation : str
         The agent's process; empty before its first word.
+    epoch : int
+        The agent's newest count of time.
     heard_at : float
         Loop time of its last word.
     sent : int
@@ -56,6 +64,7 @@
         self.instance = instance
         self.conn = conn
         self.incarnation = ""
+        self.epoch = 0
         self.load = Load()
         self.heard_at = -math.inf
         self.sent = 0
@@ -135,9 +144,9 @@
             try:
                 await self._beat()
             except PeerError as exc:
-                self.missed += 1
-                logger.bind(peer=self.name, step="heartbeat").warning("{}", exc)
-                await asyncio.sleep(spread(REPLY_S, self._rng))
+                self.missed = min(MAX_MISSED, self.missed + 1)
+                logger.bind(peer=self.name, step="heartbeat").debug("{}", exc)
+                await asyncio.sleep(spread(RECONNECT_S, self._rng))
 
     async def _beat(self) -> None:
         """Say hello and take what the agent says until the next beat is due.
@@ -148,13 +157,14 @@
         started = loop.time()
         silence = spread(self._interval(), self._rng)
         due = started + min(MAX_REPLY_S, REPLY_S * 2**self.missed)
-        with await self.conn.open(Hello()) as exchange:
+        hello = Hello(INCARNATION, min(MAX_BEAT_S, silence + REPLY_S))
+        with await self.conn.open(hello) as exchange:
             while (left := due - loop.time()) > 0:
                 await self._take_next(exchange, left)
                 if self.heard_at >= started:
-                    due = self.heard_at + silence
+                    due = min(self.heard_at + silence, started + MAX_BEAT_S)
         if self.heard_at < started and not is_late(due, loop.time()):
-            self.missed += 1
+            self.missed = min(MAX_MISSED, self.missed + 1)
 
     async def _take_next(self, exchange: Exchange, left: float) -> None:
         try:
@@ -164,5 +174,6 @@
         if welcome.incarnation != self.incarnation:
             logger.bind(peer=self.name).debug("incarnation {}", welcome.incarnation)
         self.incarnation = welcome.incarnation
+        self.epoch = welcome.epoch
         self.is_leaving = welcome.leaving
         self.observe(welcome.load)
