--- a/src/lagoontide/bench/run.py
+++ b/src/lagoontide/bench/run.py
@@ -13,6 +13,7 @@
 from lagoontide.bench.scenarios import find_scenario
 from lagoontide.bench.virtual import run_virtual
 from lagoontide.deployments import load_deployment
+from lagoontide.errors import SettingsError
 
 __all__ = ["Experiment", "RunFigures", "run_bench", "run_experiment"]
 
@@ -44,8 +45,13 @@
 def run_experiment(experiment: Experiment) -> RunFigures:
     """Run all arms at the same time, each with agents and stand-ins of its own."""
     logger.remove()
-    runner = asyncio.run if experiment.clock == "real" else run_virtual
-    return runner(_run(experiment))
+    match experiment.clock:
+        case "virtual":
+            return run_virtual(_run(experiment))
+        case "real":
+            return asyncio.run(_run(experiment))
+        case other:
+            raise SettingsError(f"no clock {other!r}; there are virtual and real")
 
 
 async def _run(experiment: Experiment) -> RunFigures:
--- a/src/lagoontide/configuration/document.py
+++ b/src/lagoontide/configuration/document.py
@@ -21,6 +21,7 @@
     "decode_document",
     "digest_document",
     "encode_document",
+    "pack_bytes",
 ]
 
 
@@ -202,7 +203,7 @@
 
 PACK_FROM_BYTES = 64 << 10
 MAX_DOCUMENT_BYTES = 16 << 20
-ZLIB_LEVEL = 6
+ZLIB_LEVEL = 1
 ZLIB_HEAD = b"\x78"
 
 _encoder = msgspec.msgpack.Encoder(order="sorted")
@@ -211,7 +212,11 @@
 
 def encode_document(document: Document) -> bytes:
     """Return the canonical msgpack of a document, deflated if it is large."""
-    data = _encoder.encode(document)
+    return pack_bytes(_encoder.encode(document))
+
+
+def pack_bytes(data: bytes) -> bytes:
+    """Return the msgpack of a document, deflated if it is large."""
     if len(data) < PACK_FROM_BYTES:
         return data
     return zlib.compress(data, ZLIB_LEVEL)
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -21,7 +21,9 @@
 )
 from lagoontide.dispatch.tail import HedgeLate, Race, Tail, TailPolicy, Try
 from lagoontide.errors import PeerError, PeerTimeout
-from lagoontide.membership.directory import Directory, Link
+from lagoontide.membership.directory import Directory
+from lagoontide.membership.link import Link
+from lagoontide.platform.instances import InstanceState
 from lagoontide.routing.choose import Choose
 from lagoontide.routing.health import Standing
 from lagoontide.wire.conn import Exchange
@@ -105,6 +107,11 @@
             )
         return Outcome(result, peer, tuple(attempts))
 
+    def count_entries(self) -> int:
+        """Return how many live entries there are, as the platform lists them."""
+        entries = self._directory.peers.entries
+        return sum(item.state is InstanceState.LIVE for item in entries)
+
     def expected_wait(self, service: str) -> float:
         """Return the seconds that a new call of a service has to wait."""
         links = self._directory.usable(service)
@@ -220,7 +227,12 @@
                     link.observe(load)
                 case Done() if not is_whole(reply):
                     return Failed(reply.attempt, "the result arrived cut", reply.load)
-                case Done(load=load) | NotRun(load=load) | Failed(load=load):
+                case NotRun(reason=reason, load=load):
+                    link.observe(load)
+                    link.refuse(reason)
+                    link.health.note_progress(loop.time())
+                    return reply
+                case Done(load=load) | Failed(load=load):
                     link.observe(load)
                     link.health.note_progress(loop.time())
                     return reply
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -65,6 +66,11 @@
     ----------
     sheds : bool
         Whether requests for which there is no time are refused at the door.
+
+    Attributes
+    ----------
+    is_current : callable
+        Tells whether the configuration in force may still be served.
     """
 
     def __init__(
@@ -79,7 +85,7 @@
         self._dispatcher = dispatcher
         self._claims = claims
         self._metrics = metrics
-        self._accounts = Accounts()
+        self._accounts = Accounts(dispatcher.count_entries)
         self._shares = Shares()
         self._sheds = sheds
         self._listeners: list[Listener] = []
@@ -87,12 +93,13 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self.is_leaving = False
+        self.is_current: Callable[[], bool] = lambda: True
         holder.subscribe(self._accounts.update)
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self._holder.is_ready and not self.is_leaving
+        return self._holder.is_ready and self.is_current() and not self.is_leaving
 
     async def drain(self, bound: float) -> bool:
         """Turn unready and wait for what is under way; return whether all ended."""
--- a/tests/report/test_shown.py
+++ b/tests/report/test_shown.py
@@ -143,11 +143,11 @@
         (commands.parse_window, "7h"),
         (commands.parse_window, "soon"),
         (commands.check_request, "../x"),
-        (commands.check_timeout, "soon"),
+        (commands.check_timeout, -1.0),
         (commands.read_body, "@/no/such/file"),
     ],
 )
 def test_wrong_input_is_named_in_the_error(call, value):
     with pytest.raises(UsageError) as info:
         call(value)
-    assert value.removeprefix("@").rpartition(",")[2] in str(info.value)
+    assert str(value).removeprefix("@").rpartition(",")[2] in str(info.value)
