--- a/src/lagoontide/admission/accounts.py
+++ b/src/lagoontide/admission/accounts.py
@@ -1,6 +1,7 @@
 """Who a caller is, what it may ask for and how often."""
 
 import hashlib
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lagoontide.configuration.document import Account, Document, Priority, Route
@@ -41,9 +42,19 @@
 
 
 class Accounts:
-    """Client accounts of the document in force and their buckets."""
+    """Client accounts of the document in force and their buckets.
 
-    def __init__(self) -> None:
+    An account's limit holds over all entries together without a word between
+    them: the balancer spreads callers evenly, so each entry grants its part.
+
+    Parameters
+    ----------
+    count_entries : callable
+        Returns how many entries there are, this one included.
+    """
+
+    def __init__(self, count_entries: Callable[[], int]) -> None:
+        self._count_entries = count_entries
         self._by_hash: dict[str, Account] = {}
         self._buckets: dict[str, Bucket] = {}
 
@@ -94,7 +105,11 @@
                 f"account {account.name!r} may not use priority {priority.value!r}",
                 step="admission",
             )
-        wait = self._buckets[account.name].take(now)
+        bucket = self._buckets[account.name]
+        entries = max(1, self._count_entries())
+        bucket.rate = account.requests_per_second / entries
+        bucket.burst = max(1.0, account.burst / entries)
+        wait = bucket.take(now)
         if wait:
             raise RequestError(
                 STATUS_TOO_MANY,
--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -25,7 +25,7 @@
         self,
         deployment: str = "swanreach",
         scenario: str = "steady",
-        policy: str | tuple[str, ...] = ("default", "least-outstanding", "oracle"),
+        policy: str = "default,least-outstanding,oracle",
         seed: int = 1,
         seconds: float = 20.0,
         json: bool = False,
@@ -35,7 +35,7 @@
         """Compare policies under one scenario, with open-loop arrivals."""
         from lagoontide.bench.run import Experiment, run_bench
 
-        policies = tuple(policy.split(",")) if isinstance(policy, str) else policy
+        policies = tuple(policy.split(","))
         experiment = Experiment(deployment, scenario, policies, seed, seconds, clock)
         sys.exit(run_bench(experiment, json, out))
 
@@ -81,6 +81,11 @@
         from lagoontide.bench.capacity import run_capacity
 
         sys.exit(run_capacity(deployment, seed, json, out))
+    def configuration(self, json: bool = False) -> None:
+        """Measure what the document costs by its size."""
+        from lagoontide.bench.configuration import run_configuration
+
+        sys.exit(run_configuration(json))
 
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -91,7 +91,7 @@
         self._claims = claims
         self._keepers = keepers
         self._metrics = metrics
-        self._accounts = Accounts()
+        self._accounts = Accounts(dispatcher.count_entries)
         self._shares = Shares()
         self._sheds = sheds
         self._listeners: list[Listener] = []
