--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -51,6 +51,32 @@
 
         sys.exit(run_capacity(deployment, seed, json, out))
 
+    def configuration(self, json: bool = False) -> None:
+        """Measure what the document costs by its size."""
+        from lagoontide.bench.configuration import run_configuration
+
+        sys.exit(run_configuration(json))
+
+    def spread(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        nodes: str = "25,50,100,200",
+        processes: str = "",
+        routes: int = 0,
+        accounts: int = 0,
+        json: bool = False,
+        out: str = "",
+        first_port: int = 28000,
+    ) -> None:
+        """Measure how soon a change is in force and what spreading costs."""
+        from lagoontide.bench.spread import SpreadPlan, run_spread
+
+        plan = SpreadPlan(
+            deployment, seed, str(nodes), str(processes), routes, accounts, first_port
+        )
+        sys.exit(run_spread(plan, json, out))
+
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
     ) -> None:
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -155,7 +155,7 @@
         self.operators_http.start()
 
     async def follow(self) -> None:
-        """Do what goes on beside the requests until cancelled."""
+        """Do what an entry does beside requests, until cancelled."""
         await asyncio.gather(
             self.directory.follow(), self.spreader.run(), self.snapshots.run()
         )
@@ -202,8 +202,7 @@
         logger.info("operators at http://{}", parts.operators_http.address)
         try:
             return await run_until_signal(
-                [parts.follow()],
-                lambda: parts.drain(cfg.drain),
+                [parts.follow()], lambda: parts.drain(cfg.drain)
             )
         finally:
             await parts.close()
--- a/tests/spreading/cluster.py
+++ b/tests/spreading/cluster.py
@@ -20,6 +20,8 @@
 from lagoontide.wire.conn import Identity
 from tests.support.network import LocalConn, Network
 
+OLD_ANSWER_S = 0.2
+
 
 def make_document(number, accounts=5):
     """Return a document that differs from that of every other number."""
@@ -96,14 +98,16 @@
         return await self._answer(self._cluster.store.watch(key, after, wait))
 
     async def _answer(self, call):
-        await self._owner.gate.wait()
-        self._check_way(call)
-        entry = await call
         await self._owner.gate.wait()
         self._check_way(call)
         if self._cluster.is_old and self._cluster.accepted:
             # A replica of the store that lags behind.
+            call.close()
+            await asyncio.sleep(OLD_ANSWER_S)
             return self._cluster.rng.choice(self._cluster.accepted)
+        entry = await call
+        await self._owner.gate.wait()
+        self._check_way(call)
         return entry
 
     def _check_way(self, call):
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -226,7 +226,8 @@
         "| subsets by rendezvous hashing, connects at 100/s at most | - |",
         f"| a failure domain lost and back | {lost:.0f} processes: "
         f"{links() / DOMAINS:.0f} of {links()} links of an entry "
-        f"move; {lost / STARTS_PER_S:.1f} s to spread {lost:.0f} reads of the store at the start | subsets; start spread by "
+        f"move; {lost / STARTS_PER_S:.1f} s to spread {lost:.0f} reads of the store "
+        "at the start | subsets; start spread by "
         f"{STARTS_PER_S:.0f}/s | 2,000 reads/s: kept |",
         f"| all started at once | {members / STARTS_PER_S:.1f} s, "
         f"{STARTS_PER_S:.0f} reads/s | the same | 2,000 reads/s: kept |",
