--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -82,12 +82,6 @@
 
         sys.exit(run_capacity(deployment, seed, json, out))
 
-    def configuration(self, json: bool = False) -> None:
-        """Measure what the document costs by its size."""
-        from lagoontide.bench.configuration import run_configuration
-
-        sys.exit(run_configuration(json))
-
     def spread(
         self,
         deployment: str = "swanreach",
