--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -9,7 +9,7 @@
     When operator "operator" changes the deadline of "reseller-query" to 1.75 at entry 1
     Then it is accepted
     And the deadline of "reseller-query" is 1.75 at every entry
-    And the page of the accepted version names every failure domain
+    And the page of the accepted version shows it in force in every failure domain
     And the history tells that "operator" changed "routes.reseller-query.deadline"
 
   Scenario: Two operators race at different entries
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -151,11 +151,16 @@
     wait_until(is_everywhere)
 
 
-@then("the page of the accepted version names every failure domain")
+@then("the page of the accepted version shows it in force in every failure domain")
 def check_force(context):
-    page = Console(context.running).get(context.accepted, 2).data.decode()
-    assert all(name in page for name in context.running.document.failure_domains)
-    assert "1 of 1 known" in page
+    console, local = Console(context.running), context.running.local
+
+    def is_everywhere():
+        page = console.get(context.accepted, 2).data.decode()
+        assert all(name in page for name in local.document.failure_domains)
+        return "unknown" not in page and "http-equiv" not in page
+
+    wait_until(is_everywhere)
 
 
 @then('the history tells that "{name}" changed "{place}"')
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -9,7 +9,7 @@
 
 from lagoontide.claims.baseline import SimpleClaims
 from lagoontide.configuration.acceptance import Acceptance
-from lagoontide.configuration.force import make_own_view
+from lagoontide.configuration.force import ForceView
 from lagoontide.configuration.holder import Holder
 from lagoontide.console.api import mount_api
 from lagoontide.console.app import mount_console
@@ -88,6 +88,9 @@
             cfg.stale_after,
         )
         self.directory.subscribe(self.spreader.apply)
+        self.force = ForceView(self.holder, cfg.name, cfg.failure_domain)
+        self.directory.subscribe(self.force.apply)
+        self.identity.on_version = self._note_version
         for kind in SPREADING:
             self.router.register(kind, self.spreader.handle)
         choose = make_choose(policy, random.Random(cfg.name))
@@ -107,7 +110,7 @@
         )
         self.operators = OperatorsApp(cfg.operator_tokens, cfg.session_key)
         mount_sign_in(self.operators)
-        self._mount_configuration(cfg, store, bridge)
+        self._mount_configuration(store, bridge)
         self.operators_http = HttpServer(
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
@@ -131,18 +134,20 @@
         links = self.directory.links
         return next((x.instance.failure_domain for x in links if x.name == target), "")
 
-    def _mount_configuration(
-        self, cfg: EntrySettings, store: Store, bridge: Bridge
-    ) -> None:
+    def _note_version(self, peer: str, version: int) -> None:
+        """Take the stamp that every message between processes has."""
+        self.force.note(peer, version)
+        self.spreader.note_version(peer, version)
+
+    def _mount_configuration(self, store: Store, bridge: Bridge) -> None:
         acceptance = Acceptance(store)
-        read_force = make_own_view(self.holder, cfg.failure_domain)
-        mount_api(self.operators, acceptance, bridge, read_force)
+        mount_api(self.operators, acceptance, bridge, self.force.read)
         mount_console(
             self.operators,
             acceptance,
             self.holder,
             bridge,
-            read_force,
+            self.force.read,
             self._list_targets,
         )
 
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lagoontide.configuration.acceptance import Acceptance, Proposal, make_writer
-from lagoontide.configuration.force import DomainForce, make_own_view
+from lagoontide.configuration.force import DomainForce, ForceView
 from lagoontide.configuration.holder import Holder
 from lagoontide.configuration.source import publish
 from lagoontide.console.app import mount_console
@@ -31,7 +31,8 @@
         self.version = self.call(publish(self.store, make_small(), 0))
         self.holder = Holder()
         self.holder.adopt(self.version, make_small())
-        self.force = make_own_view(self.holder, "palermo")
+        self.view = self.call(self._make_view())
+        self.force = self.view.read
         self.app = OperatorsApp(TOKENS, "k" * 32)
         mount_sign_in(self.app)
         mount_console(
@@ -46,6 +47,9 @@
     async def _make_store(self):
         return MemoryStore()
 
+    async def _make_view(self):
+        return ForceView(self.holder, "entry-1", "palermo")
+
     def call(self, coro):
         return self.loop.run_until_complete(coro)
 
@@ -111,18 +115,18 @@
     assert (route.deadline, route.priority) == (3.5, "high")
     assert bench.current.record.operator == "ada"
     page = browser.get(answer.headers["Location"])
-    assert "0 of 1 known" in page.text and "unknown" in page.text
+    assert "0 of 1 heard from" in page.text and "unknown" in page.text
     assert "http-equiv" in page.text
     assert "ada" in browser.get("/history").text
 
 
 def test_the_page_of_force_rests_when_all_have_it(bench):
     async def all_have_it(version):
-        return (DomainForce("palermo", 3, 3), DomainForce("catania", 2, 2))
+        return (DomainForce("palermo", 3, 3, 3), DomainForce("catania", 2, 2, 5))
 
     bench.force = all_have_it
     page = bench.sign_in().get(f"/force?version={bench.version}")
-    assert "3 of 3 known" in page.text
+    assert "3 of 3 heard from" in page.text
     assert "http-equiv" not in page.text
 
 
--- a/tools/browser.py
+++ b/tools/browser.py
@@ -162,6 +162,16 @@
     running.bridge.call(acceptance.accept(proposal))
 
 
+def wait_in_force(browser):
+    """Wait until the page refreshed itself for the last time."""
+    browser.wait_for("has been accepted")
+    end = time.monotonic() + BOUND_S
+    while "unknown" in (html := browser.read()) or "http-equiv" in html or not html:
+        if time.monotonic() > end:
+            raise SystemExit(f"FAILED: not in force everywhere:\n{html[-1500:]}")
+        time.sleep(POLL_S)
+
+
 def go_through(browser, running, shots):
     """Sign in, type something wrong, change, race; yield each step's name."""
     host = running.local.entries[0].operators_http.address
@@ -188,7 +198,7 @@
     browser.check_width()
     browser.shoot(shots / "difference.png")
     browser.click("button[value=accept]")
-    browser.wait_for("1 of 1 known")
+    wait_in_force(browser)
     browser.check_width()
     browser.shoot(shots / "force.png")
     yield "a change is accepted and shown in force after the page refreshed"
@@ -204,7 +214,7 @@
     browser.click("button[value=review]")
     browser.wait_for("Accept over version")
     browser.click("button[value=accept]")
-    browser.wait_for("1 of 1 known")
+    wait_in_force(browser)
     yield "a racing operator sees the other's change and goes on with what was typed"
     for path in ("/", "/routes", "/services/encoders", "/accounts", "/history"):
         browser.open(f"http://{host}{path}")
