--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -13,10 +13,11 @@
 from lagoontide.admission.shedding import (
     Demand,
     Shares,
+    find_priority,
     find_retry_after,
     should_shed,
 )
-from lagoontide.claims.baseline import Claim, SimpleClaims
+from lagoontide.claims.baseline import Claim, Claims
 from lagoontide.configuration.document import (
     Account,
     Document,
@@ -26,6 +27,7 @@
 )
 from lagoontide.configuration.holder import Holder
 from lagoontide.dispatch.caller import Dispatcher, OnTokens
+from lagoontide.dispatch.kept import Keepers
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.metrics import Metrics
 from lagoontide.pipeline.slack import find_pace
@@ -38,6 +40,7 @@
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
 RETRY_AFTER_S = 1.0
+REPEATABLE_CLAIM_SHARE = 0.2  # Of the time left.
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,15 +81,17 @@
         self,
         holder: Holder,
         dispatcher: Dispatcher,
-        claims: SimpleClaims,
+        claims: Claims,
         metrics: Metrics,
+        keepers: Keepers,
         sheds: bool = True,
     ) -> None:
         self._holder = holder
         self._dispatcher = dispatcher
         self._claims = claims
+        self._keepers = keepers
         self._metrics = metrics
-        self._accounts = Accounts()
+        self._accounts = Accounts(dispatcher.count_entries)
         self._shares = Shares()
         self._sheds = sheds
         self._listeners: list[Listener] = []
@@ -135,7 +140,7 @@
         try:
             request = self._accept(call, answer.request, started, on_tokens)
             if call.key:
-                await self._claim(call, request)
+                return await self._serve_keyed(call, request, answer)
             return await walk(request, self._dispatcher, self._find_service, answer)
         except LagoontideError as exc:
             exc.request = answer.request
@@ -194,7 +199,7 @@
         self._accounts.admit(account, route, priority, now)
         budget = min(route.deadline, call.timeout or route.deadline)
         if self._sheds:
-            self._shed(account, route, priority, budget, now)
+            priority = self._shed(account, route, priority, budget, now)
         return Request(
             request_id, route, account, priority, now + budget, body, on_tokens
         )
@@ -218,8 +223,14 @@
         priority: Priority,
         budget: float,
         now: float,
-    ) -> None:
-        """Refuse a request for which there is no time; raises RequestError 503."""
+    ) -> Priority:
+        """Return the priority to serve a request with.
+
+        Raises
+        ------
+        RequestError
+            503, if there is no time for it.
+        """
         pace = self._dispatcher.tail.pace
         work = sum(find_pace(pace, stage).ran.value for stage in route.stages)
         services = {stage.service for stage in route.stages}
@@ -234,13 +245,59 @@
                 retry_after=find_retry_after(demand),
             )
         self._shares.note(account.name, account.weight, work, now)
+        return find_priority(demand)
 
-    async def _claim(self, call: CallerRequest, request: Request) -> None:
+    async def _serve_keyed(
+        self, call: CallerRequest, request: Request, answer: Answer
+    ) -> Answer:
+        """Run the request unless an earlier one has its key."""
         digest = xxhash.xxh3_64_intdigest(call.route.encode() + b"\0" + call.body)
+        claim = Claim(request.id, digest)
+        account = request.account.name
+        holder = await self._claim(account, call.key, claim, request)
+        if holder and await self._repeat(request, holder, answer):
+            return answer
+        try:
+            await walk(request, self._dispatcher, self._find_service, answer)
+        except RequestFailed as exc:
+            if exc.repeat_safe:
+                await self._claims.release(account, call.key, claim)
+            raise
+        await self._keepers.keep(request.id, msgspec.json.encode(answer.fields))
+        return answer
+
+    async def _claim(
+        self, account: str, key: str, claim: Claim, request: Request
+    ) -> str:
+        """Return the id of an earlier request with this key, or "" if it is new."""
         left = request.deadline - asyncio.get_running_loop().time()
-        await self._claims.claim(
-            request.account.name, call.key, Claim(request.id, digest), left
-        )
+        if not request.route.is_repeatable:
+            return await self._claims.claim(account, key, claim, left)
+        try:
+            return await self._claims.claim(
+                account, key, claim, left * REPEATABLE_CLAIM_SHARE
+            )
+        except RequestFailed:
+            return ""  # Nothing is lost if such a request runs twice.
+
+    async def _repeat(self, request: Request, holder: str, answer: Answer) -> bool:
+        """Take the first request's answer; return False if this one may run too."""
+        now = asyncio.get_running_loop().time()
+        left = request.deadline - now
+        if request.route.is_repeatable:
+            left *= REPEATABLE_CLAIM_SHARE
+        body = await self._keepers.recall(holder, now + left)
+        if body is None and request.route.is_repeatable:
+            return False
+        if body is None:
+            raise RequestFailed(
+                "unknown",
+                "the key was used before and its answer is not kept",
+                step="claim",
+                repeat_safe=False,
+            )
+        answer.fields = msgspec.json.decode(body, type=Fields)
+        return True
 
 
 def _tell(
--- a/src/lagoontide/wire/conn.py
+++ b/src/lagoontide/wire/conn.py
@@ -17,6 +17,8 @@
 __all__ = ["Conn", "Context", "Exchange", "Identity", "connect"]
 
 SEND_QUEUE_MESSAGES = 10_000
+CONNECT_S = 0.5
+CONNECT_POLL_S = 0.01
 KEEPALIVE_IDLE_S = 10
 # Each try waits longer, by chance, so that a restart of many makes no storm.
 RECONNECT_MS = 250
@@ -105,6 +107,7 @@
         self._identity = identity
         self._numbers = count(1)
         self._exchanges: dict[int, Exchange] = {}
+        self._connected_by = asyncio.get_running_loop().time() + CONNECT_S
         self.dropped = 0
 
     async def open(self, message: msgspec.Struct) -> Exchange:
@@ -134,12 +137,25 @@
 
     async def _send(self, number: int, message: msgspec.Struct) -> None:
         header = Header(self._identity.name, number, self._identity.version)
+        frames = self._codec.encode(header, message)
         try:
-            self._sock.send(self._codec.encode(header, message))
+            while not self._try_send(frames):
+                await asyncio.sleep(CONNECT_POLL_S)
         except zmq.ZMQError as exc:
             self.forget(number)
             raise PeerError(f"cannot send: {exc}", step="send", peer=self.peer) from exc
 
+    def _try_send(self, frames: list[bytes]) -> bool:
+        """Send unless the connection is still being made; raises ZMQError."""
+        try:
+            self._sock.send(frames)
+        except zmq.Again:
+            if asyncio.get_running_loop().time() < self._connected_by:
+                return False
+            raise
+        self._connected_by = 0.0
+        return True
+
     def _take(self, frames: list[bytes]) -> None:
         try:
             header, message = self._codec.decode(frames)
@@ -160,6 +176,9 @@
     sock = ctx.socket(zmq.DEALER)
     sock.set(zmq.LINGER, 0)
     sock.set(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+    # Without a connection a message is refused at once rather than kept for
+    # whoever listens there later: what was refused has certainly not run.
+    sock.set(zmq.IMMEDIATE, 1)
     sock.set(zmq.TCP_KEEPALIVE, 1)
     sock.set(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
     sock.set(zmq.RECONNECT_IVL, RECONNECT_MS)
