--- a/src/lagoontide/agent/parts.py
+++ b/src/lagoontide/agent/parts.py
@@ -6,14 +6,15 @@
 
 from lagoontide.agent.service import Agent
 from lagoontide.configuration.document import decode_document
+from lagoontide.membership.announce import announce
 from lagoontide.membership.listing import follow_list
 from lagoontide.metrics import Metrics
-from lagoontide.platform.instances import Instances
+from lagoontide.platform.instances import Instance, Instances, Role
 from lagoontide.platform.store import Store
 from lagoontide.protocol import make_protocol
 from lagoontide.spreading.messages import MESSAGES as SPREADING
 from lagoontide.spreading.node import Spreader
-from lagoontide.wire.conn import Context, Identity, connect
+from lagoontide.wire.conn import Conn, Context, Identity, connect
 from lagoontide.wire.server import Send, bind
 
 __all__ = ["AgentParts"]
@@ -47,13 +48,17 @@
         self.agent = agent
         self.codec = make_protocol()
         self.identity = Identity(agent.name)
+        self._ctx = ctx
+        self._failure_domain = failure_domain
         self._instances = instances
+        self._listed: tuple[Instance, ...] = ()
+        self._first_list = asyncio.Event()
         self._metrics = metrics
         self.spreader = Spreader(
             self.identity,
             failure_domain,
             store,
-            lambda peer: connect(ctx, peer, self.codec, self.identity),
+            self._connect,
             self._adopt,
             stale_after,
         )
@@ -61,12 +66,29 @@
             ctx, f"tcp://{address}", self.codec, self.identity, self._handle
         )
 
+    async def _announce(self, rng: random.Random) -> None:
+        await self._first_list.wait()
+        instance = Instance(
+            self.agent.name,
+            Role.AGENT,
+            self.server.address,
+            self._failure_domain,
+            self.agent.service,
+        )
+        await announce(instance, self._listed, self._connect, rng)
+
+    def _apply(self, instances: tuple[Instance, ...]) -> None:
+        self._listed = instances
+        self.spreader.apply(instances)
+        self._first_list.set()
+
     async def follow(self) -> None:
         """Keep to the platform's list and the newest version until cancelled."""
         rng = random.Random(self.agent.name)
-        on_list = self.spreader.apply
         await asyncio.gather(
-            follow_list(self._instances, on_list, rng), self.spreader.run()
+            follow_list(self._instances, self._apply, rng),
+            self.spreader.run(),
+            self._announce(rng),
         )
 
     def close(self) -> None:
@@ -74,6 +96,9 @@
         self.server.close()
         self.spreader.close()
 
+    def _connect(self, address: str) -> Conn:
+        return connect(self._ctx, address, self.codec, self.identity)
+
     def _adopt(self, version: int, data: bytes) -> None:
         decode_document(data)
         self._metrics.gauge("configuration.version", version)
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -20,6 +20,7 @@
 from lagoontide.lifecycle import run_until_signal
 from lagoontide.logs import set_up_logs
 from lagoontide.membership.directory import Directory
+from lagoontide.membership.messages import Joined
 from lagoontide.metrics import make_metrics
 from lagoontide.operators.app import OperatorsApp
 from lagoontide.operators.signin import mount_sign_in
@@ -88,6 +89,7 @@
             cfg.stale_after,
         )
         self.directory.subscribe(self.spreader.apply)
+        self.router.register(Joined, self.directory.handle)
         for kind in SPREADING:
             self.router.register(kind, self.spreader.handle)
         choose = make_choose(policy, random.Random(cfg.name))
--- a/src/lagoontide/membership/directory.py
+++ b/src/lagoontide/membership/directory.py
@@ -1,5 +1,6 @@
 """The agents that an entry talks to: a bounded view of the platform's list."""
 
+import asyncio
 import random
 from collections import defaultdict
 from collections.abc import Callable
@@ -7,16 +8,20 @@
 from lagoontide.configuration.document import Document
 from lagoontide.membership.link import Link
 from lagoontide.membership.listing import OnList, follow_list
+from lagoontide.membership.messages import Joined, Noted
 from lagoontide.membership.pace import heartbeat_interval, start_delay
 from lagoontide.membership.peers import Peers
-from lagoontide.membership.subset import pick_subset
+from lagoontide.membership.subset import SUBSET_SIZE, pick_subset
 from lagoontide.membership.sums import Cell, estimate_cells
 from lagoontide.platform.instances import Instance, Instances, Role
 from lagoontide.wire.conn import Conn
+from lagoontide.wire.server import Send
 
 __all__ = ["Connect", "Directory"]
 
-SUBSET_SIZE = 12
+
+# How long an agent that joined is kept although the list does not show it.
+JOINED_S = 60.0
 
 Connect = Callable[[str], Conn]
 
@@ -52,6 +57,7 @@
         self._links: dict[str, Link] = {}
         self._listed: tuple[Instance, ...] = ()
         self._listeners: list[OnList] = []
+        self._joined: dict[str, tuple[Instance, float]] = {}
         self.peers = Peers(connect)
         self._draining: frozenset[str] = frozenset()
 
@@ -91,6 +97,7 @@
 
     def apply(self, instances: tuple[Instance, ...]) -> None:
         """Open links to agents new in the view and close those that left it."""
+        instances = self._add_joined(instances)
         if instances != self._listed:
             self._listed = instances
             self._update(self._pick(instances))
@@ -98,6 +105,13 @@
         for listener in self._listeners:
             listener(instances)
 
+    async def handle(self, peer: str, message: Joined, send: Send) -> None:
+        """Take an agent's word that it is there, before the list shows it."""
+        now = asyncio.get_running_loop().time()
+        self._joined[message.instance.name] = (message.instance, now + JOINED_S)
+        self.apply(self._listed)
+        await send(Noted())
+
     def close(self) -> None:
         """Close all links."""
         self.peers.close()
@@ -105,6 +119,20 @@
             link.close()
         self._links.clear()
 
+    def _add_joined(self, instances: tuple[Instance, ...]) -> tuple[Instance, ...]:
+        """Return the list with the agents that joined a short while ago."""
+        if not self._joined:
+            return instances
+        now = asyncio.get_running_loop().time()
+        names = {item.name for item in instances}
+        self._joined = {
+            name: (item, until)
+            for name, (item, until) in self._joined.items()
+            if until > now
+        }
+        fresh = (item for item, _ in self._joined.values() if item.name not in names)
+        return (*instances, *fresh)
+
     def _pick(self, instances: tuple[Instance, ...]) -> dict[str, Instance]:
         pools: dict[str, list[Instance]] = defaultdict(list)
         for item in instances:
--- a/src/lagoontide/membership/messages.py
+++ b/src/lagoontide/membership/messages.py
@@ -2,9 +2,18 @@
 
 import msgspec
 
+from lagoontide.platform.instances import Instance
 from lagoontide.scheduling.load import Load
 
-__all__ = ["LEAVING", "MESSAGES", "OTHER_INCARNATION", "Hello", "Welcome"]
+__all__ = [
+    "LEAVING",
+    "MESSAGES",
+    "OTHER_INCARNATION",
+    "Hello",
+    "Joined",
+    "Noted",
+    "Welcome",
+]
 
 # Reasons by which an agent's refusal speaks of the agent itself.
 LEAVING = "leaving"
@@ -32,4 +41,14 @@
     load: Load
 
 
-MESSAGES = (Hello, Welcome)
+class Joined(msgspec.Struct, frozen=True, tag="joined"):
+    """What a new agent says to the entries in whose view it is."""
+
+    instance: Instance
+
+
+class Noted(msgspec.Struct, frozen=True, tag="noted"):
+    """An entry's answer to Joined."""
+
+
+MESSAGES = (Hello, Welcome, Joined, Noted)
--- a/src/lagoontide/membership/pace.py
+++ b/src/lagoontide/membership/pace.py
@@ -2,13 +2,20 @@
 
 import random
 
-__all__ = ["heartbeat_interval", "is_late", "list_interval", "spread", "start_delay"]
+__all__ = [
+    "connect_pause",
+    "heartbeat_interval",
+    "is_late",
+    "list_interval",
+    "spread",
+    "start_delay",
+]
 
 MIN_HEARTBEAT_S = 1.0
 HEARTBEATS_PER_S = 8.0
 CONNECTS_PER_S = 100.0
 MIN_LIST_S = 2.0
-MAX_LIST_S = 60.0
+MAX_LIST_S = 900.0
 LIST_BYTES_PER_S = 2000.0
 JITTER = 0.25
 LATE_S = 0.25
@@ -24,6 +31,11 @@
     return min(MAX_LIST_S, max(MIN_LIST_S, size / LIST_BYTES_PER_S))
 
 
+def connect_pause(rng: random.Random) -> float:
+    """Return seconds between two new connections."""
+    return spread(1 / CONNECTS_PER_S, rng)
+
+
 def start_delay(links: int, rng: random.Random) -> float:
     """Return seconds to wait before a new link's first message."""
     return rng.random() * links / CONNECTS_PER_S
--- a/src/lagoontide/membership/subset.py
+++ b/src/lagoontide/membership/subset.py
@@ -8,7 +8,10 @@
 
 from lagoontide.platform.instances import Instance
 
-__all__ = ["pick_owner", "pick_subset", "rank", "score"]
+__all__ = ["SUBSET_SIZE", "pick_owner", "pick_subset", "rank", "score"]
+
+# Agents of each service that an entry talks to.
+SUBSET_SIZE = 12
 
 
 def score(key: str, name: str) -> int:
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from lagoontide.bench.capacity import Slopes, SlopesFile
-from lagoontide.membership.directory import SUBSET_SIZE
 from lagoontide.membership.listing import LISTED_BYTES
 from lagoontide.membership.pace import HEARTBEATS_PER_S, list_interval
+from lagoontide.membership.subset import SUBSET_SIZE
 from lagoontide.spreading.node import COMPARE_S, STARTS_PER_S, WATCH_S
 from lagoontide.spreading.roles import FAN_OUT, FAR_VIEW, NEAR_VIEW, WATCHERS
 
@@ -102,7 +102,7 @@
             document + ROUTES * s.route_bytes + FAN_OUT * s.link_bytes,
         ),
         Share(
-            "the platform's list, read once a minute",
+            f"the platform's list, read every {1 / reads:.0f} s",
             reads,
             reads * s.list_cpu,
             reads * members * s.instance_bytes,
