--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -7,13 +7,15 @@
 import zmq
 from loguru import logger
 
-from lagoontide.claims.baseline import SimpleClaims
+from lagoontide.claims.messages import ClaimAsk, ReleaseAsk
+from lagoontide.claims.service import PartitionClaims
 from lagoontide.configuration.acceptance import Acceptance
 from lagoontide.configuration.force import make_own_view
 from lagoontide.configuration.holder import Holder
 from lagoontide.console.api import mount_api
 from lagoontide.console.app import mount_console
 from lagoontide.dispatch.caller import Dispatcher
+from lagoontide.dispatch.kept import Keepers
 from lagoontide.entry.http import make_app
 from lagoontide.entry.service import Entry
 from lagoontide.httpd import Bridge, HttpServer
@@ -95,8 +97,15 @@
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
-        self.entry = Entry(self.holder, dispatcher, SimpleClaims(store), metrics)
+        self.claims = PartitionClaims(
+            store, self.directory.peers, lambda: self.peers_server.address
+        )
+        self.router.register(ClaimAsk, self.claims.handle)
+        self.router.register(ReleaseAsk, self.claims.handle)
+        keepers = Keepers(self.directory)
+        self.entry = Entry(self.holder, dispatcher, self.claims, metrics, keepers)
         self.entry.is_current = lambda: self.spreader.is_current
+        self.entry.confirmed_age = lambda: self.spreader.age
         bridge = Bridge(asyncio.get_running_loop())
         self.http = HttpServer(
             cfg.callers,
@@ -159,7 +168,10 @@
     async def follow(self) -> None:
         """Do what an entry does beside requests, until cancelled."""
         await asyncio.gather(
-            self.directory.follow(), self.spreader.run(), self.snapshots.run()
+            self.directory.follow(),
+            self.spreader.run(),
+            self.snapshots.run(),
+            self.claims.keep_lease(),
         )
 
     async def drain(self, bound: float) -> bool:
@@ -176,6 +188,7 @@
             asyncio.to_thread(self.http.stop),
             asyncio.to_thread(self.operators_http.stop),
         )
+        self.claims.close()
         self.directory.close()
         self.spreader.close()
         self.peers_server.close()
--- a/src/lagoontide/membership/messages.py
+++ b/src/lagoontide/membership/messages.py
@@ -21,7 +21,18 @@
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
-    """An entry's heartbeat; the agent answers, and again when it leaves."""
+    """An entry's heartbeat; the agent answers, and again when it leaves.
+
+    Attributes
+    ----------
+    incarnation : str
+        New with each start of the entry.
+    interval : float
+        Seconds after which the agent hears of the entry again at the latest.
+    """
+
+    incarnation: str = ""
+    interval: float = 1.0
 
 
 class Welcome(msgspec.Struct, frozen=True, tag="welcome"):
@@ -33,12 +44,15 @@
         New with each start of the process.
     leaving : bool
         Whether it takes no more work.
+    epoch : int
+        The agent's count of time, to be named in calls.
     """
 
     incarnation: str
     service: str
     leaving: bool
     load: Load
+    epoch: int = 0
 
 
 class Joined(msgspec.Struct, frozen=True, tag="joined"):
