--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -22,6 +22,7 @@
 from lagoontide.lifecycle import run_until_signal
 from lagoontide.logs import set_up_logs
 from lagoontide.membership.directory import Directory
+from lagoontide.membership.messages import Joined
 from lagoontide.metrics import make_metrics
 from lagoontide.operators.app import OperatorsApp
 from lagoontide.operators.signin import mount_sign_in
@@ -93,6 +94,7 @@
         self.force = ForceView(self.holder, cfg.name, cfg.failure_domain)
         self.directory.subscribe(self.force.apply)
         self.identity.on_version = self._note_version
+        self.router.register(Joined, self.directory.handle)
         for kind in SPREADING:
             self.router.register(kind, self.spreader.handle)
         choose = make_choose(policy, random.Random(cfg.name))
