--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -151,11 +151,16 @@
     wait_until(is_everywhere)
 
 
-@then("the page of the accepted version names every failure domain")
+@then("the page of the accepted version shows it in force in every failure domain")
 def check_force(context):
-    page = Console(context.running).get(context.accepted, 2).data.decode()
-    assert all(name in page for name in context.running.document.failure_domains)
-    assert "1 of 1 known" in page
+    console, local = Console(context.running), context.running.local
+
+    def is_everywhere():
+        page = console.get(context.accepted, 2).data.decode()
+        assert all(name in page for name in local.document.failure_domains)
+        return "unknown" not in page and "http-equiv" not in page
+
+    wait_until(is_everywhere)
 
 
 @then('the history tells that "{name}" changed "{place}"')
@@ -265,3 +270,32 @@
 def check_places(context):
     assert "routes.reseller-query.deadline" in context.printed
     assert "accounts.school-bursars.routes.0" in context.printed
+
+
+@when('operator "{name}" sets the policy "{field}" to "{value}" at entry {entry:d}')
+def set_policy(context, name, field, value, entry):
+    console = Console(context.running)
+    fields = open_form(console, "/policies", entry) | {field: value}
+    context.page = console.change("/policies", entry, fields)
+
+
+@when("entry {entry:d} has had no word of the store for {age:d} seconds")
+def cut_off(context, entry, age):
+    parts = context.running.local.entries[entry - 1]
+    wait_until(lambda: parts.holder.document.policies.cut_off == "repeatable")
+    parts.entry.confirmed_age = lambda: float(age)
+
+
+@then("every entry has word of the store")
+def check_word(context):
+    for parts in context.running.local.entries:
+        wait_until(lambda parts=parts: parts.entry.confirmed_age() < BOUND_S)
+
+
+@then('"{account}" gets {status:d} for "{route}" at entry {entry:d}')
+def check_served(context, account, status, route, entry):
+    sample = context.running.make_sample(account, route, f"{route} {entry}")
+    response = context.running.ask(sample, entry=entry - 1)
+    assert response.status == status, response.data
+    if status == 503:
+        assert msgspec.json.decode(response.data)["outcome"] == "not_run"
--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -25,7 +25,7 @@
         self,
         deployment: str = "swanreach",
         scenario: str = "steady",
-        policy: str | tuple[str, ...] = ("default", "least-outstanding", "oracle"),
+        policy: str = "default,least-outstanding,oracle",
         seed: int = 1,
         seconds: float = 20.0,
         json: bool = False,
@@ -35,7 +35,7 @@
         """Compare policies under one scenario, with open-loop arrivals."""
         from lagoontide.bench.run import Experiment, run_bench
 
-        policies = tuple(policy.split(",")) if isinstance(policy, str) else policy
+        policies = tuple(policy.split(","))
         experiment = Experiment(deployment, scenario, policies, seed, seconds, clock)
         sys.exit(run_bench(experiment, json, out))
 
@@ -76,6 +76,51 @@
 
         sys.exit(run_decisions(seed, json))
 
+    def capacity(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        json: bool = False,
+        out: str = "",
+    ) -> None:
+        """Measure the slopes from which docs/CAPACITY.md is worked out."""
+        from lagoontide.bench.capacity import run_capacity
+
+        sys.exit(run_capacity(deployment, seed, json, out))
+
+    def spread(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        nodes: str = "25,50,100,200",
+        processes: str = "",
+        routes: int = 0,
+        accounts: int = 0,
+        json: bool = False,
+        out: str = "",
+        first_port: int = 28000,
+    ) -> None:
+        """Measure how soon a change is in force and what spreading costs."""
+        from lagoontide.bench.spread import SpreadPlan, run_spread
+
+        plan = SpreadPlan(
+            deployment, seed, str(nodes), str(processes), routes, accounts, first_port
+        )
+        sys.exit(run_spread(plan, json, out))
+
+    def report(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        seconds: float = 12.0,
+        json: bool = False,
+        first_port: int = 21000,
+    ) -> None:
+        """Measure what the report costs; ``seconds`` of load for each arm."""
+        from lagoontide.bench.report import run_report
+
+        sys.exit(run_report(deployment, seed, seconds, json, first_port))
+
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
     ) -> None:
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -12,6 +12,7 @@
 from lagoontide.dispatch.tail import HedgeLate, Race, Tail, TailPolicy, Try
 from lagoontide.membership.directory import Directory
 from lagoontide.membership.link import Link
+from lagoontide.platform.instances import InstanceState
 from lagoontide.routing.choose import Choose
 from lagoontide.routing.health import Standing
 
@@ -93,6 +94,11 @@
             )
         return Outcome(result, peer, tuple(attempts))
 
+    def count_entries(self) -> int:
+        """Return how many live entries there are, as the platform lists them."""
+        entries = self._directory.peers.entries
+        return sum(item.state is InstanceState.LIVE for item in entries)
+
     def expected_wait(self, service: str) -> float:
         """Return the seconds that a new call of a service has to wait."""
         links = self._directory.usable(service)
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -73,6 +73,8 @@
     ----------
     is_current : callable
         Tells whether the configuration in force may still be served.
+    confirmed_age : callable
+        Tells the seconds since the store confirmed the version in force.
     """
 
     def __init__(
@@ -89,7 +91,7 @@
         self._claims = claims
         self._keepers = keepers
         self._metrics = metrics
-        self._accounts = Accounts()
+        self._accounts = Accounts(dispatcher.count_entries)
         self._shares = Shares()
         self._sheds = sheds
         self._listeners: list[Listener] = []
@@ -98,6 +100,7 @@
         self._idle.set()
         self.is_leaving = False
         self.is_current: Callable[[], bool] = lambda: True
+        self.confirmed_age: Callable[[], float] = lambda: 0.0
         holder.subscribe(self._accounts.update)
 
     @property
@@ -166,14 +169,21 @@
         self._metrics.count(f"entry.request.{name}.{story.outcome}")
         self._metrics.time(f"entry.request.{name}", story.ended - story.started)
         for report in story.stages:
-            stage = f"entry.stage.{name}.{report.stage}"
-            self._metrics.time(stage, report.ended - report.started)
-        for listener in self._listeners:
-            listener(story)
+            elapsed = report.ended - report.started
+            self._metrics.time(f"entry.stage.{name}.{report.stage}", elapsed)
+        self._pass_on(story)
         self._under_way -= 1
         if not self._under_way:
             self._idle.set()
 
+    def _pass_on(self, story: Story) -> None:
+        """Tell the listeners; one that fails must not cost the caller's answer."""
+        for listener in self._listeners:
+            try:
+                listener(story)
+            except Exception:
+                logger.exception("a listener failed on {}", story.request)
+
     def _find_service(self, name: str) -> Service:
         return self._holder.document.services[name]
 
@@ -196,6 +206,7 @@
         route = document.routes.get(call.route)
         if route is None:
             raise RequestError(STATUS_NOT_FOUND, f"no route {call.route!r}")
+        self._check_cut_off(document, route)
         body = _parse_body(call.body)
         check_body(route, body)
         priority = call.priority or route.priority
@@ -207,6 +218,18 @@
             request_id, route, account, priority, now + budget, body, on_tokens
         )
 
+    def _check_cut_off(self, document: Document, route: Route) -> None:
+        """Raise RequestError 503 if the policies keep a route from being served."""
+        age = self.confirmed_age()
+        if not document.policies.allows(route, age):
+            raise RequestError(
+                STATUS_UNAVAILABLE,
+                f"no word of the store for {age:.0f} s; the policies keep route "
+                f"{route.name!r} from being served",
+                step="admission",
+                retry_after=RETRY_AFTER_S,
+            )
+
     def _shed(
         self,
         account: Account,
--- a/src/lagoontide/settings.py
+++ b/src/lagoontide/settings.py
@@ -76,6 +76,8 @@
         callers and balancers that do not know yet.
     drain : float
         Seconds that a graceful stop may take.
+    report : bool
+        Whether ended requests are counted for the report and traces.
     """
 
     name: Name
@@ -94,6 +96,7 @@
     silence: Seconds = 5.0
     linger: Seconds = 2.0
     drain: Seconds = 30.0
+    report: bool = True
     log: LogSettings = LogSettings()
     statsd: StatsdSettings = StatsdSettings()
 
