--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -207,7 +207,7 @@
         """Start an agent, in place of the one that ran there."""
         old = self.agents.get(name)
         if old is not None:
-            old._planner.limit = 0  # What it had given to its target goes on there.
+            old._start_next = lambda: None  # What its target has goes on there.
         witness = Witness(self.targets[name], self.marks)
         service = name.partition("-")[0]
         agent = self._make_agent(name, service, witness, SLOTS, NoMetrics())
