--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -64,6 +64,19 @@
 
         sys.exit(run_plot(source, out))
 
+    def faults(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        seconds: float = 60.0,
+        json: bool = False,
+        first_port: int = 21000,
+    ) -> None:
+        """Kill, pause and break processes under load and check every promise."""
+        from lagoontide.bench.faults import run_faults
+
+        sys.exit(run_faults(deployment, seed, seconds, json, first_port))
+
     def claims(self, seconds: float = 4.0, json: bool = False) -> None:
         """Count writes to the store at 50, 500 and 5,000 keyed requests a second."""
         from lagoontide.bench.claims import run_claims
--- a/src/lagoontide/standins/compute.py
+++ b/src/lagoontide/standins/compute.py
@@ -8,7 +8,7 @@
 
 from lagoontide.configuration.document import Document, Route, ServiceKind
 
-__all__ = ["compute", "compute_answer", "make_token", "make_tokens"]
+__all__ = ["compute", "compute_answer", "compute_whole", "make_token", "make_tokens"]
 
 VECTOR_SIZE = 8
 DOCUMENTS = 5
@@ -94,6 +94,14 @@
 
 def compute_answer(document: Document, route: Route, body: Values) -> Values:
     """Return the right answer to a request, to compare with the one received."""
+    return compute_whole(document, route, body)[0]
+
+
+def compute_whole(
+    document: Document, route: Route, body: Values
+) -> tuple[Values, dict[str, Values]]:
+    """Return the right answer to a request and the inputs of each stage."""
+    calls: dict[str, Values] = {}
     outputs: dict[str, Values] = {"request": body}
 
     def pick(source: str) -> Any:
@@ -103,6 +111,7 @@
     for stage in route.stages:
         inputs = {name: pick(source) for name, source in stage.inputs.items()}
         inputs.update(stage.constants)
+        calls[stage.name] = inputs
         kind = document.services[stage.service].kind
         outputs[stage.name] = compute(kind, stage.operation, inputs)
-    return {name: pick(source) for name, source in route.answer.items()}
+    return {name: pick(source) for name, source in route.answer.items()}, calls
--- a/src/lagoontide/standins/engine.py
+++ b/src/lagoontide/standins/engine.py
@@ -15,7 +15,7 @@
 from lagoontide.scheduling.waiting import RANK
 from lagoontide.standins.compute import make_token, make_tokens
 from lagoontide.standins.faults import Faults
-from lagoontide.standins.ledger import Execution, Ledger
+from lagoontide.standins.ledger import Ledger, note_execution
 from lagoontide.standins.profiles import EngineProfile
 
 __all__ = ["CacheEvent", "Engine", "Order", "PrefixCache"]
@@ -250,5 +250,5 @@
             return
         work = stream.work
         now = asyncio.get_running_loop().time()
-        self.ledger.add(Execution(work.request, work.operation, work.attempt, now))
+        self.ledger.add(note_execution(work, now))
         stream.ended.set_result(None)
--- a/src/lagoontide/standins/ledger.py
+++ b/src/lagoontide/standins/ledger.py
@@ -1,10 +1,11 @@
 """What a stand-in really did, to check promises against."""
 
 import msgspec
+import xxhash
 
 from lagoontide.platform.targets import Work
 
-__all__ = ["Execution", "Ledger", "Spending"]
+__all__ = ["Execution", "Ledger", "Spending", "hash_inputs", "note_execution"]
 
 
 class Execution(msgspec.Struct, frozen=True):
@@ -14,12 +15,27 @@
     ----------
     at : float
         Loop time of the effect.
+    inputs : int
+        64-bit hash of the inputs that the work came with.
     """
 
     request: str
     operation: str
     attempt: str
     at: float
+    inputs: int = 0
+
+
+def note_execution(work: Work, now: float) -> Execution:
+    """Return the execution of a piece of work at loop time ``now``."""
+    inputs = hash_inputs(msgspec.json.decode(work.body))
+    return Execution(work.request, work.operation, work.attempt, now, inputs)
+
+
+def hash_inputs(inputs: object) -> int:
+    """Return a hash of inputs that does not depend on the order of their names."""
+    data = msgspec.json.encode(inputs, order="deterministic")
+    return xxhash.xxh3_64_intdigest(data)
 
 
 class Spending(msgspec.Struct):
--- a/src/lagoontide/standins/plain.py
+++ b/src/lagoontide/standins/plain.py
@@ -11,7 +11,7 @@
 from lagoontide.platform.targets import OnTokens, TargetLoad, Work
 from lagoontide.standins.compute import compute
 from lagoontide.standins.faults import Faults
-from lagoontide.standins.ledger import Execution, Ledger
+from lagoontide.standins.ledger import Ledger, note_execution
 from lagoontide.standins.profiles import Profile
 
 __all__ = ["PlainTarget"]
@@ -60,7 +60,7 @@
                 self._note(-1)
         body = self._answer(work)
         now = asyncio.get_running_loop().time()
-        self.ledger.add(Execution(work.request, work.operation, work.attempt, now))
+        self.ledger.add(note_execution(work, now))
         if self.faults.take_drop():
             raise TargetFailed("the answer was lost", step="run", peer=self.name)
         return body
