--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -25,7 +25,7 @@
         self,
         deployment: str = "swanreach",
         scenario: str = "steady",
-        policy: str | tuple[str, ...] = ("default", "least-outstanding", "oracle"),
+        policy: str = "default,least-outstanding,oracle",
         seed: int = 1,
         seconds: float = 20.0,
         json: bool = False,
@@ -35,7 +35,7 @@
         """Compare policies under one scenario, with open-loop arrivals."""
         from lagoontide.bench.run import Experiment, run_bench
 
-        policies = tuple(policy.split(",")) if isinstance(policy, str) else policy
+        policies = tuple(policy.split(","))
         experiment = Experiment(deployment, scenario, policies, seed, seconds, clock)
         sys.exit(run_bench(experiment, json, out))
 
@@ -52,6 +52,69 @@
 
         sys.exit(run_report(deployment, seed, seconds, json, first_port))
 
+    def configuration(self, json: bool = False) -> None:
+        """Measure what the document costs by its size."""
+        from lagoontide.bench.configuration import run_configuration
+
+        sys.exit(run_configuration(json))
+
+    def campaign(
+        self,
+        deployment: str = "swanreach",
+        seeds: int = 5,
+        seconds: float = 15.0,
+        workers: int = 4,
+        out: str = "",
+    ) -> None:
+        """Run all scenarios with several seeds and print medians and targets."""
+        from lagoontide.bench.campaign import run_campaign
+
+        sys.exit(run_campaign(deployment, seeds, seconds, workers, out))
+
+    def plot(self, source: str, out: str = "run.svg") -> None:
+        """Draw the file that ``bench run --out=FILE`` wrote, as SVG."""
+        from lagoontide.bench.plot import run_plot
+
+        sys.exit(run_plot(source, out))
+
+    def decisions(self, seed: int = 1, json: bool = False) -> None:
+        """Time single decisions of routing, scheduling and admission."""
+        from lagoontide.bench.decisions import run_decisions
+
+        sys.exit(run_decisions(seed, json))
+
+    def capacity(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        json: bool = False,
+        out: str = "",
+    ) -> None:
+        """Measure the slopes from which docs/CAPACITY.md is worked out."""
+        from lagoontide.bench.capacity import run_capacity
+
+        sys.exit(run_capacity(deployment, seed, json, out))
+
+    def spread(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        nodes: str = "25,50,100,200",
+        processes: str = "",
+        routes: int = 0,
+        accounts: int = 0,
+        json: bool = False,
+        out: str = "",
+        first_port: int = 28000,
+    ) -> None:
+        """Measure how soon a change is in force and what spreading costs."""
+        from lagoontide.bench.spread import SpreadPlan, run_spread
+
+        plan = SpreadPlan(
+            deployment, seed, str(nodes), str(processes), routes, accounts, first_port
+        )
+        sys.exit(run_spread(plan, json, out))
+
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
     ) -> None:
--- a/src/lagoontide/bench/fleet.py
+++ b/src/lagoontide/bench/fleet.py
@@ -189,7 +189,7 @@
     items = []
     for place in place_replicas(document):
         target = _make_target(place, ports, seed, instant)
-        agent = _make_agent(place, ports, target, folder)
+        agent = _make_agent(place, ports, target, fleet, folder)
         fleet.targets[target.name] = target
         fleet.agents[agent.name] = agent
         items.append(
@@ -253,7 +253,7 @@
 
 
 def _make_agent(
-    place: Placement, ports: _Ports, target: Process, folder: Path
+    place: Placement, ports: _Ports, target: Process, fleet: Fleet, folder: Path
 ) -> Process:
     listen = ports.take()
     path = folder / f"agent-{place.name}.toml"
@@ -263,6 +263,8 @@
         f'service = "{place.service.name}"\n'
         f'listen = "{listen}"\n'
         f'target = "http://{target.address}"\n'
+        f'store = "http://{fleet.store.address}"\n'
+        f'instances = "http://{fleet.instances.address}"\n'
         f"slots = {place.service.slots}\n"
     )
     return Process(f"agent-{place.name}", ["agent", f"--settings={path}"], listen)
@@ -314,6 +316,7 @@
         print(f"{len(fleet.processes)} processes; settings and logs: {fleet.folder}")
         for entry in fleet.entries.values():
             print(f"{entry.name}: callers at http://{entry.address}/v1/routes/ROUTE")
+            print(f"  console at http://{entry.control}/ (token {OPERATOR_TOKEN})")
         with contextlib.suppress(KeyboardInterrupt):
             signal.pause()
         print("stopping")
--- a/src/lagoontide/configuration/commands.py
+++ b/src/lagoontide/configuration/commands.py
@@ -1,18 +1,22 @@
-"""Commands for the configuration document."""
+"""Commands for the configuration document.
+
+Like all commands they import what they need when they run: the daemons start by
+the same command line and stay small.
+"""
 
 import os
 import secrets
 import sys
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from lagoontide.configuration.model import dump_document, load_data, parse_document
-from lagoontide.configuration.toml import render_toml
-from lagoontide.errors import RequestError, SettingsError
-from lagoontide.operators.client import OperatorsClient
+from lagoontide.errors import SettingsError
+
+if TYPE_CHECKING:
+    from lagoontide.operators.client import OperatorsClient
 
 __all__ = ["ConfigCommands"]
 
@@ -42,7 +46,9 @@
 
     def validate(self, file: str) -> None:
         """Check a document and print every problem in it."""
-        document = parse_document(load_data(Path(file)))
+        from lagoontide.configuration.model import load_document
+
+        document = load_document(Path(file))
         print(
             f"{file}: valid; {len(document.routes)} routes, "
             f"{len(document.services)} services, {len(document.accounts)} accounts"
@@ -50,6 +56,8 @@
 
     def show(self, address: str = "", json: bool = False) -> None:
         """Print the newest accepted document as TOML; its version as a comment."""
+        from lagoontide.configuration.toml import render_toml
+
         answer = _connect(address).ask("GET", API)
         if json:
             print(msgspec.json.encode(answer).decode())
@@ -93,7 +101,9 @@
             _print_entry(entry)
 
 
-def _connect(address: str) -> OperatorsClient:
+def _connect(address: str) -> "OperatorsClient":
+    from lagoontide.operators.client import OperatorsClient
+
     address = address or os.environ.get(ADDRESS_VARIABLE, "")
     token = os.environ.get(TOKEN_VARIABLE, "")
     if not address:
@@ -104,25 +114,28 @@
 
 
 def _read_document(file: str) -> dict[str, Any]:
-    return dump_document(parse_document(load_data(Path(file))))
+    from lagoontide.configuration.model import dump_document, load_document
+
+    return dump_document(load_document(Path(file)))
 
 
 def _send(address: str, step: str, order: dict[str, Any]) -> dict[str, Any]:
     """Send an order; print why and exit if it is not accepted."""
+    from lagoontide.operators.client import Refusal
+
     try:
         return _connect(address).ask("POST", f"{API}/{step}", order)
-    except RequestError as exc:
+    except Refusal as exc:
         if exc.status not in EXITS:
             raise
-        answer = msgspec.json.decode(exc.message, type=dict[str, Any])
-        _print_refusal(answer)
+        print(exc.message, file=sys.stderr)
+        _print_refusal(exc.answer)
         if exc.status == STATUS_UNKNOWN:
             print(f"--writer={order['writer']}", file=sys.stderr)
         sys.exit(EXITS[exc.status])
 
 
 def _print_refusal(answer: dict[str, Any]) -> None:
-    print(answer["detail"], file=sys.stderr)
     for problem in answer.get("problems", []):
         print(problem, file=sys.stderr)
     for entry in answer.get("since", []):
@@ -133,14 +146,18 @@
 
 
 def _print_entry(entry: dict[str, Any]) -> None:
-    at = datetime.fromtimestamp(entry["at"], UTC).strftime("%Y-%m-%d %H:%M:%S")
-    print(
-        f"version {entry['version']} {at} {entry['operator'] or '-'}: "
-        f"{entry['total']} changes"
-    )
+    at, operator = _show_time(entry["at"]), entry["operator"] or "-"
+    print(f"version {entry['version']} {at} {operator}: {entry['total']} changes")
     _print_changes(entry["changes"])
 
 
+def _show_time(at: float) -> str:
+    """Return seconds since the epoch as UTC; nothing for 0."""
+    if not at:
+        return "-"
+    return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%d %H:%M:%S")
+
+
 def _print_changes(changes: list[dict[str, str]]) -> None:
     for change in changes:
         place, before, after = change["place"], change["before"], change["after"]
--- a/src/lagoontide/configuration/document.py
+++ b/src/lagoontide/configuration/document.py
@@ -8,7 +8,6 @@
 
 __all__ = [
     "Account",
-    "ChangeKind",
     "CutOff",
     "Document",
     "Policies",
@@ -21,6 +20,7 @@
     "decode_document",
     "digest_document",
     "encode_document",
+    "pack_bytes",
 ]
 
 
@@ -42,19 +42,11 @@
     PLAIN = "plain"
 
 
-class ChangeKind(StrEnum):
-    """The part of the document that a change belongs to."""
-
-    ROUTES = "routes"
-    SERVICES = "services"
-    ACCOUNTS = "accounts"
-    POLICIES = "policies"
-
-
 class CutOff(StrEnum):
-    """What a process does that knows of a newer version and cannot get it."""
+    """What an entry goes on serving that has had no word of the store for long."""
 
     SERVE = "serve"
+    REPEATABLE = "repeatable"
     STOP = "stop"
 
 
@@ -175,15 +167,28 @@
     objective_window : float
         Seconds over which objectives count.
     cut_off_after : float
-        Seconds after which a process that knows of a newer version and cannot
-        get it does what ``cut_off`` says for the kinds of change it lacks.
-    cut_off : dict of ChangeKind to CutOff
-        Kinds that are not named go on serving.
+        Seconds without word of the store, its own or through peers, after which
+        an entry counts as cut off.
+    cut_off : CutOff
+        Whether it then serves on, serves routes without non-repeatable stages
+        only, or refuses all requests as not run.
     """
 
     objective_window: float = 30 * 86400.0
     cut_off_after: float = 30.0
-    cut_off: dict[ChangeKind, CutOff] = {}
+    cut_off: CutOff = CutOff.SERVE
+
+    def allows(self, route: Route, age: float) -> bool:
+        """Return whether a route is served ``age`` seconds after word of the store."""
+        if age <= self.cut_off_after:
+            return True
+        match self.cut_off:
+            case CutOff.SERVE:
+                return True
+            case CutOff.REPEATABLE:
+                return route.is_repeatable
+            case CutOff.STOP:
+                return False
 
 
 class Document(msgspec.Struct, frozen=True):
@@ -202,7 +207,7 @@
 
 PACK_FROM_BYTES = 64 << 10
 MAX_DOCUMENT_BYTES = 16 << 20
-ZLIB_LEVEL = 6
+ZLIB_LEVEL = 1
 ZLIB_HEAD = b"\x78"
 
 _encoder = msgspec.msgpack.Encoder(order="sorted")
@@ -211,7 +216,11 @@
 
 def encode_document(document: Document) -> bytes:
     """Return the canonical msgpack of a document, deflated if it is large."""
-    data = _encoder.encode(document)
+    return pack_bytes(_encoder.encode(document))
+
+
+def pack_bytes(data: bytes) -> bytes:
+    """Return the msgpack of a document, deflated if it is large."""
     if len(data) < PACK_FROM_BYTES:
         return data
     return zlib.compress(data, ZLIB_LEVEL)
--- a/src/lagoontide/dispatch/call.py
+++ b/src/lagoontide/dispatch/call.py
@@ -36,6 +36,17 @@
     tokens: list[str] = field(default_factory=list)
     size: int = 0
 
+    def take_tokens(self, offset: int, tokens: list[str]) -> bool:
+        """Keep the tokens that are new; return False if some before are missing."""
+        have = len(self.tokens)
+        if offset > have:
+            return False
+        fresh = tokens[have - offset :]
+        self.tokens.extend(fresh)
+        if fresh and self.on_tokens is not None:
+            self.on_tokens(have, fresh)
+        return True
+
     @property
     def kind(self) -> tuple[str, int]:
         """Kind of work: the operation and the magnitude of its size."""
--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -7,14 +7,15 @@
 import zmq
 from loguru import logger
 
-from lagoontide.claims.baseline import SimpleClaims
+from lagoontide.claims.messages import ClaimAsk, ReleaseAsk
+from lagoontide.claims.service import PartitionClaims
 from lagoontide.configuration.acceptance import Acceptance
 from lagoontide.configuration.force import make_own_view
 from lagoontide.configuration.holder import Holder
-from lagoontide.configuration.source import follow
 from lagoontide.console.api import mount_api
 from lagoontide.console.app import mount_console
 from lagoontide.dispatch.caller import Dispatcher
+from lagoontide.dispatch.kept import Keepers
 from lagoontide.entry.http import make_app
 from lagoontide.entry.service import Entry
 from lagoontide.httpd import Bridge, HttpServer
@@ -34,6 +35,8 @@
 from lagoontide.report.status import StatusMaker
 from lagoontide.routing.choose import Default, Policy, make_choose
 from lagoontide.settings import EntrySettings
+from lagoontide.spreading.messages import MESSAGES as SPREADING
+from lagoontide.spreading.node import Spreader
 from lagoontide.wire.conn import Context, Identity, connect
 from lagoontide.wire.router import Router
 from lagoontide.wire.server import bind
@@ -69,17 +72,38 @@
         self.identity = Identity(cfg.name)
         self.holder = Holder()
         self.directory = Directory(
-            instances, lambda address: connect(ctx, address, codec, self.identity)
+            instances,
+            lambda address: connect(ctx, address, codec, self.identity),
+            cfg.name,
         )
         self.router = Router()
         self.peers_server = bind(
             ctx, f"tcp://{cfg.peers}", codec, self.identity, self.router.handle
         )
         self.holder.subscribe(self.directory.update)
+        self.spreader = Spreader(
+            self.identity,
+            cfg.failure_domain,
+            store,
+            lambda address: connect(ctx, address, codec, self.identity),
+            lambda version, data: self.holder.put(version, data),
+            cfg.stale_after,
+        )
+        self.directory.subscribe(self.spreader.apply)
+        for kind in SPREADING:
+            self.router.register(kind, self.spreader.handle)
         choose = make_choose(policy, random.Random(cfg.name))
         dispatcher = Dispatcher(self.directory, choose)
         metrics = make_metrics(cfg.statsd.address, cfg.statsd.prefix)
-        self.entry = Entry(self.holder, dispatcher, SimpleClaims(store), metrics)
+        self.claims = PartitionClaims(
+            store, self.directory.peers, lambda: self.peers_server.address
+        )
+        self.router.register(ClaimAsk, self.claims.handle)
+        self.router.register(ReleaseAsk, self.claims.handle)
+        keepers = Keepers(self.directory)
+        self.entry = Entry(self.holder, dispatcher, self.claims, metrics, keepers)
+        self.entry.is_current = lambda: self.spreader.is_current
+        self.entry.confirmed_age = lambda: self.spreader.age
         bridge = Bridge(asyncio.get_running_loop())
         self.http = HttpServer(
             cfg.callers,
@@ -95,7 +119,6 @@
         self.operators_http = HttpServer(
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
-        self._store = store
         self.reporter = Reporter(
             cfg.name, cfg.failure_domain, self.holder, self._find_domain
         )
@@ -141,9 +164,14 @@
         self.http.start()
         self.operators_http.start()
 
-    async def follow_configuration(self) -> None:
-        """Keep to the store's newest document until cancelled."""
-        await follow(self._store, self.holder)
+    async def follow(self) -> None:
+        """Do what an entry does beside requests, until cancelled."""
+        await asyncio.gather(
+            self.directory.follow(),
+            self.spreader.run(),
+            self.snapshots.run(),
+            self.claims.keep_lease(),
+        )
 
     async def drain(self, bound: float) -> bool:
         """Drain the entry and leave its counts in the store; see Entry.drain."""
@@ -159,7 +187,9 @@
             asyncio.to_thread(self.http.stop),
             asyncio.to_thread(self.operators_http.stop),
         )
+        self.claims.close()
         self.directory.close()
+        self.spreader.close()
         self.peers_server.close()
 
 
@@ -186,12 +216,7 @@
         logger.info("operators at http://{}", parts.operators_http.address)
         try:
             return await run_until_signal(
-                [
-                    parts.directory.follow(),
-                    parts.follow_configuration(),
-                    parts.snapshots.run(),
-                ],
-                lambda: parts.drain(cfg.drain),
+                [parts.follow()], lambda: parts.drain(cfg.drain)
             )
         finally:
             await parts.close()
--- a/src/lagoontide/membership/messages.py
+++ b/src/lagoontide/membership/messages.py
@@ -4,11 +4,26 @@
 
 from lagoontide.scheduling.load import Load
 
-__all__ = ["MESSAGES", "Hello", "Welcome"]
+__all__ = ["LEAVING", "MESSAGES", "OTHER_INCARNATION", "Hello", "Welcome"]
+
+# Reasons by which an agent's refusal speaks of the agent itself.
+LEAVING = "leaving"
+OTHER_INCARNATION = "other incarnation"
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
-    """An entry's heartbeat; the agent answers, and again when it leaves."""
+    """An entry's heartbeat; the agent answers, and again when it leaves.
+
+    Attributes
+    ----------
+    incarnation : str
+        New with each start of the entry.
+    interval : float
+        Seconds after which the agent hears of the entry again at the latest.
+    """
+
+    incarnation: str = ""
+    interval: float = 1.0
 
 
 class Welcome(msgspec.Struct, frozen=True, tag="welcome"):
@@ -20,12 +35,15 @@
         New with each start of the process.
     leaving : bool
         Whether it takes no more work.
+    epoch : int
+        The agent's count of time, to be named in calls.
     """
 
     incarnation: str
     service: str
     leaving: bool
     load: Load
+    epoch: int = 0
 
 
 MESSAGES = (Hello, Welcome)
