Look at a late call again when it got no second attempt at first

Cause: a call was looked at once, when it became late, which on an exact clock could be a rounding error too early; found by the new test of a stalled stream. Change: it is looked at again each 20 ms, and counts against its target once. Tests: tail cutting through real agents, limits over entries.

--- a/src/lagoontide/dispatch/tail.py
+++ b/src/lagoontide/dispatch/tail.py
@@ -28,6 +28,8 @@
 
 # The targets of a pool are looked over at most this often.
 REVIEW_S = 0.01
+# A late call that got no second attempt is looked at again after this time.
+LEAST_CHECK_S = 0.02
 HEDGE_SHARE = 0.05
 HEDGE_BURST = 20.0
 MAX_TRIES = 2
@@ -66,6 +68,7 @@
     resumed: bool = False
     ended: float = 0.0
     withdrawn: bool = False
+    is_late: bool = False
 
 
 @dataclass(slots=True)
@@ -144,18 +147,18 @@
 
     async def run(self, race: Race) -> Try:
         """Wait for the deciding attempt; start a second one if the call is late."""
-        handle = self._wake_when_late(race)
         try:
             while (winner := race.winner) is None:
+                handle = self._wake_when_late(race)
                 await race.wake.wait()
+                if handle is not None:
+                    handle.cancel()
                 race.wake.clear()
                 if race.winner is None:
                     await self._cut(race)
             self._note_result(race, winner)
             return winner
         finally:
-            if handle is not None:
-                handle.cancel()
             race.stop()
 
     @property
@@ -194,10 +197,13 @@
         return self.pace.of(call.stage.service).of(call.kind).hedge_after
 
     def _wake_when_late(self, race: Race) -> asyncio.TimerHandle | None:
+        """Wake the race when it is late, and then again while nothing helps."""
         late = self._late_after(race)
-        if late is None:
+        if late is None or len(race.tries) >= MAX_TRIES:
             return None
-        return asyncio.get_running_loop().call_later(late, race.wake.set)
+        loop = asyncio.get_running_loop()
+        at = max(race.tries[0].started + late, loop.time() + LEAST_CHECK_S)
+        return loop.call_at(at, race.wake.set)
 
     async def _cut(self, race: Race) -> None:
         first = race.tries[0]
@@ -207,9 +213,8 @@
             return
         elapsed = now - first.started
         is_out = first.link.health.standing is Standing.OUT
-        if elapsed >= late and not is_out:
-            pace = self.pace.of(race.call.stage.service).of(race.call.kind)
-            first.link.health.note_ratio(elapsed / pace.ran.value)
+        if elapsed >= late - LEAST_CHECK_S and not is_out:
+            self._note_late(race, first, elapsed)
         elif not is_out:
             return
         if not race.call.stage.repeatable:
@@ -221,6 +226,13 @@
             if other is not None and self._hedges.take():
                 race.start(other)
 
+    def _note_late(self, race: Race, item: Try, elapsed: float) -> None:
+        """Count a late call against its target once, before it has ended."""
+        if not item.is_late:
+            item.is_late = True
+            pace = self.pace.of(race.call.stage.service).of(race.call.kind)
+            item.link.health.note_ratio(elapsed / pace.ran.value)
+
     @property
     def _hedges_allowed(self) -> bool:
         return isinstance(self._policy, HedgeLate) and self._policy.hedges
