Tell a dragging generation by its tokens, before it ends

Cause: a slowed engine kept its streams until one had ended; a refused second attempt used up the call's only one. Change: time between tokens against the pool's median puts a target out; a refused attempt does not count.

--- a/src/lagoontide/bench/decisions.py
+++ b/src/lagoontide/bench/decisions.py
@@ -9,7 +9,14 @@
 from lagoontide.admission.shedding import Demand, Shares, should_shed
 from lagoontide.configuration.document import Priority
 from lagoontide.routing.choose import Candidate, Default, make_choose
-from lagoontide.routing.health import Health, Verdict, find_usual_silence, judge
+from lagoontide.routing.health import (
+    Health,
+    Usual,
+    Verdict,
+    find_usual_silence,
+    find_usual_token_time,
+    judge,
+)
 from lagoontide.scheduling.queue import FairQueue
 from lagoontide.scheduling.waiting import Waiting
 
@@ -99,7 +106,7 @@
             health.note_progress(rng.random())
 
     def decide(number: int) -> list[Verdict]:
-        usual = find_usual_silence(pool)
+        usual = Usual(find_usual_silence(pool), find_usual_token_time(pool))
         return [judge(health, usual, 0.0) for health in pool]
 
     return decide
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -214,6 +214,7 @@
     ) -> Done | NotRun | Failed | Unknown:
         """Wait for the last reply; ask about the attempt after each silence."""
         loop = asyncio.get_running_loop()
+        moved_at: float | None = None
         while (left := call.deadline - loop.time()) > 0:
             try:
                 reply = await exchange.next(min(left, SILENCE_S))
@@ -222,6 +223,9 @@
             match reply:
                 case Tokens(offset=offset, tokens=tokens):
                     link.health.note_progress(loop.time())
+                    if moved_at is not None:
+                        link.health.note_tokens(len(tokens), loop.time() - moved_at)
+                    moved_at = loop.time()
                     self._take_tokens(call, offset, tokens)
                 case Pending(load=load):
                     link.observe(load)
--- a/src/lagoontide/dispatch/tail.py
+++ b/src/lagoontide/dispatch/tail.py
@@ -14,9 +14,11 @@
 from lagoontide.membership.link import Link
 from lagoontide.routing.health import (
     Standing,
+    Usual,
     Verdict,
     find_out_cap,
     find_usual_silence,
+    find_usual_token_time,
     judge,
 )
 
@@ -32,7 +34,8 @@
 LEAST_CHECK_S = 0.02
 HEDGE_SHARE = 0.05
 HEDGE_BURST = 20.0
-MAX_TRIES = 2
+MAX_ACTIVE = 2
+MAX_TRIES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +103,12 @@
         self.tries.append(item)
         link.health.watchers.add(self.wake)
 
+    @property
+    def may_grow(self) -> bool:
+        """Whether one more attempt may begin; one that was refused does not count."""
+        active = sum(not item.task.done() for item in self.tries)
+        return active < MAX_ACTIVE and len(self.tries) < MAX_TRIES
+
     def _note_end(self, item: Try) -> None:
         item.ended = asyncio.get_running_loop().time()
         item.link.health.end()
@@ -174,7 +183,7 @@
             return
         self._review_at[service] = now + REVIEW_S
         pool = [link.health for link in links]
-        usual = find_usual_silence(pool)
+        usual = Usual(find_usual_silence(pool), find_usual_token_time(pool))
         for link in links:
             match judge(link.health, usual, now):
                 case Verdict.PUT_OUT if find_out_cap(pool):
@@ -199,7 +208,7 @@
     def _wake_when_late(self, race: Race) -> asyncio.TimerHandle | None:
         """Wake the race when it is late, and then again while nothing helps."""
         late = self._late_after(race)
-        if late is None or len(race.tries) >= MAX_TRIES:
+        if late is None or not race.may_grow:
             return None
         loop = asyncio.get_running_loop()
         at = max(race.tries[0].started + late, loop.time() + LEAST_CHECK_S)
@@ -209,19 +218,17 @@
         first = race.tries[0]
         now = asyncio.get_running_loop().time()
         late = self._late_after(race)
-        if late is None:
-            return
         elapsed = now - first.started
         is_out = first.link.health.standing is Standing.OUT
-        if elapsed >= late - LEAST_CHECK_S and not is_out:
+        if not is_out:
+            if late is None or elapsed < late - LEAST_CHECK_S:
+                return
             self._note_late(race, first, elapsed)
-        elif not is_out:
-            return
         if not race.call.stage.repeatable:
             if is_out:
                 await self._withdraw(first)
             return
-        if len(race.tries) < MAX_TRIES and self._hedges_allowed:
+        if race.may_grow and self._hedges_allowed:
             other = race.pick_other()
             if other is not None and self._hedges.take():
                 race.start(other)
--- a/src/lagoontide/routing/health.py
+++ b/src/lagoontide/routing/health.py
@@ -12,9 +12,11 @@
 __all__ = [
     "Health",
     "Standing",
+    "Usual",
     "Verdict",
     "find_out_cap",
     "find_usual_silence",
+    "find_usual_token_time",
     "judge",
 ]
 
@@ -31,6 +33,8 @@
 PROBES_TO_RETURN = 2
 MIN_GAPS = 20
 RATIO_WEIGHT = 0.3
+TOKEN_WEIGHT = 0.1
+LEAST_TOKEN_S = 1e-4
 
 
 class Standing(Enum):
@@ -48,6 +52,22 @@
     BRING_BACK = auto()
 
 
+@dataclass(frozen=True, slots=True)
+class Usual:
+    """What is usual in a pool, in seconds; 0 if not known.
+
+    Attributes
+    ----------
+    silence : float
+        Time that running work is hardly ever without a sign.
+    token_time : float
+        Between two tokens of a generation.
+    """
+
+    silence: float
+    token_time: float = 0.0
+
+
 @dataclass(slots=True)
 class Health:
     """What an entry knows of a target's speed.
@@ -62,6 +82,8 @@
         Seconds that its running work is hardly ever without a sign.
     outstanding : int
         Calls of this entry there that may be running.
+    token_time : float
+        Recent seconds between two tokens of a generation; 0 if not known.
     good_probes : int
         Probes in a row that found it as fast as its peers.
     watchers : set of Event
@@ -73,6 +95,7 @@
     progress_at: float = 0.0
     gaps: Quantile = field(default_factory=lambda: Quantile(0.98))
     outstanding: int = 0
+    token_time: float = 0.0
     good_probes: int = 0
     probe_at: float = 0.0
     watchers: set[asyncio.Event] = field(default_factory=set)
@@ -92,6 +115,12 @@
         self.gaps.add(max(1e-6, self.silence(now)))
         self.progress_at = now
 
+    def note_tokens(self, count: int, seconds: float) -> None:
+        """Take in that a generation took so long for its next tokens."""
+        sample = max(LEAST_TOKEN_S, seconds / max(1, count))
+        old = self.token_time or sample
+        self.token_time = old * (sample / old) ** TOKEN_WEIGHT
+
     def silence(self, now: float) -> float:
         """Return the seconds without a sign of the calls that are there."""
         return now - self.progress_at if self.outstanding else 0.0
@@ -117,6 +146,7 @@
         """Give it ordinary work again, as a peer like the others."""
         self.standing = Standing.IN
         self.ratio = 1.0
+        self.token_time = 0.0
 
     def take_probe(self, now: float) -> bool:
         """Whether a probe is due; the next one is then due later."""
@@ -126,20 +156,15 @@
         return True
 
 
-def judge(health: Health, usual_silence: float, now: float) -> Verdict:
-    """Return what to do with a target.
-
-    Parameters
-    ----------
-    usual_silence : float
-        Seconds that running work of its pool is hardly ever silent.
-    """
+def judge(health: Health, usual: Usual, now: float) -> Verdict:
+    """Return what to do with a target, beside what is usual in its pool."""
     if health.standing is Standing.OUT:
         enough = health.good_probes >= PROBES_TO_RETURN
         return Verdict.BRING_BACK if enough else Verdict.KEEP
-    limit = max(LEAST_SILENCE_S, SILENCE_FACTOR * usual_silence)
-    is_silent = usual_silence > 0 and health.silence(now) > limit
-    if is_silent or health.ratio > OUT_RATIO:
+    limit = max(LEAST_SILENCE_S, SILENCE_FACTOR * usual.silence)
+    is_silent = usual.silence > 0 and health.silence(now) > limit
+    drags = 0 < usual.token_time * OUT_RATIO < health.token_time
+    if is_silent or drags or health.ratio > OUT_RATIO:
         return Verdict.PUT_OUT
     return Verdict.KEEP
 
@@ -150,6 +175,12 @@
     return median_low(known) if known else 0.0
 
 
+def find_usual_token_time(pool: Sequence[Health]) -> float:
+    """Return the usual time between tokens in a pool in seconds; 0 if not known."""
+    known = [x.token_time for x in pool if x.token_time]
+    return median_low(known) if known else 0.0
+
+
 def find_out_cap(pool: Sequence[Health]) -> int:
     """Return how many more targets of a pool may be put out."""
     out = sum(item.standing is Standing.OUT for item in pool)
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -18,8 +18,10 @@
 from lagoontide.routing.health import (
     Health,
     Standing,
+    Usual,
     Verdict,
     find_out_cap,
+    find_usual_token_time,
     judge,
 )
 
@@ -86,23 +88,23 @@
     health = Health()
     for _ in range(20):
         health.note_ratio(8.0)
-    assert judge(health, 0.02, 1.0) is Verdict.PUT_OUT
+    assert judge(health, Usual(0.02), 1.0) is Verdict.PUT_OUT
     health.put_out(1.0)
     health.note_ratio(9.0)
     health.note_ratio(1.0)
-    assert judge(health, 0.02, 2.0) is Verdict.KEEP
+    assert judge(health, Usual(0.02), 2.0) is Verdict.KEEP
     health.note_ratio(1.0)
-    assert judge(health, 0.02, 2.0) is Verdict.BRING_BACK
+    assert judge(health, Usual(0.02), 2.0) is Verdict.BRING_BACK
 
 
 def test_silence_counts_only_while_work_is_there():
     health = Health()
-    assert judge(health, 0.02, 100.0) is Verdict.KEEP
+    assert judge(health, Usual(0.02), 100.0) is Verdict.KEEP
     health.begin(100.0)
-    assert judge(health, 0.02, 100.05) is Verdict.KEEP
-    assert judge(health, 0.02, 100.5) is Verdict.PUT_OUT
+    assert judge(health, Usual(0.02), 100.05) is Verdict.KEEP
+    assert judge(health, Usual(0.02), 100.5) is Verdict.PUT_OUT
     health.end()
-    assert judge(health, 0.02, 101.0) is Verdict.KEEP
+    assert judge(health, Usual(0.02), 101.0) is Verdict.KEEP
 
 
 @check
@@ -123,3 +125,15 @@
     assert not health.take_probe(5.1)
     assert health.take_probe(6.0)
     assert not health.take_probe(6.1)
+
+
+def test_a_generation_that_drags_tells_of_its_target_before_it_ends():
+    pool = [Health() for _ in range(5)]
+    for _ in range(30):
+        for health in pool:
+            health.note_tokens(3, 0.03)
+    usual = Usual(0.02, find_usual_token_time(pool))
+    assert {judge(health, usual, 0.0) for health in pool} == {Verdict.KEEP}
+    for _ in range(12):
+        pool[0].note_tokens(1, 0.05)
+    assert judge(pool[0], usual, 0.0) is Verdict.PUT_OUT
