--- a/src/lagoontide/entry/daemon.py
+++ b/src/lagoontide/entry/daemon.py
@@ -10,7 +10,7 @@
 from lagoontide.claims.messages import ClaimAsk, ReleaseAsk
 from lagoontide.claims.service import PartitionClaims
 from lagoontide.configuration.acceptance import Acceptance
-from lagoontide.configuration.force import make_own_view
+from lagoontide.configuration.force import ForceView
 from lagoontide.configuration.holder import Holder
 from lagoontide.console.api import mount_api
 from lagoontide.console.app import mount_console
@@ -22,6 +22,7 @@
 from lagoontide.lifecycle import run_until_signal
 from lagoontide.logs import set_up_logs
 from lagoontide.membership.directory import Directory
+from lagoontide.membership.messages import Joined
 from lagoontide.metrics import make_metrics
 from lagoontide.operators.app import OperatorsApp
 from lagoontide.operators.signin import mount_sign_in
@@ -90,6 +91,10 @@
             cfg.stale_after,
         )
         self.directory.subscribe(self.spreader.apply)
+        self.force = ForceView(self.holder, cfg.name, cfg.failure_domain)
+        self.directory.subscribe(self.force.apply)
+        self.identity.on_version = self._note_version
+        self.router.register(Joined, self.directory.handle)
         for kind in SPREADING:
             self.router.register(kind, self.spreader.handle)
         choose = make_choose(policy, random.Random(cfg.name))
@@ -115,7 +120,7 @@
         )
         self.operators = OperatorsApp(cfg.operator_tokens, cfg.session_key)
         mount_sign_in(self.operators)
-        self._mount_configuration(cfg, store, bridge)
+        self._mount_configuration(store, bridge)
         self.operators_http = HttpServer(
             cfg.operators, self.operators, threads=OPERATOR_THREADS
         )
@@ -140,18 +145,20 @@
         links = self.directory.links
         return next((x.instance.failure_domain for x in links if x.name == target), "")
 
-    def _mount_configuration(
-        self, cfg: EntrySettings, store: Store, bridge: Bridge
-    ) -> None:
+    def _note_version(self, peer: str, version: int) -> None:
+        """Take the stamp that every message between processes has."""
+        self.force.note(peer, version)
+        self.spreader.note_version(peer, version)
+
+    def _mount_configuration(self, store: Store, bridge: Bridge) -> None:
         acceptance = Acceptance(store)
-        read_force = make_own_view(self.holder, cfg.failure_domain)
-        mount_api(self.operators, acceptance, bridge, read_force)
+        mount_api(self.operators, acceptance, bridge, self.force.read)
         mount_console(
             self.operators,
             acceptance,
             self.holder,
             bridge,
-            read_force,
+            self.force.read,
             self._list_targets,
         )
 
