--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -11,11 +11,14 @@
 import msgspec
 
 from lagoontide.bench.capacity import Slopes, SlopesFile
+from lagoontide.claims.owner import COMMIT_INTERVAL_S, MAX_BATCH, SEGMENT_ROWS
+from lagoontide.claims.service import PARTITIONS, RENEW_S
 from lagoontide.membership.listing import LISTED_BYTES
 from lagoontide.membership.pace import HEARTBEATS_PER_S, list_interval
 from lagoontide.membership.subset import SUBSET_SIZE
+from lagoontide.report.snapshots import INTERVAL_S
 from lagoontide.spreading.node import COMPARE_S, STARTS_PER_S, WATCH_S
-from lagoontide.spreading.roles import FAN_OUT, FAR_VIEW, NEAR_VIEW, WATCHERS
+from lagoontide.spreading.roles import FAN_OUT, FAR_VIEW, NEAR_VIEW, WATCHERS, layers
 
 ROOT = Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "CAPACITY.md"
@@ -48,6 +51,10 @@
 # acknowledgement that no message carries.
 MESSAGE_OVERHEAD_BYTES = 4 + 52 + 52
 BASE64 = 4 / 3
+# Seconds on the way between regions and within a failure domain, both assumed.
+REGION_S = 0.2
+NEAR_S = 0.001
+FORCE_LIMIT_S = 4.0
 MB = 1 << 20
 PERCENT = 100
 
@@ -203,6 +210,12 @@
     token_cpu = tokens / TOKENS_PER_MESSAGE * s.heartbeat_cpu / 2
     call_size = s.call_bytes + 2 * MESSAGE_OVERHEAD_BYTES
     lost = members / DOMAINS
+    commits = PARTITIONS / COMMIT_INTERVAL_S
+    leases = PARTITIONS / RENEW_S
+    snapshots = 2 * ENTRIES / INTERVAL_S
+    segments = 2 * REQUESTS_PER_S / SEGMENT_ROWS
+    writes = commits + leases + segments + snapshots + changes() * 2
+    claims = PARTITIONS * MAX_BATCH / COMMIT_INTERVAL_S
     direct = members * (1 / WATCH_S + changes())
     storm = members * changes()
     return [
@@ -212,7 +225,15 @@
         f"{reads:.1f} store reads/s for {watchers} watchers; "
         f"{changes() * 2:.2f} writes/s (document and history) | watchers, tree | "
         f"{READS_LIMIT} reads/s, {WRITES_LIMIT} writes/s: kept |",
-        f"| the same, if all {members:,} watched | {direct:,.0f} reads/s on average, "
+        f"| claims, if all requests have a key | {commits:.0f} commits/s of "
+        f"{PARTITIONS} partitions and {leases:.0f} renewals/s at any load, "
+        f"{segments:.0f} writes/s for full segments; room for {claims:,.0f} claims/s | partitions by lease, group commit | "
+        f"{judge(REQUESTS_PER_S, claims, f'{REQUESTS_PER_S:,} claims/s')} |",
+        f"| all writes of the store | {writes:.0f}/s: commits, renewals, segments, changes and "
+        f"{snapshots:.0f}/s for the entries' report snapshots | the same | "
+        f"{judge(writes, WRITES_LIMIT, f'{WRITES_LIMIT} writes/s')} |",
+        f"| {CHANGES_PER_DAY:,} changes a day, if all {members:,} watched | "
+        f"{direct:,.0f} reads/s on average, "
         f"{members:,} at once with each change ({storm:,.0f}/s re-armed) "
         "| direct watches (baseline) | 2,000 reads/s: **broken** at each change |",
         f"| {REQUESTS_PER_S:,} requests/s | {per_entry:.1f}/s an entry, {calls:.0f} "
@@ -234,6 +255,25 @@
     ]
 
 
+def show_force(s: Slopes) -> list[str]:
+    """Return the rows for the time until a change is in force everywhere."""
+    members = [f"member-{n}" for n in range((ENTRIES + AGENTS) // DOMAINS + 1)]
+    hops = len(list(layers(members))) - 1
+    watch = REGION_S + 2 * s.snapshot_cpu
+    hop = s.adopt_cpu + NEAR_S + FAN_OUT * s.compare_cpu
+    total = watch + hops * hop
+    return [
+        "| step | s |",
+        "|---|---|",
+        f"| from the store to a watcher: {REGION_S} s of way, two times "
+        f"{s.snapshot_cpu:.3f} s of CPU | {watch:.3f} |",
+        f"| {hops} hops down a tree of {len(members)}, each {s.adopt_cpu:.3f} s to "
+        f"adopt, {NEAR_S} s of way and {FAN_OUT} messages | {hops * hop:.3f} |",
+        f"| **sum**, if no message is lost | {total:.3f} |",
+        f"| limit | {judge(total, FORCE_LIMIT_S, '4')} |",
+    ]
+
+
 def make_tables(s: Slopes) -> dict[str, list[str]]:
     """Return the rows of all tables by name."""
     names = s.__struct_fields__
@@ -242,6 +282,7 @@
         "agent": show_shares(agent_shares(s)),
         "watcher": show_shares(watcher_shares(s) + agent_shares(s)),
         "fleet": show_fleet(s),
+        "force": show_force(s),
         "slopes": [
             "| slope | value |",
             "|---|---|",
