--- a/src/lagoontide/dispatch/tail.py
+++ b/src/lagoontide/dispatch/tail.py
@@ -14,9 +14,11 @@
 from lagoontide.membership.link import Link
 from lagoontide.routing.health import (
     Standing,
+    Usual,
     Verdict,
     find_out_cap,
     find_usual_silence,
+    find_usual_token_time,
     judge,
 )
 
@@ -28,9 +30,12 @@
 
 # The targets of a pool are looked over at most this often.
 REVIEW_S = 0.01
+# A late call that got no second attempt is looked at again after this time.
+LEAST_CHECK_S = 0.02
 HEDGE_SHARE = 0.05
 HEDGE_BURST = 20.0
-MAX_TRIES = 2
+MAX_ACTIVE = 2
+MAX_TRIES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +71,7 @@
     resumed: bool = False
     ended: float = 0.0
     withdrawn: bool = False
+    is_late: bool = False
 
 
 @dataclass(slots=True)
@@ -97,6 +103,12 @@
         self.tries.append(item)
         link.health.watchers.add(self.wake)
 
+    @property
+    def may_grow(self) -> bool:
+        """Whether one more attempt may begin; one that was refused does not count."""
+        active = sum(not item.task.done() for item in self.tries)
+        return active < MAX_ACTIVE and len(self.tries) < MAX_TRIES
+
     def _note_end(self, item: Try) -> None:
         item.ended = asyncio.get_running_loop().time()
         item.link.health.end()
@@ -144,18 +156,18 @@
 
     async def run(self, race: Race) -> Try:
         """Wait for the deciding attempt; start a second one if the call is late."""
-        handle = self._wake_when_late(race)
         try:
             while (winner := race.winner) is None:
+                handle = self._wake_when_late(race)
                 await race.wake.wait()
+                if handle is not None:
+                    handle.cancel()
                 race.wake.clear()
                 if race.winner is None:
                     await self._cut(race)
             self._note_result(race, winner)
             return winner
         finally:
-            if handle is not None:
-                handle.cancel()
             race.stop()
 
     @property
@@ -171,7 +183,7 @@
             return
         self._review_at[service] = now + REVIEW_S
         pool = [link.health for link in links]
-        usual = find_usual_silence(pool)
+        usual = Usual(find_usual_silence(pool), find_usual_token_time(pool))
         for link in links:
             match judge(link.health, usual, now):
                 case Verdict.PUT_OUT if find_out_cap(pool):
@@ -194,33 +206,40 @@
         return self.pace.of(call.stage.service).of(call.kind).hedge_after
 
     def _wake_when_late(self, race: Race) -> asyncio.TimerHandle | None:
+        """Wake the race when it is late, and then again while nothing helps."""
         late = self._late_after(race)
-        if late is None:
+        if late is None or not race.may_grow:
             return None
-        return asyncio.get_running_loop().call_later(late, race.wake.set)
+        loop = asyncio.get_running_loop()
+        at = max(race.tries[0].started + late, loop.time() + LEAST_CHECK_S)
+        return loop.call_at(at, race.wake.set)
 
     async def _cut(self, race: Race) -> None:
         first = race.tries[0]
         now = asyncio.get_running_loop().time()
         late = self._late_after(race)
-        if late is None:
-            return
         elapsed = now - first.started
         is_out = first.link.health.standing is Standing.OUT
-        if elapsed >= late and not is_out:
-            pace = self.pace.of(race.call.stage.service).of(race.call.kind)
-            first.link.health.note_ratio(elapsed / pace.ran.value)
-        elif not is_out:
-            return
+        if not is_out:
+            if late is None or elapsed < late - LEAST_CHECK_S:
+                return
+            self._note_late(race, first, elapsed)
         if not race.call.stage.repeatable:
             if is_out:
                 await self._withdraw(first)
             return
-        if len(race.tries) < MAX_TRIES and self._hedges_allowed:
+        if race.may_grow and self._hedges_allowed:
             other = race.pick_other()
             if other is not None and self._hedges.take():
                 race.start(other)
 
+    def _note_late(self, race: Race, item: Try, elapsed: float) -> None:
+        """Count a late call against its target once, before it has ended."""
+        if not item.is_late:
+            item.is_late = True
+            pace = self.pace.of(race.call.stage.service).of(race.call.kind)
+            item.link.health.note_ratio(elapsed / pace.ran.value)
+
     @property
     def _hedges_allowed(self) -> bool:
         return isinstance(self._policy, HedgeLate) and self._policy.hedges
