--- a/src/lagoontide/bench/arm.py
+++ b/src/lagoontide/bench/arm.py
@@ -20,6 +20,7 @@
 from lagoontide.configuration.holder import Holder
 from lagoontide.deployments import Placement, make_token, place_replicas
 from lagoontide.dispatch.caller import Dispatcher
+from lagoontide.dispatch.kept import Keepers
 from lagoontide.dispatch.messages import Done
 from lagoontide.entry.service import CallerRequest, Entry
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
@@ -126,7 +127,9 @@
     choose = _make_choose(arm, tactics, rng)
     dispatcher = Dispatcher(directory, choose, tactics.tail)
     claims = SimpleClaims(MemoryStore())
-    entry = Entry(holder, dispatcher, claims, NoMetrics(), tactics.sheds)
+    entry = Entry(
+        holder, dispatcher, claims, NoMetrics(), Keepers(directory), tactics.sheds
+    )
     holder.adopt(1, arm.document)
     arm.entries.append(entry)
     arm.directories.append(directory)
--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -39,6 +39,12 @@
         experiment = Experiment(deployment, scenario, policies, seed, seconds, clock)
         sys.exit(run_bench(experiment, json, out))
 
+    def configuration(self, json: bool = False) -> None:
+        """Measure what the document costs by its size."""
+        from lagoontide.bench.configuration import run_configuration
+
+        sys.exit(run_configuration(json))
+
     def campaign(
         self,
         deployment: str = "swanreach",
@@ -64,11 +70,37 @@
 
         sys.exit(run_decisions(seed, json))
 
-    def configuration(self, json: bool = False) -> None:
-        """Measure what the document costs by its size."""
-        from lagoontide.bench.configuration import run_configuration
+    def capacity(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        json: bool = False,
+        out: str = "",
+    ) -> None:
+        """Measure the slopes from which docs/CAPACITY.md is worked out."""
+        from lagoontide.bench.capacity import run_capacity
 
-        sys.exit(run_configuration(json))
+        sys.exit(run_capacity(deployment, seed, json, out))
+
+    def spread(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        nodes: str = "25,50,100,200",
+        processes: str = "",
+        routes: int = 0,
+        accounts: int = 0,
+        json: bool = False,
+        out: str = "",
+        first_port: int = 28000,
+    ) -> None:
+        """Measure how soon a change is in force and what spreading costs."""
+        from lagoontide.bench.spread import SpreadPlan, run_spread
+
+        plan = SpreadPlan(
+            deployment, seed, str(nodes), str(processes), routes, accounts, first_port
+        )
+        sys.exit(run_spread(plan, json, out))
 
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
--- a/src/lagoontide/console/forms.py
+++ b/src/lagoontide/console/forms.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from lagoontide.configuration.document import (
-    ChangeKind,
     CutOff,
     Document,
     Priority,
@@ -16,7 +15,15 @@
 from lagoontide.console.fields import Field, FieldKind, read_value, show_value
 from lagoontide.errors import Problem
 
-__all__ = ["Form", "Typed", "build_item", "close_gaps", "flatten_item", "make_form"]
+__all__ = [
+    "STAGES",
+    "Form",
+    "Typed",
+    "build_item",
+    "close_gaps",
+    "flatten_item",
+    "make_form",
+]
 
 STAGES = "stages"
 ONCE = "once"
@@ -52,7 +59,12 @@
     def list_fields(self) -> Iterator[Field]:
         """Yield every field under its full name."""
         yield from self.fields
-        for index, field in itertools.product(self.slots, self.stages):
+        for index in self.slots:
+            yield from self.list_stage(index)
+
+    def list_stage(self, index: int) -> Iterator[Field]:
+        """Yield the fields of one stage under their full names."""
+        for field in self.stages:
             yield replace(field, name=f"{STAGES}.{index}.{field.name}")
 
     def name_place(self, field: str) -> str:
@@ -171,15 +183,14 @@
     ),
     Field(
         "cut_off_after",
-        "Seconds until a cut-off process counts as cut off",
-        help="It knows of a newer version and cannot get it.",
+        "Seconds without word of the store until an entry counts as cut off",
     ),
     Field(
         "cut_off",
-        "What a cut-off process does, by the kind of change that it lacks",
-        FieldKind.PAIRS,
-        f"One KIND = {' or '.join(CutOff)} on each line; kinds: "
-        f"{', '.join(ChangeKind)}. Others serve.",
+        "What it serves then",
+        FieldKind.CHOICE,
+        "All, routes without non-repeatable stages only, or nothing.",
+        tuple(map(str, CutOff)),
     ),
 )
 
