--- a/src/lagoontide/routing/choose.py
+++ b/src/lagoontide/routing/choose.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from itertools import count
 
+import msgspec
+
 __all__ = [
     "Candidate",
     "Choose",
@@ -24,9 +26,8 @@
 HALF_LIFE_S = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """A target as an entry sees it.
+class Candidate(msgspec.Struct, frozen=True, gc=False):
+    """A target as an entry sees it; a struct, as each choice makes a pool of them.
 
     Attributes
     ----------
