--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -64,6 +64,12 @@
 
         sys.exit(run_plot(source, out))
 
+    def claims(self, seconds: float = 4.0, json: bool = False) -> None:
+        """Count writes to the store at 50, 500 and 5,000 keyed requests a second."""
+        from lagoontide.bench.claims import run_claims
+
+        sys.exit(run_claims(seconds, json))
+
     def decisions(self, seed: int = 1, json: bool = False) -> None:
         """Time single decisions of routing, scheduling and admission."""
         from lagoontide.bench.decisions import run_decisions
@@ -102,6 +108,19 @@
         )
         sys.exit(run_spread(plan, json, out))
 
+    def report(
+        self,
+        deployment: str = "swanreach",
+        seed: int = 1,
+        seconds: float = 12.0,
+        json: bool = False,
+        first_port: int = 21000,
+    ) -> None:
+        """Measure what the report costs; ``seconds`` of load for each arm."""
+        from lagoontide.bench.report import run_report
+
+        sys.exit(run_report(deployment, seed, seconds, json, first_port))
+
     def fleet(
         self, deployment: str = "swanreach", seed: int = 1, first_port: int = 21000
     ) -> None:
--- a/src/lagoontide/dispatch/follow.py
+++ b/src/lagoontide/dispatch/follow.py
@@ -73,7 +73,7 @@
         self._ask_now = False
         self._running = False
         self._moved_at = 0.0
-        self._has_tokens = False
+        self._tokens_at: float | None = None
         self.dropped = 0
 
     async def run(self) -> Result:
@@ -142,6 +142,7 @@
         match reply:
             case Tokens(offset=offset, tokens=tokens):
                 self._note_tokens(len(tokens))
+                self._note_progress()
                 self._ask_now = not self._call.take_tokens(offset, tokens)
                 return None
             case Pending(load=load, running=running):
@@ -162,12 +163,11 @@
         return reply
 
     def _note_tokens(self, count: int) -> None:
-        """Tell the target's health how fast the generation goes on."""
+        """Tell the target's health how long this many tokens took."""
         now = asyncio.get_running_loop().time()
-        if self._has_tokens:
-            self._link.health.note_tokens(count, now - self._moved_at)
-        self._has_tokens = True
-        self._note_progress()
+        if self._tokens_at is not None:
+            self._link.health.note_tokens(count, now - self._tokens_at)
+        self._tokens_at = now
 
     def _note_progress(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/tests/dispatch/test_tail.py
+++ b/tests/dispatch/test_tail.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import msgspec
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from lagoontide.bench.arm import make_arm
@@ -131,27 +132,54 @@
     run_virtual(main())
 
 
-def time_of_a_stalled_call(policy):
+async def stall_who_runs(arm, service):
+    """Stall the targets of a service that have work, as soon as one has."""
+    names = [name for name in arm.targets if name.startswith(service)]
+    while not any(arm.agents[name].load.running for name in names):
+        await asyncio.sleep(0.001)
+    stall(arm, [name for name in names if arm.agents[name].load.running])
+
+
+def test_without_tail_cutting_the_stalled_call_is_lost():
+    async def main():
+        async with deployment("without-tail") as arm:
+            await warm_up(arm, "reseller-query")
+            asking = asyncio.create_task(ask(arm, "reseller-query", "x"))
+            await stall_who_runs(arm, "rerankers")
+            with pytest.raises(RequestFailed):
+                await asking
+
+    run_virtual(main())
+
+
+def test_without_tail_cutting_a_stalled_generation_still_moves():
+    async def main():
+        async with deployment("without-tail") as arm:
+            await warm_up(arm, "reseller-query")
+            asking = asyncio.create_task(ask(arm, "reseller-query", "x"))
+            await stall_who_runs(arm, "model")
+            answer = await asking
+            assert len(attempts_of(answer, "draft")) == 2
+
+    run_virtual(main())
+
+
+def time_of_a_stalled_generation(policy):
     async def main():
         async with deployment(policy) as arm:
             await warm_up(arm, "reseller-query")
-            loop = asyncio.get_running_loop()
-            models = [name for name in arm.targets if name.startswith("model")]
             asking = asyncio.create_task(ask(arm, "reseller-query", "x"))
-            while not any(arm.agents[name].load.running for name in models):
-                await asyncio.sleep(0.005)
-            stall(arm, [n for n in models if arm.agents[n].load.running])
-            started = loop.time()
+            await stall_who_runs(arm, "model")
+            started = asyncio.get_running_loop().time()
             await asking
-            return loop.time() - started
+            return asyncio.get_running_loop().time() - started
 
     return run_virtual(main())
 
 
-def test_a_stalled_call_is_back_well_before_its_stall_is_certain():
-    # Without tail cutting a generation moves on after a second of silence.
-    assert time_of_a_stalled_call("without-tail") >= 1.0
-    assert time_of_a_stalled_call("default") <= 0.7
+def test_a_stalled_generation_is_back_before_its_stall_is_certain():
+    assert time_of_a_stalled_generation("without-tail") >= 1.0
+    assert time_of_a_stalled_generation("default") <= 0.7
 
 
 @settings(derandomize=True, deadline=None, max_examples=100)
