--- a/tests/entry/test_callers_port.py
+++ b/tests/entry/test_callers_port.py
@@ -1,6 +1,7 @@
 """Bad input at the callers' port: a clear error, nothing lost, and it goes on."""
 
 import socket
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -148,9 +149,8 @@
 
 
 def test_a_body_that_does_not_come_is_not_run():
-    server = HttpServer(
-        "127.0.0.1:0", make_app(None, None, MAX_BODY), threads=1, timeout=SILENCE_S
-    )
+    app = make_app(SimpleNamespace(is_leaving=False), None, MAX_BODY)
+    server = HttpServer("127.0.0.1:0", app, threads=1, timeout=SILENCE_S)
     server.start()
     head = b"POST /v1/routes/any HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{"
     with socket.create_connection(split_address(server.address)) as sock:
