Tell an input that no target can use from work that did not run here

Cause: a stand-in refused a bad input with the answer for 'busy', so the entry tried up to four targets with it. Change: TargetRefused (422) ends the stage call at once as not run, with step, peer and reason; the stand-ins check their inputs; one function gives the right inputs and outputs of all stages for benches and checks. Conclusion: five bad inputs cost one call each (test).

--- a/src/lagoontide/agent/service.py
+++ b/src/lagoontide/agent/service.py
@@ -33,7 +33,7 @@
     digest,
     is_whole,
 )
-from lagoontide.errors import TargetFailed, TargetUnreachable
+from lagoontide.errors import TargetFailed, TargetRefused, TargetUnreachable
 from lagoontide.membership.messages import (
     LEAVING,
     OTHER_INCARNATION,
@@ -286,6 +286,8 @@
             body = await self._call_target(job, started)
         except TargetUnreachable as exc:
             return NotRun(call.attempt, str(exc), self.load)
+        except TargetRefused as exc:
+            return NotRun(call.attempt, str(exc), self.load, final=True)
         except TargetFailed as exc:
             if not exc.ran:
                 return NotRun(call.attempt, str(exc), self.load)
--- a/src/lagoontide/bench/arrivals.py
+++ b/src/lagoontide/bench/arrivals.py
@@ -17,7 +17,7 @@
     Stage,
 )
 from lagoontide.deployments import SampleRequest, make_sample
-from lagoontide.standins.compute import DEFAULT_TOKENS, Values, compute
+from lagoontide.standins.compute import DEFAULT_TOKENS, Values, compute_stages
 from lagoontide.standins.engine import BLOCK_CHARS
 from lagoontide.standins.profiles import PROFILES, EngineProfile
 
@@ -124,7 +124,9 @@
     busy: dict[str, float] = defaultdict(float)
     for number, (account, route) in enumerate(pairs):
         sample = make_sample(account, route, f"capacity-{number}")
-        for stage, inputs in _walk_inputs(document, route, sample.body):
+        values = compute_stages(document, route, sample.body)
+        for stage in route.stages:
+            inputs = values[stage.name].inputs
             busy[stage.service] += _target_seconds(document, stage, inputs)
     return min(
         document.services[name].replicas * len(pairs) / seconds
@@ -132,20 +134,6 @@
     )
 
 
-def _walk_inputs(
-    document: Document, route: Route, body: Values
-) -> Iterator[tuple[Stage, Values]]:
-    outputs: dict[str, Values] = {"request": body}
-    for stage in route.stages:
-        inputs = {
-            name: outputs[source.partition(".")[0]][source.partition(".")[2]]
-            for name, source in stage.inputs.items()
-        } | stage.constants
-        yield stage, inputs
-        kind = document.services[stage.service].kind
-        outputs[stage.name] = compute(kind, stage.operation, inputs)
-
-
 def _target_seconds(document: Document, stage: Stage, inputs: Values) -> float:
     service = document.services[stage.service]
     if service.kind is not ServiceKind.ENGINE:
--- a/src/lagoontide/bench/path.py
+++ b/src/lagoontide/bench/path.py
@@ -15,7 +15,7 @@
 from lagoontide.configuration.document import Document, ServiceKind, Stage
 from lagoontide.deployments import SampleRequest, make_requests, make_token
 from lagoontide.platform.targets import HttpTarget, Work
-from lagoontide.standins.compute import compute_answer
+from lagoontide.standins.compute import Values, compute_answer, compute_stages
 
 __all__ = ["PathFigures", "load_callers", "run_path"]
 
@@ -105,11 +105,12 @@
     end = loop.time() + seconds
     times: list[float] = []
     for sample in _four_stage_samples(fleet.document, f"direct-{seed}"):
+        values = compute_stages(fleet.document, sample.route, sample.body)
         started = loop.time()
         if started >= end:
             return times
         for stage in sample.route.stages:
-            work = _make_work(stage, sample)
+            work = _make_work(stage, sample, values[stage.name].inputs)
             target = targets[stage.service]
             if fleet.document.services[stage.service].kind is ServiceKind.ENGINE:
                 await target.stream(work, lambda offset, tokens: None)
@@ -119,12 +120,12 @@
     return times
 
 
-def _make_work(stage: Stage, sample: SampleRequest) -> Work:
+def _make_work(stage: Stage, sample: SampleRequest, inputs: Values) -> Work:
     return Work(
         attempt="direct",
         request="direct",
         operation=stage.operation,
-        body=msgspec.json.encode(sample.body | stage.constants),
+        body=msgspec.json.encode(inputs),
         budget=sample.route.deadline,
         priority=sample.priority.value,
     )
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -122,8 +122,8 @@
             case Done():
                 self._retries.note_success()
                 return False
-            case NotRun():
-                return True
+            case NotRun(final=final):
+                return not final
             case _:
                 return call.stage.repeatable and self._retries.take()
 
--- a/src/lagoontide/dispatch/messages.py
+++ b/src/lagoontide/dispatch/messages.py
@@ -132,11 +132,18 @@
 
 
 class NotRun(msgspec.Struct, frozen=True, tag="not_run"):
-    """The attempt did not run and never will."""
+    """The attempt did not run and never will.
+
+    Attributes
+    ----------
+    final : bool
+        Whether it would not run elsewhere either.
+    """
 
     attempt: str
     reason: str
     load: Load = Load()
+    final: bool = False
 
 
 class Failed(msgspec.Struct, frozen=True, tag="failed"):
--- a/src/lagoontide/errors.py
+++ b/src/lagoontide/errors.py
@@ -16,6 +16,7 @@
     "StoreUnavailable",
     "TargetError",
     "TargetFailed",
+    "TargetRefused",
     "TargetUnreachable",
     "UsageError",
     "WireError",
@@ -129,6 +130,10 @@
     """The target took no connection, so the work provably did not start."""
 
 
+class TargetRefused(TargetError):
+    """The target cannot use the input; it did nothing, nor would any other."""
+
+
 class TargetFailed(TargetError):
     """The target was given the work and did not return a usable answer.
 
--- a/src/lagoontide/platform/targets.py
+++ b/src/lagoontide/platform/targets.py
@@ -8,7 +8,7 @@
 import msgspec
 import urllib3
 
-from lagoontide.errors import TargetFailed, TargetUnreachable
+from lagoontide.errors import TargetFailed, TargetRefused, TargetUnreachable
 from lagoontide.platform.pool import HttpPool
 
 __all__ = [
@@ -23,6 +23,7 @@
 
 STATUS_OK = 200
 STATUS_NOT_RUN = 429
+STATUS_BAD_INPUT = 422
 CANCEL_TIMEOUT_S = 1.0
 
 OnTokens = Callable[[int, list[str]], None]
@@ -62,12 +63,21 @@
 
 
 class TokenLine(msgspec.Struct):
-    """A line of an engine's stream: tokens from ``offset`` on, or the end."""
+    """A line of an engine's stream: tokens from ``offset`` on, or the end.
+
+    Attributes
+    ----------
+    error : str
+        Why the stream ends before its end.
+    refused : bool
+        Whether the engine cannot use the prompt.
+    """
 
     offset: int = 0
     tokens: list[str] = []
     done: bool = False
     error: str = ""
+    refused: bool = False
 
 
 class Prompt(msgspec.Struct):
@@ -87,6 +97,8 @@
         ------
         TargetUnreachable
             If the work provably did not start.
+        TargetRefused
+            If no target could use the input.
         TargetFailed
             If the target gave no usable answer.
         """
@@ -166,8 +178,10 @@
         return response.data
 
     def _check(self, status: int, data: bytes) -> None:
+        text = data[:200].decode("utf-8", "replace")
+        if status == STATUS_BAD_INPUT:
+            raise TargetRefused(text, step="run", peer=self._url)
         if status != STATUS_OK:
-            text = data[:200].decode("utf-8", "replace")
             raise TargetFailed(
                 f"status {status}: {text}",
                 step="run",
@@ -202,6 +216,8 @@
                 raise TargetFailed(
                     f"bad line {line[:80]!r}", step="stream", peer=self._url
                 ) from exc
+            if item.refused:
+                raise TargetRefused(item.error, step="stream", peer=self._url)
             if item.error:
                 raise TargetFailed(item.error, step="stream", peer=self._url)
             if item.done:
--- a/src/lagoontide/standins/engine.py
+++ b/src/lagoontide/standins/engine.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from lagoontide.configuration.document import Priority
-from lagoontide.errors import TargetFailed, TargetUnreachable
+from lagoontide.errors import TargetFailed, TargetRefused, TargetUnreachable
 from lagoontide.platform.targets import OnTokens, TargetLoad, Work
 from lagoontide.scheduling.waiting import RANK
 from lagoontide.standins.compute import make_token, make_tokens
@@ -184,8 +184,8 @@
             inputs = msgspec.json.decode(work.body, type=dict[str, object])
             total = len(make_tokens(inputs))
         except (msgspec.DecodeError, TypeError, ValueError) as exc:
-            raise TargetFailed(
-                f"bad prompt: {exc}", step="run", peer=self.name, ran=False
+            raise TargetRefused(
+                f"bad prompt: {exc}", step="run", peer=self.name
             ) from None
         position = len(work.resume)
         if list(work.resume) != [make_token(inputs, i) for i in range(position)]:
--- a/src/lagoontide/standins/http.py
+++ b/src/lagoontide/standins/http.py
@@ -14,6 +14,7 @@
     StoreConflict,
     StoreUnavailable,
     TargetFailed,
+    TargetRefused,
 )
 from lagoontide.httpd import Bridge, read_body
 from lagoontide.platform.httpstore import EntryJson
@@ -84,6 +85,10 @@
                     return _send_json(start, {"healthy": True}, HTTPStatus.OK)
                 case _:
                     return _send_json(start, {}, HTTPStatus.NOT_FOUND)
+        except TargetRefused as exc:
+            return _send_json(
+                start, {"error": exc.message}, HTTPStatus.UNPROCESSABLE_ENTITY
+            )
         except TargetFailed as exc:
             status = HTTPStatus.BAD_GATEWAY if exc.ran else HTTPStatus.TOO_MANY_REQUESTS
             return _send_json(start, {"error": exc.message}, status)
@@ -131,7 +136,8 @@
                 await self._target.stream(work, on_tokens)
                 lines.put(TokenLine(done=True))
             except LagoontideError as exc:
-                lines.put(TokenLine(error=exc.message))
+                refused = isinstance(exc, TargetRefused)
+                lines.put(TokenLine(error=exc.message, refused=refused))
             finally:
                 lines.put(None)
 
--- a/src/lagoontide/standins/plain.py
+++ b/src/lagoontide/standins/plain.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from lagoontide.configuration.document import ServiceKind
-from lagoontide.errors import TargetFailed, TargetUnreachable
+from lagoontide.errors import TargetFailed, TargetRefused, TargetUnreachable
 from lagoontide.platform.targets import OnTokens, TargetLoad, Work
 from lagoontide.standins.compute import compute
 from lagoontide.standins.faults import Faults
@@ -93,8 +93,8 @@
             inputs = msgspec.json.decode(work.body, type=dict)
             return msgspec.json.encode(compute(self._kind, work.operation, inputs))
         except (msgspec.DecodeError, TypeError, ValueError) as exc:
-            raise TargetFailed(
-                f"bad input: {exc}", step="run", peer=self.name, ran=False
+            raise TargetRefused(
+                f"bad input: {exc}", step="run", peer=self.name
             ) from None
 
     def _note(self, change: int) -> None:
--- a/tests/entry/test_callers_port.py
+++ b/tests/entry/test_callers_port.py
@@ -179,3 +179,21 @@
 def test_health(running, path):
     address = running.local.entries[0].http.address
     assert running.http.request("GET", f"http://{address}{path}").status == 200
+
+
+@pytest.mark.parametrize("question", [b"7", b'""', b"[]", b"null", b'{"a": 1}'])
+def test_an_input_that_a_stage_cannot_use(running, question):
+    """One target says so and no other is asked."""
+    before = _count_calls(running, "encoders")
+    response = _post(running, b'{"question": ' + question + b"}")
+    problem = msgspec.json.decode(response.data)
+    assert problem["outcome"] == "not_run"
+    assert problem["step"] == "embed"
+    assert "text is" in problem["detail"]
+    assert problem["peer"].startswith("encoders-")
+    assert _count_calls(running, "encoders") == before + 1
+
+
+def _count_calls(running, service):
+    agents = running.local.agents.values()
+    return sum(len(x._log) for x in agents if x.service == service)
