--- a/src/lagoontide/bench/configuration.py
+++ b/src/lagoontide/bench/configuration.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from lagoontide.bench.forms import FormCost, measure_forms
 from lagoontide.configuration.acceptance import Acceptance, Proposal, make_writer
 from lagoontide.configuration.diff import diff_documents
 from lagoontide.configuration.document import (
@@ -56,6 +57,8 @@
         Growth of the history by a change of one value.
     history_bytes_per_day : float
         The same for the changes of a day, before old ones make room.
+    forms : FormCost
+        The steps of a change on the console.
     """
 
     routes: int
@@ -71,6 +74,7 @@
     reads_per_change: float
     history_bytes_per_change: float
     history_bytes_per_day: float
+    forms: FormCost
 
 
 def make_large(routes: int, accounts: int) -> dict[str, Any]:
@@ -136,6 +140,7 @@
         reads_per_change=reads,
         history_bytes_per_change=history,
         history_bytes_per_day=history * CHANGES_PER_DAY,
+        forms=measure_forms(document),
     )
 
 
@@ -192,6 +197,9 @@
         return 0
     for cost in costs:
         print(f"{cost.routes} routes, {cost.accounts} accounts")
-        for name in Cost.__struct_fields__[2:]:
-            print(f"  {name:26} {getattr(cost, name):.6g}")
+        figures = msgspec.structs.asdict(cost)
+        forms = msgspec.structs.asdict(figures.pop("forms"))
+        figures |= {f"form_{step}": value for step, value in forms.items()}
+        for name, value in list(figures.items())[2:]:
+            print(f"  {name:26} {value:.6g}")
     return 0
