--- a/src/lagoontide/dispatch/follow.py
+++ b/src/lagoontide/dispatch/follow.py
@@ -73,6 +73,7 @@
         self._ask_now = False
         self._running = False
         self._moved_at = 0.0
+        self._tokens_at: float | None = None
         self.dropped = 0
 
     async def run(self) -> Result:
@@ -140,6 +141,7 @@
             return None
         match reply:
             case Tokens(offset=offset, tokens=tokens):
+                self._note_tokens(len(tokens))
                 self._note_progress()
                 self._ask_now = not self._call.take_tokens(offset, tokens)
                 return None
@@ -160,6 +162,13 @@
                 self._link.refuse(reason)
         return reply
 
+    def _note_tokens(self, count: int) -> None:
+        """Tell the target's health how long this many tokens took."""
+        now = asyncio.get_running_loop().time()
+        if self._tokens_at is not None:
+            self._link.health.note_tokens(count, now - self._tokens_at)
+        self._tokens_at = now
+
     def _note_progress(self) -> None:
         now = asyncio.get_running_loop().time()
         self._moved_at = now
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 from hypothesis import given, settings, strategies as st
 
 from lagoontide.routing.choose import (
@@ -18,8 +19,10 @@
 from lagoontide.routing.health import (
     Health,
     Standing,
+    Usual,
     Verdict,
     find_out_cap,
+    find_usual_token_time,
     judge,
 )
 
@@ -61,17 +64,15 @@
 @check
 @given(candidates, st.integers(1, 50), st.floats(0, 64))
 def test_more_sent_is_never_better(candidate, more, usual):
-    fields = {name: getattr(candidate, name) for name in Candidate.__slots__}
-    fields["sent_since"] += more
-    after = expected_completion(Candidate(**fields), usual)
+    worse = msgspec.structs.replace(candidate, sent_since=candidate.sent_since + more)
+    after = expected_completion(worse, usual)
     assert after >= expected_completion(candidate, usual)
 
 
 @check
 @given(candidates, st.floats(0, 64))
 def test_old_counts_give_way_to_the_usual(candidate, usual):
-    fields = {name: getattr(candidate, name) for name in Candidate.__slots__}
-    old = Candidate(**fields | {"age": 1e6, "sent": 0, "sent_since": 0})
+    old = msgspec.structs.replace(candidate, age=1e6, sent=0, sent_since=0)
     wanted = old.ratio * (1 + usual / old.limit)
     assert abs(expected_completion(old, usual) - wanted) < 1e-6 * max(1, wanted)
 
@@ -86,23 +87,23 @@
     health = Health()
     for _ in range(20):
         health.note_ratio(8.0)
-    assert judge(health, 0.02, 1.0) is Verdict.PUT_OUT
+    assert judge(health, Usual(0.02), 1.0) is Verdict.PUT_OUT
     health.put_out(1.0)
     health.note_ratio(9.0)
     health.note_ratio(1.0)
-    assert judge(health, 0.02, 2.0) is Verdict.KEEP
+    assert judge(health, Usual(0.02), 2.0) is Verdict.KEEP
     health.note_ratio(1.0)
-    assert judge(health, 0.02, 2.0) is Verdict.BRING_BACK
+    assert judge(health, Usual(0.02), 2.0) is Verdict.BRING_BACK
 
 
 def test_silence_counts_only_while_work_is_there():
     health = Health()
-    assert judge(health, 0.02, 100.0) is Verdict.KEEP
+    assert judge(health, Usual(0.02), 100.0) is Verdict.KEEP
     health.begin(100.0)
-    assert judge(health, 0.02, 100.05) is Verdict.KEEP
-    assert judge(health, 0.02, 100.5) is Verdict.PUT_OUT
+    assert judge(health, Usual(0.02), 100.05) is Verdict.KEEP
+    assert judge(health, Usual(0.02), 100.5) is Verdict.PUT_OUT
     health.end()
-    assert judge(health, 0.02, 101.0) is Verdict.KEEP
+    assert judge(health, Usual(0.02), 101.0) is Verdict.KEEP
 
 
 @check
@@ -123,3 +124,15 @@
     assert not health.take_probe(5.1)
     assert health.take_probe(6.0)
     assert not health.take_probe(6.1)
+
+
+def test_a_generation_that_drags_tells_of_its_target_before_it_ends():
+    pool = [Health() for _ in range(5)]
+    for _ in range(30):
+        for health in pool:
+            health.note_tokens(3, 0.03)
+    usual = Usual(0.02, find_usual_token_time(pool))
+    assert {judge(health, usual, 0.0) for health in pool} == {Verdict.KEEP}
+    for _ in range(12):
+        pool[0].note_tokens(1, 0.05)
+    assert judge(pool[0], usual, 0.0) is Verdict.PUT_OUT
