Tell refusals under their account; never count a fault as an answer

Cause: a refused request had no account in its story, and one that ended by a cancellation or a fault of the entry itself was told as done, which the report counted as good.

Change: the story of a refused request names the account of its token; an end by anything but an error of ours is unknown.

--- a/features/report.feature
+++ b/features/report.feature
@@ -22,6 +22,12 @@
     And entry 1 leaves its snapshot and is gone
     Then the burn report of entry 2 counts 4 requests, some of them stale
 
+  Scenario: Refusals stand apart, under the account that met them
+    Given the deployment "swanreach" is running
+    When account "state-offices" asks for route "issue-credit" 2 times
+    And account "bench-technicians" is refused route "issue-credit"
+    Then the burn report has 1 refusal of "bench-technicians" and no missed request
+
   Scenario: Wrong input is named
     Given the deployment "swanreach" is running
     Then "status --colour=red" exits with 2 and shows "unknown flag --colour"
--- a/features/steps/report.py
+++ b/features/steps/report.py
@@ -55,6 +55,22 @@
         assert context.last.status != 200, context.last.data
 
 
+@when('account "{account}" is refused route "{route}"')
+def ask_refused(context, account, route):
+    running = context.running
+    response = running.ask(running.make_sample(account, route, "refused"))
+    assert response.status == 403, response.data
+
+
+@then('the burn report has {count:d} refusal of "{account}" and no missed request')
+def check_refusals(context, count, account):
+    report = gather_burn(operators(context), OPERATOR_TOKEN, WINDOW_S)
+    lines = {line.name: line.tally for line in report.accounts}
+    assert lines[account].refused == count, lines
+    assert (lines[account].total, report.total.tally.bad) == (0, 0), lines
+    assert report.total.tally.refused == count
+
+
 @when("entry 1 leaves its snapshot and is gone")
 def leave_snapshot(context):
     parts = context.running.local.entries[0]
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -1,6 +1,7 @@
 """What an entry does with a request, from the body to the answer."""
 
 import asyncio
+import contextlib
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -146,8 +147,15 @@
             exc.request = answer.request
             error = exc
             raise
+        except BaseException as exc:
+            # Cancelled, or a fault of ours: never to be counted as an answer.
+            error = RequestFailed("unknown", f"ended by {exc!r:.200}", step="entry")
+            raise
         finally:
-            self._finish(_tell(call, request, answer, error, started, loop.time()))
+            account = request.account.name if request else self._find_name(call.token)
+            self._finish(
+                _tell(call, request, account, answer, error, started, loop.time())
+            )
 
     def subscribe(self, listener: Listener) -> None:
         """Call ``listener`` with the story of each request that has ended."""
@@ -158,7 +166,7 @@
         logger.bind(request=story.request, stage=story.step, peer=story.peer).debug(
             "{} {} {}", story.route, story.outcome, story.reason
         )
-        name = story.route if story.account else "unaccepted"
+        name = story.route if story.budget else "unaccepted"
         self._metrics.count(f"entry.request.{name}.{story.outcome}")
         self._metrics.time(f"entry.request.{name}", story.ended - story.started)
         for report in story.stages:
@@ -177,6 +185,12 @@
             except Exception:
                 logger.exception("a listener failed on {}", story.request)
 
+    def _find_name(self, token: str) -> str:
+        """Return the account of a request that was refused, if its token has one."""
+        with contextlib.suppress(RequestError):
+            return self._accounts.identify(token).name
+        return ""
+
     def _find_service(self, name: str) -> Service:
         return self._holder.document.services[name]
 
@@ -310,6 +324,7 @@
 def _tell(
     call: CallerRequest,
     request: Request | None,
+    account: str,
     answer: Answer,
     error: LagoontideError | None,
     started: float,
@@ -325,7 +340,7 @@
     return Story(
         request=answer.request,
         route=call.route,
-        account=request.account.name if request else "",
+        account=account,
         priority=request.priority if request else None,
         outcome=outcome,
         started=started,
--- a/src/lagoontide/pipeline/story.py
+++ b/src/lagoontide/pipeline/story.py
@@ -15,6 +15,8 @@
 
     Attributes
     ----------
+    account : str
+        The client account of the token, also of a refused request; empty if none.
     outcome : str
         ``done``, ``refused``, ``not_run``, ``failed`` or ``unknown``.
     started, ended : float
