--- a/tests/dispatch/test_tail.py
+++ b/tests/dispatch/test_tail.py
@@ -164,6 +164,24 @@
     run_virtual(main())
 
 
+def time_of_a_stalled_generation(policy):
+    async def main():
+        async with deployment(policy) as arm:
+            await warm_up(arm, "reseller-query")
+            asking = asyncio.create_task(ask(arm, "reseller-query", "x"))
+            await stall_who_runs(arm, "model")
+            started = asyncio.get_running_loop().time()
+            await asking
+            return asyncio.get_running_loop().time() - started
+
+    return run_virtual(main())
+
+
+def test_a_stalled_generation_is_back_before_its_stall_is_certain():
+    assert time_of_a_stalled_generation("without-tail") >= 1.0
+    assert time_of_a_stalled_generation("default") <= 0.7
+
+
 @settings(derandomize=True, deadline=None, max_examples=100)
 @given(st.floats(0.01, 0.5), st.integers(1, 20), st.lists(st.booleans(), max_size=300))
 def test_extra_work_stays_within_its_share(share, burst, events):
