--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -227,10 +227,11 @@
         f"{READS_LIMIT} reads/s, {WRITES_LIMIT} writes/s: kept |",
         f"| claims, if all requests have a key | {commits:.0f} commits/s of "
         f"{PARTITIONS} partitions and {leases:.0f} renewals/s at any load, "
-        f"{segments:.0f} writes/s for full segments; room for {claims:,.0f} claims/s | partitions by lease, group commit | "
+        f"{segments:.0f} writes/s for full segments; room for {claims:,.0f} claims/s "
+        "| partitions by lease, group commit | "
         f"{judge(REQUESTS_PER_S, claims, f'{REQUESTS_PER_S:,} claims/s')} |",
-        f"| all writes of the store | {writes:.0f}/s: commits, renewals, segments, changes and "
-        f"{snapshots:.0f}/s for the entries' report snapshots | the same | "
+        f"| all writes of the store | {writes:.0f}/s: commits, renewals, segments, "
+        f"changes and {snapshots:.0f}/s for the entries' report snapshots | the same | "
         f"{judge(writes, WRITES_LIMIT, f'{WRITES_LIMIT} writes/s')} |",
         f"| {CHANGES_PER_DAY:,} changes a day, if all {members:,} watched | "
         f"{direct:,.0f} reads/s on average, "
