Storms: focused tests; no busy loop on useless answers of the store

Cause: a store that answers a watch at once with an old version, or with what is no document, made a watcher ask again without a pause; a process that never got a list read the store once and heard of no change.

Change: a pause of about a second after such an answer; without a list within a second a process watches the store itself.

--- a/src/lagoontide/spreading/node.py
+++ b/src/lagoontide/spreading/node.py
@@ -57,7 +57,8 @@
     ) -> None:
         self.identity = identity
         self.copies = Copies(adopt)
-        self.roles = Roles(watches=False, children=(), view=())
+        # Without a list nobody is known who could watch for this process.
+        self.roles = Roles(watches=True, children=(), view=())
         self._domain = failure_domain
         self._store = store
         self._peers = Peers(connect)
@@ -149,11 +150,7 @@
 
     async def _start(self) -> None:
         """Read the store once, unless a peer answers first."""
-        try:
-            async with asyncio.timeout(LIST_WAIT_S):
-                await self._is_listed.wait()
-        except TimeoutError:
-            logger.bind(step="spreading").info("no list of instances yet")
+        await self._wait_listed()
         await asyncio.sleep(self._rng.random() * len(self._instances) / STARTS_PER_S)
         while not self.version:
             try:
@@ -164,8 +161,16 @@
                 logger.bind(step="spreading").warning("store: {}", exc)
             await asyncio.sleep(spread(RETRY_S, self._rng))
 
+    async def _wait_listed(self) -> None:
+        try:
+            async with asyncio.timeout(LIST_WAIT_S):
+                await self._is_listed.wait()
+        except TimeoutError:
+            logger.bind(step="spreading").info("no list of instances yet")
+
     async def _watch(self) -> None:
         """Watch the store while this process is one of its domain's watchers."""
+        await self._wait_listed()
         while True:
             if not self.roles.watches:
                 self._roles_changed.clear()
@@ -180,6 +185,9 @@
                 continue
             if entry is not None:
                 self._take(entry.version, entry.value)
+                if self.version == before:
+                    # An old answer, or no document: the next may be as useless.
+                    await asyncio.sleep(spread(RETRY_S, self._rng))
             elif before == self.version:
                 self._confirmed_at = self._loop.time()
 
--- a/tests/spreading/cluster.py
+++ b/tests/spreading/cluster.py
@@ -139,7 +139,8 @@
             self._adopt,
             self.stale_after,
         )
-        self.spreader.apply(self.cluster.instances)
+        if self.cluster.is_list_up:
+            self.spreader.apply(self.cluster.instances)
         self.task = asyncio.create_task(self.spreader.run())
 
     def _adopt(self, version, data):
@@ -167,6 +168,7 @@
         self.splits = set()
         self.far_from_store = set()
         self.is_old = False
+        self.is_list_up = True
         self.messages = 0
         self.nodes = {}
         self._options = options
@@ -187,8 +189,11 @@
         self.nodes[place.address] = node
         return node
 
-    def replace(self, address):
-        """Replace a process by one of another name at another address."""
+    def replace(self, address, *, is_shown=True):
+        """Replace a process by one of another name at another address.
+
+        The others see it at once, or when ``show_list`` is called.
+        """
         self.nodes.pop(address).stop()
         number = next(self._numbers)
         old = next(item for item in self.instances if item.address == address)
@@ -197,10 +202,14 @@
         )
         self.instances = (*(x for x in self.instances if x is not old), place)
         node = self.start(place)
-        for other in self.nodes.values():
-            other.spreader.apply(self.instances)
+        if is_shown:
+            self.show_list()
         return node
 
+    def show_list(self):
+        for node in self.nodes.values():
+            node.spreader.apply(self.instances)
+
     async def publish(self):
         """Accept a new document at the store and return its version."""
         expected = self.accepted[-1].version if self.accepted else 0
