--- a/src/lagoontide/agent/daemon.py
+++ b/src/lagoontide/agent/daemon.py
@@ -37,7 +37,6 @@
             store,
             instances,
             metrics,
-            cfg.stale_after,
         )
         logger.info("agent of {} at {}", cfg.service, parts.server.address)
 
--- a/src/lagoontide/agent/parts.py
+++ b/src/lagoontide/agent/parts.py
@@ -43,7 +43,6 @@
         store: Store,
         instances: Instances,
         metrics: Metrics,
-        stale_after: float = 0.0,
     ) -> None:
         self.agent = agent
         self.codec = make_protocol()
@@ -60,7 +59,6 @@
             store,
             self._connect,
             self._adopt,
-            stale_after,
         )
         self.server = bind(
             ctx, f"tcp://{address}", self.codec, self.identity, self._handle
--- a/src/lagoontide/settings.py
+++ b/src/lagoontide/settings.py
@@ -110,8 +110,6 @@
         ``IP:PORT`` for entries and other agents.
     store, instances : str
         URLs of the platform's services.
-    stale_after : float
-        Seconds without word of the store after which it stops; 0 means never.
     target : str
         URL of the target beside it.
     slots : int
@@ -127,7 +125,6 @@
     target: Url
     store: Url
     instances: Url
-    stale_after: OptionalSeconds = 0.0
     slots: Annotated[int, Meta(ge=1, le=4096)] = 8
     drain: Seconds = 30.0
     log: LogSettings = LogSettings()
