Probe stragglers ever more rarely, and hedge the probes early

Change: each probe that finds it slow doubles the interval up to 2.4 s; a probe is hedged after the median time.

--- a/src/lagoontide/dispatch/tail.py
+++ b/src/lagoontide/dispatch/tail.py
@@ -203,7 +203,11 @@
         if not isinstance(self._policy, HedgeLate):
             return None
         call = race.call
-        return self.pace.of(call.stage.service).of(call.kind).hedge_after
+        pace = self.pace.of(call.stage.service).of(call.kind)
+        if race.tries[0].link.health.standing is Standing.OUT:
+            # A probe: its caller is not to pay for what it finds.
+            return pace.ran.value
+        return pace.hedge_after
 
     def _wake_when_late(self, race: Race) -> asyncio.TimerHandle | None:
         """Wake the race when it is late, and then again while nothing helps."""
--- a/src/lagoontide/routing/health.py
+++ b/src/lagoontide/routing/health.py
@@ -30,6 +30,8 @@
 # Share of a pool that may be out, so that a slow pool is not taken for stragglers.
 OUT_SHARE = 0.34
 PROBE_INTERVAL_S = 0.3
+# Each probe that finds it slow doubles the interval up to this.
+MAX_PROBE_INTERVAL_S = 2.4
 PROBES_TO_RETURN = 2
 MIN_GAPS = 20
 RATIO_WEIGHT = 0.3
@@ -98,6 +100,7 @@
     token_time: float = 0.0
     good_probes: int = 0
     probe_at: float = 0.0
+    probe_interval: float = PROBE_INTERVAL_S
     watchers: set[asyncio.Event] = field(default_factory=set)
 
     def begin(self, now: float) -> None:
@@ -133,11 +136,14 @@
         if self.standing is Standing.OUT:
             is_good = ratio < BACK_RATIO
             self.good_probes = self.good_probes + 1 if is_good else 0
+            if is_good:
+                self.probe_interval = PROBE_INTERVAL_S
 
     def put_out(self, now: float) -> None:
         """Give it no more ordinary work."""
         self.standing = Standing.OUT
         self.good_probes = 0
+        self.probe_interval = PROBE_INTERVAL_S
         self.probe_at = now + PROBE_INTERVAL_S
         for event in self.watchers:
             event.set()
@@ -152,7 +158,8 @@
         """Whether a probe is due; the next one is then due later."""
         if self.standing is Standing.IN or now < self.probe_at:
             return False
-        self.probe_at = now + PROBE_INTERVAL_S
+        self.probe_interval = min(MAX_PROBE_INTERVAL_S, 2 * self.probe_interval)
+        self.probe_at = now + self.probe_interval
         return True
 
 
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -1,5 +1,6 @@
 """Choice of a target and verdicts on stragglers."""
 
+import itertools
 import random
 
 import msgspec
@@ -126,6 +127,19 @@
     assert not health.take_probe(6.1)
 
 
+def test_probes_become_rare_while_they_find_it_slow():
+    health = Health()
+    health.put_out(0.0)
+    taken = []
+    for tick in range(1000):
+        if health.take_probe(tick / 50):
+            taken.append(tick / 50)
+            health.note_ratio(10.0)
+    gaps = [round(after - before, 1) for before, after in itertools.pairwise(taken)]
+    assert gaps == sorted(gaps)
+    assert gaps[0] < 1.0 and gaps[-1] <= 2.5
+
+
 def test_a_generation_that_drags_tells_of_its_target_before_it_ends():
     pool = [Health() for _ in range(5)]
     for _ in range(30):
