--- a/src/lagoontide/bench/faults.py
+++ b/src/lagoontide/bench/faults.py
@@ -14,7 +14,7 @@
 from lagoontide.bench.fleet import Fleet, start_fleet
 from lagoontide.configuration.document import Document
 from lagoontide.deployments import SampleRequest, make_requests, make_token
-from lagoontide.standins.compute import compute_whole
+from lagoontide.standins.compute import compute_answer, compute_stages
 from lagoontide.standins.faults import FaultOrder
 from lagoontide.standins.ledger import Execution, hash_inputs
 
@@ -72,9 +72,9 @@
 
 
 def _find_once(document: Document, sample: SampleRequest) -> set[tuple[str, int]]:
-    calls = compute_whole(document, sample.route, sample.body)[1]
+    values = compute_stages(document, sample.route, sample.body)
     return {
-        (stage.operation, hash_inputs(calls[stage.name]))
+        (stage.operation, hash_inputs(values[stage.name].inputs))
         for stage in sample.route.stages
         if not stage.repeatable
     }
@@ -139,7 +139,7 @@
             return ProblemJson(type(exc).__name__)
         if response.status != STATUS_OK:
             return msgspec.json.decode(response.data, type=ProblemJson)
-        wanted = compute_whole(self._fleet.document, sample.route, sample.body)[0]
+        wanted = compute_answer(self._fleet.document, sample.route, sample.body)
         asked.is_done = True
         asked.is_right = msgspec.json.decode(response.data) == wanted
         return ProblemJson(outcome="done")
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -231,8 +231,7 @@
         "| partitions by lease, group commit | "
         f"{judge(REQUESTS_PER_S, claims, f'{REQUESTS_PER_S:,} claims/s')} |",
         f"| all writes of the store | {writes:.0f}/s: commits, renewals, segments, "
-        "changes and "
-        f"{snapshots:.0f}/s for the entries' report snapshots | the same | "
+        f"changes and {snapshots:.0f}/s for the entries' report snapshots | the same | "
         f"{judge(writes, WRITES_LIMIT, f'{WRITES_LIMIT} writes/s')} |",
         f"| {CHANGES_PER_DAY:,} changes a day, if all {members:,} watched | "
         f"{direct:,.0f} reads/s on average, "
