--- a/src/lagoontide/report/reporter.py
+++ b/src/lagoontide/report/reporter.py
@@ -27,10 +27,13 @@
 from lagoontide.report.trace import Trace, TraceRing
 from lagoontide.report.window import Window
 
-Run = Callable[..., Awaitable[Any]]
-
 __all__ = ["Reporter", "make_objectives", "make_points"]
 
+# Ended requests, with their bodies, that are held at most before they are counted.
+BATCH = 16
+
+Run = Callable[..., Awaitable[Any]]
+
 
 class Reporter:
     """Counts and traces of one entry; all methods run on its loop.
@@ -67,19 +70,25 @@
         self._clock = clock or asyncio.get_running_loop().time
         self._recorder = Recorder(find_domain, self._is_route, self._clock())
         self._ring = TraceRing(entry)
+        self._pending: list[Story] = []
 
     def take(self, story: Story) -> None:
-        """Take a request that has ended."""
-        self._ring.take(story, self._recorder.take(story))
+        """Take a request that has ended; it is counted with others or when read."""
+        self._pending.append(story)
+        if len(self._pending) >= BATCH:
+            self._count_pending()
+
+    def _count_pending(self) -> None:
+        """Count in one go, which a processor's caches make cheaper."""
+        stories, self._pending = self._pending, []
+        for story in stories:
+            self._ring.take(story, self._recorder.take(story))
 
     def find_trace(self, request: str) -> Trace | None:
         """Return the trace of a request, if it is kept here."""
+        self._count_pending()
         return self._ring.find(request)
 
-    def list_traces(self) -> list[Trace]:
-        """Return all traces that are kept."""
-        return self._ring.list()
-
     @property
     def covered(self) -> float:
         """Seconds since this entry began to count."""
@@ -88,6 +97,7 @@
     async def report(self, seconds: tuple[float, ...]) -> EntryReport:
         """Return what ended in each of the last so many seconds."""
         now = self._clock()
+        self._count_pending()
         slots = self._recorder.slots.list(now)
         return EntryReport(
             entry=self.entry,
@@ -102,6 +112,7 @@
     async def snapshot(self) -> bytes:
         """Return the coded snapshot of now."""
         now = self._clock()
+        self._count_pending()
         slots = self._recorder.slots.list(now)
         head = Snapshot(
             entry=self.entry,
