One pool of connections for claims and spreading

Cause: two classes kept connections by address with the same lines. Change: ConnPool in wire; both keep their own view of the list. Conclusion: behaviour as before; their tests are unchanged.

--- a/src/lagoontide/membership/peers.py
+++ b/src/lagoontide/membership/peers.py
@@ -4,6 +4,7 @@
 
 from lagoontide.platform.instances import Instance, Role
 from lagoontide.wire.conn import Conn
+from lagoontide.wire.pool import ConnPool
 
 __all__ = ["Peers"]
 
@@ -18,25 +19,18 @@
     """
 
     def __init__(self, connect: Callable[[str], Conn]) -> None:
-        self._connect = connect
-        self._conns: dict[str, Conn] = {}
+        self._conns = ConnPool(connect)
         self.entries: tuple[Instance, ...] = ()
 
     def apply(self, instances: tuple[Instance, ...]) -> None:
         """Take a new list; connections to instances that are gone are closed."""
         self.entries = tuple(item for item in instances if item.role is Role.ENTRY)
-        listed = {item.address for item in instances}
-        for address in self._conns.keys() - listed:
-            self._conns.pop(address).close()
+        self._conns.keep(item.address for item in instances)
 
     def conn(self, address: str) -> Conn:
         """Return the connection to a process of the list."""
-        if address not in self._conns:
-            self._conns[address] = self._connect(address)
-        return self._conns[address]
+        return self._conns.get(address)
 
     def close(self) -> None:
         """Close all connections."""
-        for conn in self._conns.values():
-            conn.close()
-        self._conns.clear()
+        self._conns.close()
--- a/src/lagoontide/spreading/peers.py
+++ b/src/lagoontide/spreading/peers.py
@@ -4,6 +4,7 @@
 
 from lagoontide.platform.instances import Instance
 from lagoontide.wire.conn import Conn
+from lagoontide.wire.pool import ConnPool
 
 __all__ = ["Peers"]
 
@@ -18,8 +19,7 @@
     """
 
     def __init__(self, connect: Callable[[str], Conn]) -> None:
-        self._connect = connect
-        self._conns: dict[str, Conn] = {}
+        self._conns = ConnPool(connect)
         self._listed: dict[str, Instance] = {}
 
     def __len__(self) -> int:
@@ -28,9 +28,7 @@
     def update(self, listed: Iterable[Instance], kept: Iterable[Instance]) -> None:
         """Take a new list and the instances to which connections stay open."""
         self._listed = {item.name: item for item in listed if item.address}
-        addresses = {item.address for item in kept}
-        for address in self._conns.keys() - addresses:
-            self._conns.pop(address).close()
+        self._conns.keep(item.address for item in kept)
 
     def find(self, name: str) -> Instance | None:
         """Return the instance of a name if it is listed."""
@@ -38,13 +36,8 @@
 
     def get(self, instance: Instance) -> Conn:
         """Return a connection to an instance."""
-        conn = self._conns.get(instance.address)
-        if conn is None:
-            conn = self._conns[instance.address] = self._connect(instance.address)
-        return conn
+        return self._conns.get(instance.address)
 
     def close(self) -> None:
         """Close all connections."""
-        for conn in self._conns.values():
-            conn.close()
-        self._conns.clear()
+        self._conns.close()
