A request outlives the replacement of all agents of a service

Cause: a new scenario, in which all four agents of a service are replaced at once, failed: each refusal as another incarnation used up one of the four attempts before the links had said hello again.

Change: such a refusal, which proves that nothing ran, does not count as an attempt; the agent may be asked again once its link is usable, until the deadline.

Tests: features/spreading.feature (3 scenarios); tests/dispatch and tests/faults pass.

--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -12,6 +12,7 @@
 from lagoontide.dispatch.tail import HedgeLate, Race, Tail, TailPolicy, Try
 from lagoontide.membership.directory import Directory
 from lagoontide.membership.link import Link
+from lagoontide.membership.messages import OTHER_INCARNATION
 from lagoontide.platform.instances import InstanceState
 from lagoontide.routing.choose import Choose
 from lagoontide.routing.health import Standing
@@ -70,14 +71,18 @@
         attempts: list[Attempt] = []
         result: Result = NotRun("", "no target is known")
         peer = ""
-        while len(attempts) < MAX_ATTEMPTS and loop.time() < call.deadline:
+        while loop.time() < call.deadline:
+            # A replaced agent says hello again and is as good as a fresh one.
+            spent = [x for x in attempts if x.reason != OTHER_INCARNATION]
+            if len(spent) >= MAX_ATTEMPTS:
+                break
             link = self._pick(
                 call.stage.service,
-                {item.target for item in attempts},
+                {item.target for item in spent},
                 probes=call.stage.repeatable and self.tail.may_probe,
             )
             if link is None:
-                if attempts:
+                if spent:
                     break
                 await asyncio.sleep(NO_TARGET_PAUSE_S)
                 continue
