--- a/src/lagoontide/bench/spread.py
+++ b/src/lagoontide/bench/spread.py
@@ -76,7 +76,7 @@
 
 
 def run_spread(plan: SpreadPlan, as_json: bool, out: str) -> int:
-    """Measure and print; return 1 if a change was not in force in time."""
+    """Measure and print; raises TimeoutError if a change is not in force in 60 s."""
     logger.remove()
     document = _make_document(plan)
     rows = [
@@ -139,7 +139,7 @@
         "routes": plan.routes,
         "accounts": plan.accounts,
     }
-    given = [f"--{name}={value}" for name, value in options.items() if value]
+    given = [f"--{name}={value}" for name, value in options.items()]
     return shlex.join(["lagoontide", "bench", "spread", *given])
 
 
