Never mix the tokens of two attempts of one generation

Cause: a hedged generation runs on two engines at once and both added to the same list of tokens; engines need not give the same tokens twice, so a streaming caller could see a mixture of two texts. The stand-in engines repeat themselves exactly, so no test could see it; it was found by reading. Change: a draft for each attempt. Callers that do not stream get the winner's whole text as before.

--- a/src/lagoontide/dispatch/call.py
+++ b/src/lagoontide/dispatch/call.py
@@ -1,13 +1,11 @@
 """What an entry wants of a service."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from lagoontide.configuration.document import Priority, Stage
+from lagoontide.dispatch.tokens import TokenLog
 
-__all__ = ["OnTokens", "StageCall"]
-
-OnTokens = Callable[[int, list[str]], None]
+__all__ = ["StageCall"]
 
 
 @dataclass(slots=True)
@@ -18,7 +16,7 @@
     ----------
     deadline : float
         Loop time by which the outcome is due.
-    tokens : list of str
+    tokens : TokenLog
         Tokens received so far, over all attempts.
     size : int
         Tokens that the work may give at most; 0 if that is no matter.
@@ -32,21 +30,9 @@
     deadline: float
     body: bytes
     streams: bool = False
-    on_tokens: OnTokens | None = None
-    tokens: list[str] = field(default_factory=list)
+    tokens: TokenLog = field(default_factory=TokenLog)
     size: int = 0
 
-    def take_tokens(self, offset: int, tokens: list[str]) -> bool:
-        """Keep the tokens that are new; return False if some before are missing."""
-        have = len(self.tokens)
-        if offset > have:
-            return False
-        fresh = tokens[have - offset :]
-        self.tokens.extend(fresh)
-        if fresh and self.on_tokens is not None:
-            self.on_tokens(have, fresh)
-        return True
-
     @property
     def kind(self) -> tuple[str, int]:
         """Kind of work: the operation and the magnitude of its size."""
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from lagoontide.dispatch.budget import RetryBudget
-from lagoontide.dispatch.call import OnTokens, StageCall
+from lagoontide.dispatch.call import StageCall
 from lagoontide.dispatch.follow import Follower, Result, make_message
 from lagoontide.dispatch.messages import Done, NotRun
 from lagoontide.dispatch.tail import HedgeLate, Race, Tail, TailPolicy, Try
@@ -17,7 +17,7 @@
 from lagoontide.routing.choose import Choose
 from lagoontide.routing.health import Standing
 
-__all__ = ["Attempt", "Dispatcher", "OnTokens", "Outcome", "StageCall"]
+__all__ = ["Attempt", "Dispatcher", "Outcome", "StageCall"]
 
 MAX_ATTEMPTS = 4
 NO_TARGET_PAUSE_S = 0.05
--- a/src/lagoontide/dispatch/follow.py
+++ b/src/lagoontide/dispatch/follow.py
@@ -48,7 +48,7 @@
         streams=call.streams,
         body=call.body,
         digest=digest(call.body),
-        resume=tuple(call.tokens),
+        resume=tuple(call.tokens.settled),
         size=call.size,
         epoch=link.epoch,
     )
@@ -81,6 +81,20 @@
         message = self._message
         if message.budget <= 0:
             return NotRun(message.attempt, "the deadline passed before it was sent")
+        tokens = self._call.tokens
+        tokens.begin(message.attempt)
+        result: Result | None = None
+        try:
+            result = await self._send()
+            return result
+        finally:
+            if isinstance(result, Done):
+                tokens.finish(message.attempt)
+            else:
+                tokens.end(message.attempt)
+
+    async def _send(self) -> Result:
+        message = self._message
         try:
             exchange = await self._link.conn.open(message)
         except PeerError as exc:
@@ -107,7 +121,7 @@
                 return final
             if self._is_stalled() and self._can_move():
                 await self._cancel()
-                count = len(self._call.tokens)
+                count = self._call.tokens.count(self._message.attempt)
                 return Failed(self._message.attempt, f"stalled after {count} tokens")
         return await self._give_up()
 
@@ -123,7 +137,7 @@
 
     async def _settle(self, timeout: float) -> Reply | None:
         message = self._message
-        have = len(self._call.tokens)
+        have = self._call.tokens.count(message.attempt)
         question = Settle(message.attempt, message.incarnation, message.epoch, have)
         try:
             return await self._link.conn.ask(question, timeout)
@@ -143,7 +157,7 @@
             case Tokens(offset=offset, tokens=tokens):
                 self._note_tokens(len(tokens))
                 self._note_progress()
-                self._ask_now = not self._call.take_tokens(offset, tokens)
+                self._ask_now = not self._take_tokens(offset, tokens)
                 return None
             case Pending(load=load, running=running):
                 self._running = running
@@ -162,6 +176,9 @@
                 self._link.refuse(reason)
         return reply
 
+    def _take_tokens(self, offset: int, tokens: list[str]) -> bool:
+        return self._call.tokens.take(self._message.attempt, offset, tokens)
+
     def _note_tokens(self, count: int) -> None:
         """Tell the target's health how long this many tokens took."""
         now = asyncio.get_running_loop().time()
@@ -182,12 +199,12 @@
             return None
         self._note_progress()
         if reply.tokens:
-            self._call.take_tokens(reply.offset, reply.tokens)
+            self._take_tokens(reply.offset, reply.tokens)
         return reply
 
     def _is_stalled(self) -> bool:
         """Whether a generation that had begun gives no tokens any more."""
-        started = self._running or bool(self._call.tokens)
+        started = self._running or bool(self._call.tokens.settled)
         silent = asyncio.get_running_loop().time() - self._moved_at
         return (
             self._call.streams
--- a/src/lagoontide/dispatch/tail.py
+++ b/src/lagoontide/dispatch/tail.py
@@ -73,6 +73,11 @@
     withdrawn: bool = False
     is_late: bool = False
 
+    @property
+    def is_done(self) -> bool:
+        """Whether it has ended with a result that is one."""
+        return not self.task.cancelled() and isinstance(self.task.result(), Done)
+
 
 @dataclass(slots=True)
 class Race:
@@ -82,6 +87,8 @@
     ----------
     number : int
         Of its next attempt within the call.
+    leader : str
+        The attempt whose tokens the caller gets; empty while that is open.
     """
 
     call: StageCall
@@ -90,6 +97,7 @@
     number: int
     tries: list[Try] = field(default_factory=list)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
+    leader: str = ""
 
     def start(self, link: Link) -> None:
         """Begin one more attempt."""
@@ -98,7 +106,7 @@
         self.number += 1
         link.health.begin(loop.time())
         task = loop.create_task(self.begin(link, attempt))
-        item = Try(attempt, link, task, loop.time(), bool(self.call.tokens))
+        item = Try(attempt, link, task, loop.time(), bool(self.call.tokens.settled))
         task.add_done_callback(lambda _: self._note_end(item))
         self.tries.append(item)
         link.health.watchers.add(self.wake)
@@ -106,8 +114,17 @@
     @property
     def may_grow(self) -> bool:
         """Whether one more attempt may begin; one that was refused does not count."""
-        active = sum(not item.task.done() for item in self.tries)
-        return active < MAX_ACTIVE and len(self.tries) < MAX_TRIES
+        active = [item.id for item in self.tries if not item.task.done()]
+        if self.leader in active:
+            return False
+        return len(active) < MAX_ACTIVE and len(self.tries) < MAX_TRIES
+
+    def give_way(self, leader: str) -> None:
+        """Cancel all attempts but the one whose tokens the caller gets."""
+        self.leader = leader
+        for item in self.tries:
+            if item.id != leader and not item.task.done():
+                item.task.cancel()
 
     def _note_end(self, item: Try) -> None:
         item.ended = asyncio.get_running_loop().time()
@@ -118,13 +135,12 @@
     def winner(self) -> Try | None:
         """The attempt that decides, or None while one may still succeed."""
         ended = [item for item in self.tries if item.task.done()]
-        for item in ended:
-            if isinstance(item.task.result(), Done):
-                return item
         if len(ended) < len(self.tries):
-            return None
-        # What is least certain decides: another's NotRun says nothing of it.
-        return max(ended, key=lambda item: _certainty(item.task.result()))
+            return next((item for item in ended if item.is_done), None)
+        ended = [item for item in ended if not item.task.cancelled()]
+        # A result decides; then what is least certain: another's NotRun says
+        # nothing of it.
+        return max(ended, key=lambda item: _weight(item.task.result()))
 
     def stop(self) -> None:
         """Cancel the attempts that still run; each tells its agent so."""
@@ -135,8 +151,10 @@
                 item.task.cancel()
 
 
-def _certainty(result: Result) -> int:
+def _weight(result: Result) -> int:
     match result:
+        case Done():
+            return 3
         case Unknown():
             return 2
         case Failed():
@@ -156,6 +174,7 @@
 
     async def run(self, race: Race) -> Try:
         """Wait for the deciding attempt; start a second one if the call is late."""
+        race.call.tokens.on_lead = race.give_way
         try:
             while (winner := race.winner) is None:
                 handle = self._wake_when_late(race)
--- a/src/lagoontide/entry/service.py
+++ b/src/lagoontide/entry/service.py
@@ -27,8 +27,9 @@
     Service,
 )
 from lagoontide.configuration.holder import Holder
-from lagoontide.dispatch.caller import Dispatcher, OnTokens
+from lagoontide.dispatch.caller import Dispatcher
 from lagoontide.dispatch.kept import Keepers
+from lagoontide.dispatch.tokens import OnTokens
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.metrics import Metrics
 from lagoontide.pipeline.slack import find_pace
--- a/src/lagoontide/pipeline/walk.py
+++ b/src/lagoontide/pipeline/walk.py
@@ -15,8 +15,10 @@
     ServiceKind,
     Stage,
 )
-from lagoontide.dispatch.caller import Dispatcher, OnTokens, Outcome, StageCall
+from lagoontide.dispatch.call import StageCall
+from lagoontide.dispatch.caller import Dispatcher, Outcome
 from lagoontide.dispatch.messages import Done, Failed, NotRun, Unknown
+from lagoontide.dispatch.tokens import OnTokens, TokenLog
 from lagoontide.errors import RequestError, RequestFailed
 from lagoontide.pipeline.slack import find_pace, size_of, stage_deadline
 
@@ -160,7 +162,7 @@
         deadline=deadline,
         body=msgspec.json.encode(inputs),
         streams=service.kind is ServiceKind.ENGINE,
-        on_tokens=request.on_tokens if is_last else None,
+        tokens=TokenLog(request.on_tokens if is_last else None),
         size=size_of(stage),
     )
 
