Wire an entry in steps that have names

Cause: the constructor that wires an entry had grown to eighty lines as slices joined. Change: entry/parts.py with a method for each side (spreading, claims, callers, operators), entry/daemon.py keeps the process. No behaviour changes.

--- a/src/lagoontide/local.py
+++ b/src/lagoontide/local.py
@@ -24,7 +24,7 @@
     make_token,
     place_replicas,
 )
-from lagoontide.entry.daemon import EntryParts, make_entry
+from lagoontide.entry.parts import EntryParts, make_entry
 from lagoontide.metrics import NoMetrics
 from lagoontide.platform.instances import Instance, Role
 from lagoontide.platform.pool import HttpPool
