An entry's door and its keyed requests in modules of their own

Change: entry/door.py checks and admits, entry/keyed.py claims keys and answers repeats, entry/service.py serves and tells the story. No behaviour changes.

--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -283,13 +283,13 @@
 def cut_off(context, entry, age):
     parts = context.running.local.entries[entry - 1]
     wait_until(lambda: parts.holder.document.policies.cut_off == "repeatable")
-    parts.entry.confirmed_age = lambda: float(age)
+    parts.entry.door.confirmed_age = lambda: float(age)
 
 
 @then("every entry has word of the store")
 def check_word(context):
     for parts in context.running.local.entries:
-        wait_until(lambda parts=parts: parts.entry.confirmed_age() < BOUND_S)
+        wait_until(lambda parts=parts: parts.entry.door.confirmed_age() < BOUND_S)
 
 
 @then('"{account}" gets {status:d} for "{route}" at entry {entry:d}')
--- a/src/lagoontide/bench/arm.py
+++ b/src/lagoontide/bench/arm.py
@@ -22,7 +22,8 @@
 from lagoontide.dispatch.caller import Dispatcher
 from lagoontide.dispatch.kept import Keepers
 from lagoontide.dispatch.messages import Done
-from lagoontide.entry.service import CallerRequest, Entry
+from lagoontide.entry.door import CallerRequest
+from lagoontide.entry.service import Entry
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.membership.directory import Directory
 from lagoontide.metrics import NoMetrics
--- a/src/lagoontide/entry/http.py
+++ b/src/lagoontide/entry/http.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from lagoontide.configuration.document import Priority
-from lagoontide.entry.service import CallerRequest, Entry
+from lagoontide.entry.door import CallerRequest
+from lagoontide.entry.service import Entry
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.httpd import Bridge, give_up_body, read_body
 from lagoontide.pipeline.walk import Answer, Fields
--- a/src/lagoontide/entry/parts.py
+++ b/src/lagoontide/entry/parts.py
@@ -122,7 +122,7 @@
             Keepers(self.directory),
         )
         self.entry.is_current = lambda: self.spreader.is_current
-        self.entry.confirmed_age = lambda: self.spreader.age
+        self.entry.door.confirmed_age = lambda: self.spreader.age
         self.app = make_app(self.entry, self._bridge, cfg.max_body)
         self.http = HttpServer(
             cfg.callers,
--- a/tests/dispatch/test_tail.py
+++ b/tests/dispatch/test_tail.py
@@ -12,7 +12,7 @@
 from lagoontide.bench.virtual import run_virtual
 from lagoontide.deployments import load_deployment, make_sample, make_token
 from lagoontide.dispatch.pace import Budget, WorkPace
-from lagoontide.entry.service import CallerRequest
+from lagoontide.entry.door import CallerRequest
 from lagoontide.errors import RequestFailed
 from lagoontide.standins.compute import compute_answer
 from lagoontide.standins.faults import FaultOrder
--- a/tests/entry/test_story.py
+++ b/tests/entry/test_story.py
@@ -9,7 +9,8 @@
 from lagoontide.configuration.holder import Holder
 from lagoontide.deployments import load_deployment, make_requests, make_token
 from lagoontide.dispatch.pace import Pace
-from lagoontide.entry.service import CallerRequest, Entry
+from lagoontide.entry.door import CallerRequest
+from lagoontide.entry.service import Entry
 from lagoontide.errors import RequestError
 from lagoontide.metrics import NoMetrics
 from tests.support.virtual import run_virtual
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -23,7 +23,8 @@
 from lagoontide.deployments import hash_token
 from lagoontide.dispatch.caller import Dispatcher
 from lagoontide.dispatch.kept import Keepers
-from lagoontide.entry.service import CallerRequest, Entry
+from lagoontide.entry.door import CallerRequest
+from lagoontide.entry.service import Entry
 from lagoontide.errors import RequestError, RequestFailed, StoreUnavailable
 from lagoontide.membership.directory import Directory
 from lagoontide.metrics import NoMetrics
