--- a/src/lagoontide/bench/faulter.py
+++ b/src/lagoontide/bench/faulter.py
@@ -10,7 +10,7 @@
 import msgspec
 import urllib3
 
-from lagoontide.bench.fleet import Fleet, Process
+from lagoontide.bench.processes import Fleet, Process
 from lagoontide.standins.faults import FaultOrder
 
 __all__ = ["Faulter", "set_fault"]
--- a/src/lagoontide/bench/faults.py
+++ b/src/lagoontide/bench/faults.py
@@ -11,7 +11,8 @@
 import urllib3
 
 from lagoontide.bench.faulter import Faulter, set_fault
-from lagoontide.bench.fleet import Fleet, start_fleet
+from lagoontide.bench.fleet import start_fleet
+from lagoontide.bench.processes import Fleet
 from lagoontide.configuration.document import Document
 from lagoontide.deployments import SampleRequest, make_requests, make_token
 from lagoontide.standins.compute import compute_answer, compute_stages
--- a/src/lagoontide/bench/path.py
+++ b/src/lagoontide/bench/path.py
@@ -11,7 +11,8 @@
 import msgspec
 import urllib3
 
-from lagoontide.bench.fleet import Fleet, start_fleet
+from lagoontide.bench.fleet import start_fleet
+from lagoontide.bench.processes import Fleet
 from lagoontide.configuration.document import Document, ServiceKind, Stage
 from lagoontide.deployments import SampleRequest, make_requests, make_token
 from lagoontide.platform.targets import HttpTarget, Work
--- a/src/lagoontide/bench/report.py
+++ b/src/lagoontide/bench/report.py
@@ -11,8 +11,9 @@
 
 import msgspec
 
-from lagoontide.bench.fleet import Fleet, Process, start_fleet
+from lagoontide.bench.fleet import start_fleet
 from lagoontide.bench.path import load_callers
+from lagoontide.bench.processes import Fleet, Process
 from lagoontide.configuration.document import Priority
 from lagoontide.configuration.holder import Holder
 from lagoontide.dispatch.caller import Attempt, Outcome
--- a/src/lagoontide/bench/spreadfleet.py
+++ b/src/lagoontide/bench/spreadfleet.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from lagoontide.bench.fleet import Process
+from lagoontide.bench.processes import Process
 from lagoontide.bench.resources import cpu_seconds, resident_bytes
 from lagoontide.bench.spreadnodes import (
     BOUND_S,
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -9,7 +9,8 @@
 from lagoontide.dispatch.call import StageCall
 from lagoontide.dispatch.follow import Follower, Result, make_message
 from lagoontide.dispatch.messages import Done, NotRun
-from lagoontide.dispatch.tail import HedgeLate, Race, Tail, TailPolicy, Try
+from lagoontide.dispatch.race import Race, Try
+from lagoontide.dispatch.tail import HedgeLate, Tail, TailPolicy
 from lagoontide.membership.directory import Directory
 from lagoontide.membership.link import Link
 from lagoontide.membership.messages import OTHER_INCARNATION
--- a/src/lagoontide/entry/http.py
+++ b/src/lagoontide/entry/http.py
@@ -1,15 +1,19 @@
 """The callers' side of an entry: HTTP in, JSON or problem+json out."""
 
 import queue
-import re
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
 
 import msgspec
 
-from lagoontide.configuration.document import Priority
 from lagoontide.entry.door import CallerRequest
+from lagoontide.entry.headers import (
+    parse_key,
+    parse_priority,
+    parse_timeout,
+    parse_token,
+)
 from lagoontide.entry.service import Entry
 from lagoontide.errors import LagoontideError, RequestError, RequestFailed
 from lagoontide.httpd import Bridge, give_up_body, read_body
@@ -19,9 +23,6 @@
 
 ROUTE_PREFIX = "/v1/routes/"
 NDJSON = "application/x-ndjson"
-MAX_TIMEOUT_S = 60.0
-MIN_TIMEOUT_S = 0.001
-KEY_PATTERN = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
 OUTCOME_STATUS = {
     "not_run": HTTPStatus.SERVICE_UNAVAILABLE,
     "failed": HTTPStatus.BAD_GATEWAY,
@@ -168,11 +169,11 @@
     def _parse(self, environ: Environ, route: str) -> CallerRequest:
         return CallerRequest(
             route=route,
-            token=_parse_token(environ.get("HTTP_AUTHORIZATION", "")),
+            token=parse_token(environ.get("HTTP_AUTHORIZATION", "")),
             body=self._read_body(environ),
-            timeout=_parse_timeout(environ.get("HTTP_REQUEST_TIMEOUT")),
-            priority=_parse_priority(environ.get("HTTP_PRIORITY")),
-            key=_parse_key(environ.get("HTTP_IDEMPOTENCY_KEY")),
+            timeout=parse_timeout(environ.get("HTTP_REQUEST_TIMEOUT")),
+            priority=parse_priority(environ.get("HTTP_PRIORITY")),
+            key=parse_key(environ.get("HTTP_IDEMPOTENCY_KEY")),
         )
 
     def _read_body(self, environ: Environ) -> bytes:
@@ -227,51 +228,6 @@
     return CallersApp(entry, bridge, max_body)
 
 
-def _parse_token(header: str) -> str:
-    scheme, _, token = header.partition(" ")
-    return token.strip() if scheme.lower() == "bearer" else ""
-
-
-def _parse_timeout(header: str | None) -> float | None:
-    if header is None:
-        return None
-    try:
-        seconds = float(header)
-    except ValueError:
-        seconds = -1.0
-    if not MIN_TIMEOUT_S <= seconds <= MAX_TIMEOUT_S:
-        raise RequestError(
-            HTTPStatus.BAD_REQUEST,
-            f"Request-Timeout is {header!r}; allowed are seconds from "
-            f"{MIN_TIMEOUT_S} to {MAX_TIMEOUT_S}",
-        )
-    return seconds
-
-
-def _parse_priority(header: str | None) -> Priority | None:
-    if header is None:
-        return None
-    try:
-        return Priority(header)
-    except ValueError:
-        allowed = ", ".join(Priority)
-        raise RequestError(
-            HTTPStatus.BAD_REQUEST, f"Priority is {header!r}; allowed are {allowed}"
-        ) from None
-
-
-def _parse_key(header: str | None) -> str:
-    if header is None:
-        return ""
-    if not KEY_PATTERN.fullmatch(header):
-        raise RequestError(
-            HTTPStatus.BAD_REQUEST,
-            f"Idempotency-Key is {header[:140]!r}; allowed are 1 to 128 letters, "
-            "digits and _.:-",
-        )
-    return header
-
-
 def _status_line(status: HTTPStatus) -> str:
     return f"{status.value} {status.phrase}"
 
