A type for how an attempt ended

Cause: attempts were told apart by the names of message classes and by a bare "Cancelled", which the report and the walk compared with. Change: AttemptOutcome in dispatch/outcomes.py, with Attempt and Outcome; the values stay what they were. No behaviour changes.

--- a/src/lagoontide/bench/report.py
+++ b/src/lagoontide/bench/report.py
@@ -16,8 +16,8 @@
 from lagoontide.bench.processes import Fleet, Process
 from lagoontide.configuration.document import Priority
 from lagoontide.configuration.holder import Holder
-from lagoontide.dispatch.caller import Attempt, Outcome
 from lagoontide.dispatch.messages import Done
+from lagoontide.dispatch.outcomes import Attempt, AttemptOutcome, Outcome
 from lagoontide.pipeline.story import Story
 from lagoontide.pipeline.walk import StageReport
 from lagoontide.report.burn import WINDOWS_S
@@ -193,7 +193,7 @@
 ) -> StageReport:
     target = f"service-{number}-{rng.randrange(TARGETS_OF_STAGE)}"
     end = start + elapsed / STAGES
-    attempt = Attempt(f"{start}", target, Done.__name__, start, end)
+    attempt = Attempt(f"{start}", target, AttemptOutcome.DONE, start, end)
     result = Done(attempt.id, b"", 0, Load())
     outcome = Outcome(result, target, (attempt,))
     return StageReport(f"s{number}", "service", True, outcome, start, end, BUDGET_S)
--- a/src/lagoontide/dispatch/caller.py
+++ b/src/lagoontide/dispatch/caller.py
@@ -1,14 +1,20 @@
 """The entry's side of a stage call: attempts until an outcome is certain."""
 
 import asyncio
-from dataclasses import dataclass
 
 from loguru import logger
 
 from lagoontide.dispatch.budget import RetryBudget
 from lagoontide.dispatch.call import StageCall
-from lagoontide.dispatch.follow import Follower, Result, make_message
+from lagoontide.dispatch.follow import Follower, make_message
 from lagoontide.dispatch.messages import Done, NotRun
+from lagoontide.dispatch.outcomes import (
+    Attempt,
+    AttemptOutcome,
+    Outcome,
+    Result,
+    find_outcome,
+)
 from lagoontide.dispatch.race import Race, Try
 from lagoontide.dispatch.tail import HedgeLate, Tail, TailPolicy
 from lagoontide.membership.directory import Directory
@@ -18,33 +24,12 @@
 from lagoontide.routing.choose import Choose
 from lagoontide.routing.health import Standing
 
-__all__ = ["Attempt", "Dispatcher", "Outcome", "StageCall"]
+__all__ = ["Dispatcher"]
 
 MAX_ATTEMPTS = 4
 NO_TARGET_PAUSE_S = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """One try of a stage call, for the request's story."""
-
-    id: str
-    target: str
-    outcome: str
-    started: float
-    ended: float
-    reason: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Outcome:
-    """How a stage call ended, at which peer and after which attempts."""
-
-    result: Result
-    peer: str
-    attempts: tuple[Attempt, ...]
-
-
 class Dispatcher:
     """Calls stages at the agents of a directory.
 
@@ -172,10 +157,9 @@
 def _tell(item: Try) -> Attempt:
     """Return an attempt of a race for the request's story."""
     if item.task.cancelled() or not item.task.done():
-        return Attempt(
-            item.id, item.link.name, "Cancelled", item.started, item.ended, "overtaken"
-        )
-    result = item.task.result()
-    reason = "" if isinstance(result, Done) else result.reason
-    kind = type(result).__name__
-    return Attempt(item.id, item.link.name, kind, item.started, item.ended, reason)
+        outcome, reason = AttemptOutcome.CANCELLED, "overtaken"
+    else:
+        result = item.task.result()
+        outcome = find_outcome(result)
+        reason = "" if isinstance(result, Done) else result.reason
+    return Attempt(item.id, item.link.name, outcome, item.started, item.ended, reason)
--- a/src/lagoontide/dispatch/follow.py
+++ b/src/lagoontide/dispatch/follow.py
@@ -18,19 +18,18 @@
     digest,
     is_whole,
 )
+from lagoontide.dispatch.outcomes import Result
 from lagoontide.errors import PeerError, PeerTimeout
 from lagoontide.membership.link import Link
 from lagoontide.wire.conn import Exchange
 
-__all__ = ["Follower", "Result", "make_message"]
+__all__ = ["Follower", "make_message"]
 
 SILENCE_S = 0.5
 SETTLE_S = 0.5
 SETTLE_TRIES = 3
 STALL_S = 1.0
 
-Result = Done | NotRun | Failed | Unknown
-
 
 def make_message(call: StageCall, link: Link, attempt: str) -> Call:
     """Return the message of an attempt at the agent of a link."""
--- a/src/lagoontide/dispatch/race.py
+++ b/src/lagoontide/dispatch/race.py
@@ -6,12 +6,12 @@
 from typing import Any
 
 from lagoontide.dispatch.call import StageCall
-from lagoontide.dispatch.messages import Done, Failed, NotRun, Unknown
+from lagoontide.dispatch.messages import Done, Failed, Unknown
+from lagoontide.dispatch.outcomes import Result
 from lagoontide.membership.link import Link
 
 __all__ = ["Race", "Try"]
 
-Result = Done | NotRun | Failed | Unknown
 Begin = Callable[[Link, str], Coroutine[Any, Any, Result]]
 PickOther = Callable[[], Link | None]
 
--- a/src/lagoontide/pipeline/walk.py
+++ b/src/lagoontide/pipeline/walk.py
@@ -16,8 +16,9 @@
     Stage,
 )
 from lagoontide.dispatch.call import StageCall
-from lagoontide.dispatch.caller import Dispatcher, Outcome
+from lagoontide.dispatch.caller import Dispatcher
 from lagoontide.dispatch.messages import Done, Failed, NotRun, Unknown
+from lagoontide.dispatch.outcomes import AttemptOutcome, Outcome
 from lagoontide.dispatch.tokens import OnTokens, TokenLog
 from lagoontide.errors import RequestError, RequestFailed
 from lagoontide.pipeline.slack import find_pace, size_of, stage_deadline
@@ -203,7 +204,7 @@
 def _has_run(answer: Answer) -> bool:
     """Whether any attempt of any stage ran or may have run."""
     return any(
-        attempt.outcome != NotRun.__name__
+        attempt.outcome is not AttemptOutcome.NOT_RUN
         for report in answer.stages
         for attempt in report.outcome.attempts
     )
@@ -224,7 +225,7 @@
 
 def _ran_unrepeatable(answer: Answer) -> bool:
     return any(
-        not report.repeatable and attempt.outcome != NotRun.__name__
+        not report.repeatable and attempt.outcome is not AttemptOutcome.NOT_RUN
         for report in answer.stages
         for attempt in report.outcome.attempts
     )
--- a/src/lagoontide/report/recorder.py
+++ b/src/lagoontide/report/recorder.py
@@ -3,8 +3,7 @@
 import random
 from collections.abc import Callable
 
-from lagoontide.dispatch.caller import Attempt
-from lagoontide.dispatch.messages import Done, NotRun
+from lagoontide.dispatch.outcomes import Attempt, AttemptOutcome
 from lagoontide.pipeline.story import Story
 from lagoontide.report.blame import Typical, find_blame
 from lagoontide.report.slots import Slots
@@ -101,12 +100,12 @@
 
 def _count(tally: AttemptTally, attempt: Attempt) -> None:
     match attempt.outcome:
-        case Done.__name__:
+        case AttemptOutcome.DONE:
             tally.done += 1
             return
-        case NotRun.__name__:
+        case AttemptOutcome.NOT_RUN:
             tally.not_run += 1
-        case "Cancelled":
+        case AttemptOutcome.CANCELLED:
             tally.overtaken += 1
         case _:
             tally.lost += 1
--- a/tests/report/stories.py
+++ b/tests/report/stories.py
@@ -1,8 +1,8 @@
 """Stories of requests, made short."""
 
 from lagoontide.configuration.document import Priority
-from lagoontide.dispatch.caller import Attempt, Outcome
 from lagoontide.dispatch.messages import Done, Unknown
+from lagoontide.dispatch.outcomes import Attempt, Outcome
 from lagoontide.pipeline.story import Story
 from lagoontide.pipeline.walk import StageReport
 from lagoontide.scheduling.load import Load
