--- a/src/lagoontide/bench/spreadnodes.py
+++ b/src/lagoontide/bench/spreadnodes.py
@@ -7,11 +7,12 @@
 
 import zmq
 
+from lagoontide.bench.directwatch import follow
 from lagoontide.bench.resources import resident_bytes
 from lagoontide.bench.synthetic import touch_account
 from lagoontide.configuration.document import Document, decode_document
 from lagoontide.configuration.holder import Holder
-from lagoontide.configuration.source import follow, publish
+from lagoontide.configuration.source import publish
 from lagoontide.platform.instances import Instance, Role
 from lagoontide.platform.store import Store
 from lagoontide.protocol import make_protocol
--- a/src/lagoontide/configuration/document.py
+++ b/src/lagoontide/configuration/document.py
@@ -200,10 +200,6 @@
     accounts: dict[str, Account]
     policies: Policies = Policies()
 
-    def expect(self, stage: Stage) -> float:
-        """Return the seconds that a stage needs on an idle target."""
-        return stage.expected or self.services[stage.service].expected
-
 
 PACK_FROM_BYTES = 64 << 10
 MAX_DOCUMENT_BYTES = 16 << 20
--- a/src/lagoontide/configuration/holder.py
+++ b/src/lagoontide/configuration/holder.py
@@ -1,6 +1,5 @@
 """The version in force in this process; it only rises."""
 
-import asyncio
 from collections.abc import Callable
 
 from loguru import logger
@@ -22,7 +21,6 @@
     def __init__(self) -> None:
         self.version = 0
         self._document: Document | None = None
-        self._ready = asyncio.Event()
         self._listeners: list[Callable[[Document], None]] = []
 
     @property
@@ -48,7 +46,6 @@
         self.version = version
         self._document = document
         logger.info("configuration version {} is in force", version)
-        self._ready.set()
         for listener in self._listeners:
             listener(document)
         return True
@@ -56,7 +53,3 @@
     def put(self, version: int, data: bytes) -> None:
         """Put an encoded document in force; raises msgspec.DecodeError."""
         self.adopt(version, decode_document(data))
-
-    async def wait_ready(self) -> None:
-        """Wait until a document is in force."""
-        await self._ready.wait()
--- a/tests/support/running.py
+++ b/tests/support/running.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 
-from lagoontide.deployments import SampleRequest, load_deployment, make_token
+from lagoontide.deployments import load_deployment, make_sample, make_token
 from lagoontide.httpd import Bridge
 from lagoontide.local import start_local
 from lagoontide.standins.compute import compute_answer
@@ -71,14 +71,7 @@
 
     def make_sample(self, account_name, route_name, mark):
         account = self.document.accounts[account_name]
-        route = self.document.routes[route_name]
-        priority = route.priority
-        if priority not in account.priorities:
-            priority = account.priorities[0]
-        sources = [source for stage in route.stages for source in stage.inputs.values()]
-        names = {x.partition(".")[2] for x in sources if x.startswith("request.")}
-        body = {name: f"{name} {mark}" for name in sorted(names)}
-        return SampleRequest(account, route, priority, body)
+        return make_sample(account, self.document.routes[route_name], mark)
 
     def wanted(self, sample):
         return compute_answer(self.document, sample.route, sample.body)
