Run the platform's stand-ins as processes by command line

`lagoontide standin platform store|target|settings` runs each by itself; control ports set troubles and faults, and a target says that it is leaving when it stops. A store stand-in answers 400 to a call that it cannot read, where the connection was cut.

--- a/src/lagoontide/bench/soak/entries.py
+++ b/src/lagoontide/bench/soak/entries.py
@@ -12,16 +12,18 @@
 from lagoontide.bench.processes import end_children
 from lagoontide.http1.link import connect_link
 from lagoontide.platform.settings import SETTINGS_VARIABLE
-from lagoontide.platform.standins.settings import write_settings
+from lagoontide.platform.standins.ports import HOST
+from lagoontide.platform.standins.settings import (
+    ENTRY_PORTS,
+    GRACE_S,
+    write_settings,
+)
 
 __all__ = ["EntryProcess", "EntryProcesses"]
 
-GRACE_S = 4.0
 PAUSE_S = (0.2, 2.5)
 LOOK_S = 0.05
 READY_BOUND_S = 30.0
-# Each entry has an address of its own on the loopback, and these ports.
-PORTS = (18601, 18602, 18603)
 
 
 @dataclass(slots=True)
@@ -82,18 +84,19 @@
             f"127.1.{number // 200}.{number % 200 + 1}"
             for number in range(len(store_ports))
         ]
-        seeds = [f"{host}:{PORTS[2]}" for host in hosts[:3]]
+        seeds = [f"{host}:{ENTRY_PORTS[2]}" for host in hosts[:3]]
         entries = []
         for number, (host, port) in enumerate(zip(hosts, store_ports, strict=True)):
             name = f"entry-{number}"
             path = folder / f"{name}.json"
-            write_settings(path, name, host, PORTS, port, seeds, GRACE_S)
+            store = f"{HOST}:{port}"
+            write_settings(path, name, host, ENTRY_PORTS, store, seeds, GRACE_S)
             entries.append(EntryProcess(name, host, path, folder / f"{name}.log"))
         return cls(entries)
 
     def addresses(self) -> list[tuple[str, int]]:
         """Return where callers are taken."""
-        return [(entry.host, PORTS[0]) for entry in self.entries]
+        return [(entry.host, ENTRY_PORTS[0]) for entry in self.entries]
 
     async def start(self) -> None:
         """Start all and wait until each takes callers."""
--- a/src/lagoontide/cli.py
+++ b/src/lagoontide/cli.py
@@ -92,7 +92,8 @@
 def main() -> None:
     """Run the command line; errors go to standard error with exit code 2."""
     commands = Commands()
-    for group in (commands, *vars(commands).values()):
+    groups = commands, *vars(commands).values(), commands.standin.platform
+    for group in groups:
         set_parsers(type(group))
     try:
         check_flags(commands, sys.argv[1:])
--- a/src/lagoontide/platform/standins/deployment.py
+++ b/src/lagoontide/platform/standins/deployment.py
@@ -154,9 +154,10 @@
     body: bytes = b"x",
     extra: Fields | None = None,
     patience_ms: int = 2000,
+    host: str = HOST,
 ) -> Response:
     """Send a caller's request and return the answer, read whole."""
-    conn = TargetConn(await connect_link(HOST, port, 1.0))
+    conn = TargetConn(await connect_link(host, port, 1.0))
     fields = [
         (b"Host", b"a.example"),
         (REQUEST_ID, request_id.encode()),
--- a/src/lagoontide/platform/standins/settings.py
+++ b/src/lagoontide/platform/standins/settings.py
@@ -5,7 +5,12 @@
 
 import msgspec
 
-__all__ = ["write_settings"]
+__all__ = ["ENTRY_PORTS", "GRACE_S", "write_settings"]
+
+# Of each entry on an address of its own: for callers, for the question whether it
+# is ready, and for peers.
+ENTRY_PORTS = (18601, 18602, 18603)
+GRACE_S = 4.0
 
 
 def write_settings(
@@ -13,7 +18,7 @@
     name: str,
     host: str,
     ports: tuple[int, int, int],
-    store_port: int,
+    store: str,
     seeds: list[str],
     grace_s: float,
 ) -> None:
@@ -22,8 +27,9 @@
     Parameters
     ----------
     ports : tuple of int
-        Where it listens for callers, for the question whether it is ready, and
-        for peers.
+        As ENTRY_PORTS.
+    store : str
+        ``IP:PORT`` of the platform's store.
     """
     callers, ready, peers = ports
     data: dict[str, Any] = {
@@ -39,6 +45,6 @@
         "seeds": seeds,
         "limits": {"cpu_share": 1.0, "cores": 1},
         "bounds": {"grace_s": grace_s, "retry_slack": 20},
-        "platform": {"address": f"127.0.0.1:{store_port}", "ttl_min_ms": 1000},
+        "platform": {"address": store, "ttl_min_ms": 1000},
     }
     path.write_bytes(msgspec.json.encode(data))
--- a/src/lagoontide/platform/standins/store.py
+++ b/src/lagoontide/platform/standins/store.py
@@ -200,7 +200,7 @@
 
     async def start(self, host: str = HOST, port: int = 0) -> int:
         """Listen; return the port."""
-        self._listener = Listener(self._handle, WireLimits)
+        self._listener = Listener(self.handle, WireLimits)
         return await self._listener.start(host, port)
 
     async def close(self) -> None:
@@ -208,7 +208,8 @@
         if self._listener is not None:
             await self._listener.close()
 
-    async def _handle(self, req: Request, reply: Reply) -> None:
+    async def handle(self, req: Request, reply: Reply) -> None:
+        """Answer a call, or fail as the trouble says."""
         match self.trouble:
             case Trouble.BUSY:
                 await reply.send(Response(503))
@@ -217,7 +218,10 @@
                 await asyncio.sleep(3600)
             case Trouble.RESET:
                 return
-        status, body = await self.store.answer(req)
+        try:
+            status, body = await self.store.answer(req)
+        except (msgspec.DecodeError, KeyError, ValueError) as exc:
+            status, body = 400, {"error": f"{exc!r}: {req.head.path!r}"}
         if self.trouble is Trouble.LOSES_ANSWERS:
             return
         json = [(b"Content-Type", b"application/json")]
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -11,6 +11,7 @@
 
 from lagoontide.http1.messages import Fields, Response, ResponseHead, field_value
 from lagoontide.http1.server import Listener, Reply, Request, WireLimits
+from lagoontide.platform.directory import TARGETS_PREFIX
 from lagoontide.platform.fields import (
     INPUTS,
     LAST_EVENT,
@@ -107,7 +108,7 @@
 
     async def start(self, store: StoreStandin, zone: str = "z1", born: int = 1) -> None:
         """Listen, and register in the store."""
-        self._listener = Listener(self._handle, WireLimits)
+        self._listener = Listener(self.handle, WireLimits)
         port = await self._listener.start(HOST, 0)
         self.address = f"{HOST}:{port}"
         self.register(store, zone, born)
@@ -121,6 +122,10 @@
         self, store: StoreStandin, zone: str = "z1", born: int = 1, state: str = "ready"
     ) -> None:
         """Write this replica's entry."""
+        store.put(TARGETS_PREFIX + self.id, self.entry(zone, born, state))
+
+    def entry(self, zone: str, born: int = 1, state: str = "ready") -> bytes:
+        """Return what this replica says of itself in the store."""
         entry = {
             "service": self.service,
             "address": self.shown or self.address,
@@ -131,14 +136,15 @@
             "seq": 1,
             "born": born,
         }
-        store.put(f"servers/{self.id}", msgspec.json.encode(entry))
+        return msgspec.json.encode(entry)
 
     async def close(self) -> None:
         """Stop, cutting all connections."""
         if self._listener is not None:
             await self._listener.close()
 
-    async def _handle(self, req: Request, reply: Reply) -> None:
+    async def handle(self, req: Request, reply: Reply) -> None:
+        """Answer a request."""
         match req.head.path:
             case path if path == MAKE:
                 await self._make(req, reply)
--- a/src/lagoontide/standins/commands.py
+++ b/src/lagoontide/standins/commands.py
@@ -4,12 +4,19 @@
 from pathlib import Path
 
 from lagoontide.lifecycle import run_daemon
+from lagoontide.platform.standins.commands import PlatformStandinCommands
 
 __all__ = ["StandinCommands"]
 
 
 class StandinCommands:
-    """Stand-ins of the platform and of targets, each as a process."""
+    """Stand-ins of the platform and of targets, each as a process.
+
+    Those of the group ``platform`` speak the protocol of the users' platform.
+    """
+
+    def __init__(self) -> None:
+        self.platform = PlatformStandinCommands()
 
     def store(self, listen: str, control: str = "", document: str = "") -> None:
         """Serve a key-value store at ``--listen=IP:PORT``."""
