Log output wakes only for lines; the store's first answer is no return

Cause: an idle entry woke 20 times a second to write nothing, and each start logged "store regained after 97499 s", counted from the machine's start.

--- a/src/lagoontide/gateway/output.py
+++ b/src/lagoontide/gateway/output.py
@@ -26,6 +26,7 @@
         self._lines: deque[bytes] = deque()
         self._rest = b""
         self._told = 0
+        self._has_lines = asyncio.Event()
 
     def install(self, level: str = "INFO") -> None:
         """Send all logs here."""
@@ -35,6 +36,7 @@
 
     def take(self, message: Any) -> None:
         """Take one record from loguru."""
+        self._has_lines.set()
         if len(self._lines) >= MOST_LINES:
             self.dropped += 1
             return
@@ -53,7 +55,10 @@
     async def run(self) -> None:
         """Write lines for ever."""
         while True:
+            await self._has_lines.wait()
             self.flush()
+            if not self._rest and not self._lines:
+                self._has_lines.clear()
             await asyncio.sleep(FLUSH_EVERY_S)
 
     def flush(self) -> None:
--- a/src/lagoontide/store/follow.py
+++ b/src/lagoontide/store/follow.py
@@ -108,7 +108,10 @@
         if not self.is_up:
             self.is_up = True
             self.up_since = now
-            logger.info("store regained after {:.2f} s", now - self.down_since)
+            if self.down_since:
+                logger.info("store regained after {:.2f} s", now - self.down_since)
+            else:
+                logger.info("store heard for the first time")
 
     def _note_down(self, exc: StoreUnavailable) -> None:
         if self.is_up or not self.down_since:
--- a/tests/gateway/test_output.py
+++ b/tests/gateway/test_output.py
@@ -1,5 +1,6 @@
 """Log lines on standard output: bounded, and never waited for."""
 
+import asyncio
 import contextlib
 import os
 
@@ -66,3 +67,42 @@
         logger.info("into nothing")
         made.flush()
     assert made.dropped >= 3
+
+
+def test_idle_process_does_not_wake_to_write_nothing(pipe, monkeypatch):
+    reader, writer = pipe
+    made = make_output(writer)
+    flushed = []
+    flush = made.flush
+    monkeypatch.setattr(made, "flush", lambda: (flushed.append(1), flush()))
+
+    async def main():
+        writing = asyncio.create_task(made.run())
+        await asyncio.sleep(4 * output.FLUSH_EVERY_S)
+        idle = len(flushed)
+        logger.info("something")
+        await asyncio.sleep(output.FLUSH_EVERY_S / 2)
+        writing.cancel()
+        return idle
+
+    assert asyncio.run(main()) <= 1
+    assert b"something" in os.read(reader, 1000)
+
+
+def test_lines_left_by_a_full_output_are_written_without_a_further_line(pipe):
+    reader, writer = pipe
+    made = make_output(writer)
+    for number in range(2000):
+        logger.info("line {} {}", number, "x" * 100)
+    logger.info("the last")
+
+    async def main():
+        writing = asyncio.create_task(made.run())
+        text = b""
+        async with asyncio.timeout(10.0):
+            while b"the last" not in text:
+                await asyncio.sleep(output.FLUSH_EVERY_S)
+                text += os.read(reader, 1 << 20)
+        writing.cancel()
+
+    asyncio.run(main())
--- a/tests/store/test_follow.py
+++ b/tests/store/test_follow.py
@@ -3,6 +3,8 @@
 import asyncio
 from itertools import count
 
+from loguru import logger
+
 from lagoontide.errors import StoreUnavailable
 from lagoontide.store.feed import Changes, HistoryGone, Item, Listing
 from lagoontide.store.follow import Follower
@@ -86,3 +88,17 @@
     sink, follower = follow(store)
     assert sink.seen == [("replace", 9)]
     assert follower.as_of == 9
+
+
+def test_the_first_answer_is_not_told_as_a_return():
+    lines = []
+    sink = logger.add(lines.append, format="{message}")
+    try:
+        follow(Store(Listing((), 1)))
+        first, lines[:] = list(lines), []
+        follow(Store(StoreUnavailable("down"), Listing((), 1)))
+    finally:
+        logger.remove(sink)
+    assert not any("regained" in line for line in first)
+    assert any("heard for the first time" in line for line in first)
+    assert any("regained after 0." in line for line in lines)
