lagoontide bench logs: what an entry's logs cost, measured by turns

An entry process on the platform's stand-ins, with its logs and with logging disabled, by turns under the same open load of all four kinds of request.

--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -39,6 +39,16 @@
         experiment = Experiment(deployment, scenario, policies, seed, seconds, clock)
         sys.exit(run_bench(experiment, json, out))
 
+    def logs(
+        self, seconds: float = 10.0, rate: float = 40.0, turns: int = 5, seed: int = 1
+    ) -> None:
+        """Measure what the logs of an entry on the platform's stand-ins cost."""
+        import asyncio
+
+        from lagoontide.bench.logcost import run_log_cost
+
+        sys.exit(asyncio.run(run_log_cost(seconds, rate, turns, seed)))
+
     def configuration(self, json: bool = False) -> None:
         """Measure what the document costs by its size."""
         from lagoontide.bench.configuration import run_configuration
--- /dev/null
+++ b/src/lagoontide/bench/logcost.py
@@ -0,0 +1,187 @@
+"""What an entry's logs cost: processor time and p99, with and without them."""
+
+import asyncio
+import contextlib
+import os
+import random
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from statistics import median
+
+from lagoontide.bench.processes import end_children
+from lagoontide.bench.resources import cpu_seconds
+from lagoontide.http1.client import BadAnswer
+from lagoontide.platform.configuration import CONFIGURATION_KEY
+from lagoontide.platform.local import KINDS
+from lagoontide.platform.settings import SETTINGS_VARIABLE
+from lagoontide.platform.standins.deployment import (
+    make_configuration,
+    make_targets,
+    send,
+)
+from lagoontide.platform.standins.ports import HOST
+from lagoontide.platform.standins.settings import (
+    ENTRY_PORTS,
+    GRACE_S,
+    write_settings,
+)
+from lagoontide.platform.standins.store import StoreDoor, StoreStandin
+
+__all__ = ["run_log_cost"]
+
+ENTRY_HOST = "127.5.0.1"
+READY_BOUND_S = 30.0
+READY_POLL_S = 0.05
+STOP_BOUND_S = 10.0
+PATIENCE_MS = 5000
+MS_PER_S = 1000.0
+PERCENT = 100.0
+QUIET = "from loguru import logger; logger.disable('lagoontide'); "
+MAIN = "from lagoontide.platform.daemon import main; main()"
+VARIANTS = {"with logs": MAIN, "without": QUIET + MAIN}
+
+
+@dataclass(slots=True)
+class Measured:
+    """What the turns of one variant gave.
+
+    Attributes
+    ----------
+    cpu_ms : list of float
+        Processor time of a request, in ms; one figure a turn.
+    p99_ms : list of float
+        Time of the slowest hundredth of the requests, in ms; one figure a turn.
+    failed : int
+        Requests without a 200.
+    """
+
+    cpu_ms: list[float] = field(default_factory=list)
+    p99_ms: list[float] = field(default_factory=list)
+    failed: int = 0
+
+
+async def run_log_cost(seconds: float, rate: float, turns: int, seed: int) -> int:
+    """Print the costs; return 1 if a request failed.
+
+    Parameters
+    ----------
+    seconds, rate : float
+        Length of a turn, and requests a second in it.
+    turns : int
+        Of each variant, one after the other.
+    """
+    found = {name: Measured() for name in VARIANTS}
+    rng = random.Random(seed)
+    with tempfile.TemporaryDirectory() as folder:
+        async with _start_standins() as store_port:
+            path = Path(folder) / "entry.json"
+            store = f"{HOST}:{store_port}"
+            write_settings(path, "entry-0", ENTRY_HOST, ENTRY_PORTS, store, [], GRACE_S)
+            for _ in range(turns):
+                for name, code in VARIANTS.items():
+                    await _measure(path, code, seconds, rate, rng, found[name])
+    _print(found)
+    return 1 if any(measured.failed for measured in found.values()) else 0
+
+
+@contextlib.asynccontextmanager
+async def _start_standins() -> AsyncIterator[int]:
+    store = StoreStandin()
+    door = StoreDoor(store)
+    targets = make_targets()
+    store.put(CONFIGURATION_KEY, make_configuration(1))
+    for target in targets:
+        await target.start(store)
+    try:
+        yield await door.start()
+    finally:
+        for target in targets:
+            await target.close()
+        await door.close()
+
+
+def _start_entry(settings: Path, code: str) -> subprocess.Popen[bytes]:
+    with settings.with_suffix(".log").open("ab") as out:
+        return subprocess.Popen(
+            [sys.executable, "-c", code],
+            stdout=out,
+            stderr=out,
+            env=os.environ | {SETTINGS_VARIABLE: str(settings)},
+        )
+
+
+async def _measure(
+    settings: Path,
+    code: str,
+    seconds: float,
+    rate: float,
+    rng: random.Random,
+    measured: Measured,
+) -> None:
+    child = _start_entry(settings, code)
+    try:
+        async with asyncio.timeout(READY_BOUND_S):
+            while await _ask(0, "warm") is None:
+                await asyncio.sleep(READY_POLL_S)
+        before = cpu_seconds(child.pid)
+        times = await _send_all(seconds, rate, rng)
+        used = cpu_seconds(child.pid) - before
+    finally:
+        await asyncio.to_thread(end_children, [child], STOP_BOUND_S)
+    good = sorted(time for time in times if time is not None)
+    measured.failed += len(times) - len(good)
+    measured.cpu_ms.append(MS_PER_S * used / max(1, len(times)))
+    measured.p99_ms.append(MS_PER_S * good[int(0.99 * (len(good) - 1))])
+
+
+async def _send_all(
+    seconds: float, rate: float, rng: random.Random
+) -> Sequence[float | None]:
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds
+    next_at = loop.time()
+    asked: list[asyncio.Task[float | None]] = []
+    while next_at < ends_at:
+        asked.append(asyncio.create_task(_ask(len(asked), f"r{len(asked)}")))
+        next_at += rng.expovariate(rate)
+        await asyncio.sleep(next_at - loop.time())
+    return await asyncio.gather(*asked)
+
+
+async def _ask(number: int, request_id: str) -> float | None:
+    """Return the seconds until an answer was whole, or None without a 200."""
+    loop = asyncio.get_running_loop()
+    path, extra = KINDS[number % len(KINDS)]
+    began = loop.time()
+    try:
+        answer = await send(
+            ENTRY_PORTS[0],
+            path,
+            request_id,
+            extra=extra,
+            patience_ms=PATIENCE_MS,
+            host=ENTRY_HOST,
+        )
+    except (BadAnswer, OSError, TimeoutError):
+        return None
+    return loop.time() - began if answer.status == 200 else None
+
+
+def _print(found: dict[str, Measured]) -> None:
+    for name, measured in found.items():
+        cpu = ", ".join(f"{value:.2f}" for value in measured.cpu_ms)
+        p99 = ", ".join(f"{value:.1f}" for value in measured.p99_ms)
+        print(f"{name:10} processor ms a request: {cpu}; p99 ms: {p99}")
+        if measured.failed:
+            print(f"{name:10} {measured.failed} requests failed")
+    with_logs, without = found.values()
+    for what, one, other in (
+        ("processor time", with_logs.cpu_ms, without.cpu_ms),
+        ("p99", with_logs.p99_ms, without.p99_ms),
+    ):
+        more = PERCENT * (median(one) / median(other) - 1.0)
+        print(f"logs add to {what}: {more:+.1f}% (medians of {len(one)} turns)")
