--- a/src/lagoontide/pieces/admission.py
+++ b/src/lagoontide/pieces/admission.py
@@ -41,6 +41,8 @@
         Whether its caller was refused before.
     spread : float
         By chance, 0.7 to 1, so that callers do not come back together.
+    binds : str
+        Service at which it waits longest, for the logs.
     """
 
     work: float
@@ -52,6 +54,15 @@
     is_return: bool
     urgency: int
     spread: float = 1.0
+    binds: str = ""
+
+    def __str__(self) -> str:
+        return (
+            f"work {self.work:.3f} s, "
+            f"wait {self.wait:.3f} s at {self.binds or 'none'}, "
+            f"own share {self.kind_wait:.3f} s, late {self.late_wait:.3f} s, "
+            f"objective in {self.objective_left:.3f} s"
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/pieces/test_inputs.py
+++ b/tests/pieces/test_inputs.py
@@ -9,7 +9,7 @@
 from lagoontide.forward.fields import Asked
 from lagoontide.forward.inputs import InputsFailed
 from lagoontide.pieces.admission import Calibration
-from lagoontide.pieces.demand import Demand
+from lagoontide.pieces.demand import Demand, Need
 from lagoontide.pieces.inputs import StageInputs
 from lagoontide.routes.records import Account, Kind, Route, Service, Stage
 from tests.pieces.examples import WORK
@@ -85,3 +85,16 @@
         assert begin_until_refused(demand, 0, 1) >= 0.95 * most - 1
 
     asyncio.run(main())
+
+
+def test_overload_is_told_with_the_stage_at_which_a_request_would_wait():
+    async def main():
+        demand = Demand(asyncio.get_running_loop().time)
+        demand.add(Need("s", 0, 50.0))
+        inputs = make_inputs(demand, 0, None)
+        with pytest.raises(InputsFailed):
+            inputs.admit()
+        return inputs
+
+    inputs = asyncio.run(main())
+    assert "s at s, own share" in inputs._call.choices[0]
