--- a/src/lagoontide/logbook/commands.py
+++ b/src/lagoontide/logbook/commands.py
@@ -2,6 +2,8 @@
 
 import sys
 
+from lagoontide.errors import UsageError
+from lagoontide.logbook.calls import describe_calls
 from lagoontide.logbook.read import read_files
 from lagoontide.logbook.story import summarize, tell_story
 
@@ -27,3 +29,11 @@
         """Count outcomes and their causes: ``lagoontide logs summary FILE...``."""
         for text in summarize(read_files(files)):
             print(text)
+
+    def calls(self, *files: str, since: str = "", until: str = "") -> None:
+        """Count calls by stage target: ``lagoontide logs calls FILE... --since=T``."""
+        try:
+            for text in describe_calls(read_files(files), since, until):
+                print(text)
+        except ValueError as exc:
+            raise UsageError(f"--since or --until: {exc}", step="logs") from exc
