What a forecast has learnt is forgotten within seconds

Only requests begun in time taught the forecast. Once it was too long, all were begun behind others, or refused, and nothing taught it again. The same holds for the time that targets take to a first event. Ruled out: processor time (it was not counted), room left over by dead owners (it is 4 s; this lasted 12 s). Now what was seen goes back to the usual by half a second for each second without news beyond the first, sparse news weigh more, and a request begun behind others teaches when it was made sooner than forecast. Five tests fail without it.

--- a/src/lagoontide/gateway/parts.py
+++ b/src/lagoontide/gateway/parts.py
@@ -81,7 +81,7 @@
         )
         self.follower = Follower(outside.store, FOLLOWED, self.sink)
         self.demand = Demand(loop.time, lambda: self.mesh.scale())
-        self.calibration = Calibration()
+        self.calibration = Calibration(loop.time)
         self._join_mesh(ctx)
         self.metrics = GatewayMetrics()
         self.door = Door(self.world, self._make_inputs, self.metrics, self._rng)
--- a/src/lagoontide/pieces/inputs.py
+++ b/src/lagoontide/pieces/inputs.py
@@ -93,10 +93,12 @@
     async def ready(self) -> tuple[str, ...]:
         """See Inputs."""
         results = await asyncio.gather(*map(self._results, self._graph.last))
-        if self._expected and not self._is_late:
-            taken = self._loop.time() - self._began
+        taken = self._loop.time() - self._began
+        # One begun behind all others shows a forecast that is too long, no other.
+        is_sooner = taken < self._calibration.factor * self._expected
+        if self._expected and (is_sooner or not self._is_late):
             self._calibration.learn(self._expected, taken)
-            self._expected = 0.0
+        self._expected = 0.0
         return tuple(handle for handles in results for handle in handles)
 
     def renew(self) -> None:
--- a/tests/pieces/test_admission.py
+++ b/tests/pieces/test_admission.py
@@ -109,16 +109,57 @@
     assert piece_cost(WORK, 4.5e6) > 0.3
 
 
+def teach(calibration, clock, times, taken, every=0.1):
+    for _ in range(times):
+        clock.now += every
+        calibration.learn(1.0, taken)
+
+
 def test_the_forecast_learns_how_long_stages_take():
-    calibration = Calibration()
-    for _ in range(50):
-        calibration.learn(1.0, 1.5)
+    clock = Clock()
+    calibration = Calibration(clock)
+    teach(calibration, clock, 50, 1.5)
     assert 1.4 < calibration.factor < 1.6
-    for _ in range(200):
-        calibration.learn(1.0, 100.0)
+    teach(calibration, clock, 200, 100.0)
     assert calibration.factor <= 2.5
 
 
+def test_burst_that_lets_nothing_through_is_forgotten_within_seconds():
+    clock = Clock()
+    calibration = Calibration(clock)
+    teach(calibration, clock, 50, 2.5)
+    assert calibration.factor > 2.3
+    clock.now += 3.0
+    assert calibration.factor < 1.4
+
+
+def test_burst_of_which_few_requests_tell_is_forgotten_within_seconds():
+    clock = Clock()
+    calibration = Calibration(clock)
+    teach(calibration, clock, 50, 2.5)
+    teach(calibration, clock, 4, 1.0, every=0.5)
+    assert calibration.factor < 1.4
+
+
+def test_trickle_does_not_follow_a_single_slow_request():
+    clock = Clock()
+    calibration = Calibration(clock)
+    teach(calibration, clock, 10, 1.0, every=2.0)
+    teach(calibration, clock, 1, 2.5, every=2.0)
+    assert calibration.factor < 1.7
+
+
+def test_stall_of_the_targets_does_not_keep_requests_out_after_it():
+    clock = Clock()
+    calibration = Calibration(clock)
+    for _ in range(100):
+        clock.now += 0.05
+        calibration.learn_target("r", 5.0)
+    assert calibration.target_time("r") > 2.0
+    clock.now += 5.0
+    assert calibration.target_time("r") < 0.5
+
+
 def test_call_costs_are_learned_by_the_kind_of_their_pieces():
     costs = CallCosts(WORK)
     for _ in range(60):
--- a/tests/pieces/test_inputs.py
+++ b/tests/pieces/test_inputs.py
@@ -11,14 +11,16 @@
 from lagoontide.pieces.admission import Calibration
 from lagoontide.pieces.demand import Demand, Need
 from lagoontide.pieces.inputs import StageInputs
+from lagoontide.pieces.messages import OrderDone
 from lagoontide.routes.records import Account, Kind, Route, Service, Stage
 from tests.pieces.examples import WORK
 
 DESK = SimpleNamespace(targets=lambda service: ("a", "b"))
 
 
-def make_inputs(demand, priority, account_priority):
-    now = asyncio.get_running_loop().time()
+def make_inputs(demand, priority, account_priority, calibration=None, desk=DESK):
+    loop = asyncio.get_running_loop()
+    now = loop.time()
     route = Route(
         name=f"priority-{priority}",
         host="a.example",
@@ -40,8 +42,9 @@
         objective_at=now + 2.0,
     )
     service = Service("s", piece_work=WORK)
+    calibration = calibration or Calibration(loop.time)
     return StageInputs(
-        DESK, demand, Calibration(), call, lambda name: service, lambda: "z"
+        desk, demand, calibration, call, lambda name: service, lambda: "z"
     )
 
 
@@ -98,3 +101,28 @@
 
     inputs = asyncio.run(main())
     assert "s at s, own share" in inputs._call.choices[0]
+
+
+def test_burst_is_over_as_soon_as_requests_begun_behind_others_are_made_in_time():
+    """Else all are begun behind others, and none tells that the burst is over."""
+
+    async def make(order):
+        return OrderDone(tuple("abcd"))
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        calibration = Calibration(loop.time)
+        for _ in range(100):
+            calibration.learn(1.0, 2.5)
+        before = calibration.factor
+        demand = Demand(loop.time)
+        demand.add(Need("s", 0, 0.9))
+        desk = SimpleNamespace(targets=DESK.targets, make=make)
+        inputs = make_inputs(demand, 0, None, calibration, desk)
+        inputs.admit()
+        assert inputs._call.choices[0].startswith("late")
+        await inputs.ready()
+        return before, calibration.factor
+
+    before, after = asyncio.run(main())
+    assert after < before
