--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -40,14 +40,27 @@
         sys.exit(run_bench(experiment, json, out))
 
     def logs(
-        self, seconds: float = 10.0, rate: float = 40.0, turns: int = 5, seed: int = 1
+        self,
+        seconds: float = 10.0,
+        rate: float = 40.0,
+        turns: int = 5,
+        seed: int = 1,
+        folder: str = "",
     ) -> None:
-        """Measure what the logs of an entry on the platform's stand-ins cost."""
+        """Measure what the logs of an entry on the platform's stand-ins cost.
+
+        The entry's logs are kept in ``--folder``.
+        """
         import asyncio
+        import tempfile
+        from pathlib import Path
 
         from lagoontide.bench.logcost import run_log_cost
 
-        sys.exit(asyncio.run(run_log_cost(seconds, rate, turns, seed)))
+        kept = Path(folder or tempfile.mkdtemp(prefix="lagoontide-logs-"))
+        kept.mkdir(parents=True, exist_ok=True)
+        print(f"logs in {kept}")
+        sys.exit(asyncio.run(run_log_cost(kept, seconds, rate, turns, seed)))
 
     def configuration(self, json: bool = False) -> None:
         """Measure what the document costs by its size."""
--- a/src/lagoontide/bench/logcost.py
+++ b/src/lagoontide/bench/logcost.py
@@ -6,7 +6,7 @@
 import random
 import subprocess
 import sys
-import tempfile
+from collections import Counter
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -40,6 +40,7 @@
 PATIENCE_MS = 5000
 MS_PER_S = 1000.0
 PERCENT = 100.0
+STATUS_OK = 200
 QUIET = "from loguru import logger; logger.disable('lagoontide'); "
 MAIN = "from lagoontide.platform.daemon import main; main()"
 VARIANTS = {"with logs": MAIN, "without": QUIET + MAIN}
@@ -55,20 +56,24 @@
         Processor time of a request, in ms; one figure a turn.
     p99_ms : list of float
         Time of the slowest hundredth of the requests, in ms; one figure a turn.
-    failed : int
-        Requests without a 200.
+    failed : Counter
+        What requests got that did not get a 200.
     """
 
     cpu_ms: list[float] = field(default_factory=list)
     p99_ms: list[float] = field(default_factory=list)
-    failed: int = 0
+    failed: Counter[str] = field(default_factory=Counter)
 
 
-async def run_log_cost(seconds: float, rate: float, turns: int, seed: int) -> int:
+async def run_log_cost(
+    folder: Path, seconds: float, rate: float, turns: int, seed: int
+) -> int:
     """Print the costs; return 1 if a request failed.
 
     Parameters
     ----------
+    folder : Path
+        Takes the settings and the entries' logs.
     seconds, rate : float
         Length of a turn, and requests a second in it.
     turns : int
@@ -76,14 +81,13 @@
     """
     found = {name: Measured() for name in VARIANTS}
     rng = random.Random(seed)
-    with tempfile.TemporaryDirectory() as folder:
-        async with _start_standins() as store_port:
-            path = Path(folder) / "entry.json"
-            store = f"{HOST}:{store_port}"
-            write_settings(path, "entry-0", ENTRY_HOST, ENTRY_PORTS, store, [], GRACE_S)
-            for _ in range(turns):
-                for name, code in VARIANTS.items():
-                    await _measure(path, code, seconds, rate, rng, found[name])
+    async with _start_standins() as store_port:
+        path = folder / "entry.json"
+        store = f"{HOST}:{store_port}"
+        write_settings(path, "entry-0", ENTRY_HOST, ENTRY_PORTS, store, [], GRACE_S)
+        for _ in range(turns):
+            for name, code in VARIANTS.items():
+                await _measure(path, code, seconds, rate, rng, found[name])
     _print(found)
     return 1 if any(measured.failed for measured in found.values()) else 0
 
@@ -125,26 +129,26 @@
     child = _start_entry(settings, code)
     try:
         async with asyncio.timeout(READY_BOUND_S):
-            while await _ask(0, "warm") is None:
+            while isinstance(await _ask(0, "warm"), str):
                 await asyncio.sleep(READY_POLL_S)
         before = cpu_seconds(child.pid)
         times = await _send_all(seconds, rate, rng)
         used = cpu_seconds(child.pid) - before
     finally:
         await asyncio.to_thread(end_children, [child], STOP_BOUND_S)
-    good = sorted(time for time in times if time is not None)
-    measured.failed += len(times) - len(good)
+    good = sorted(time for time in times if isinstance(time, float))
+    measured.failed.update(why for why in times if isinstance(why, str))
     measured.cpu_ms.append(MS_PER_S * used / max(1, len(times)))
     measured.p99_ms.append(MS_PER_S * good[int(0.99 * (len(good) - 1))])
 
 
 async def _send_all(
     seconds: float, rate: float, rng: random.Random
-) -> Sequence[float | None]:
+) -> Sequence[float | str]:
     loop = asyncio.get_running_loop()
     ends_at = loop.time() + seconds
     next_at = loop.time()
-    asked: list[asyncio.Task[float | None]] = []
+    asked: list[asyncio.Task[float | str]] = []
     while next_at < ends_at:
         asked.append(asyncio.create_task(_ask(len(asked), f"r{len(asked)}")))
         next_at += rng.expovariate(rate)
@@ -152,8 +156,8 @@
     return await asyncio.gather(*asked)
 
 
-async def _ask(number: int, request_id: str) -> float | None:
-    """Return the seconds until an answer was whole, or None without a 200."""
+async def _ask(number: int, request_id: str) -> float | str:
+    """Return the seconds until an answer was whole, or what there was but a 200."""
     loop = asyncio.get_running_loop()
     path, extra = KINDS[number % len(KINDS)]
     began = loop.time()
@@ -166,9 +170,11 @@
             patience_ms=PATIENCE_MS,
             host=ENTRY_HOST,
         )
-    except (BadAnswer, OSError, TimeoutError):
-        return None
-    return loop.time() - began if answer.status == 200 else None
+    except (BadAnswer, OSError, TimeoutError) as exc:
+        return f"{path} {exc!r}"
+    if answer.status != STATUS_OK:
+        return f"{path} {answer.status} {answer.body[:80]!r}"
+    return loop.time() - began
 
 
 def _print(found: dict[str, Measured]) -> None:
@@ -177,7 +183,7 @@
         p99 = ", ".join(f"{value:.1f}" for value in measured.p99_ms)
         print(f"{name:10} processor ms a request: {cpu}; p99 ms: {p99}")
         if measured.failed:
-            print(f"{name:10} {measured.failed} requests failed")
+            print(f"{name:10} failed: {dict(measured.failed)}")
     with_logs, without = found.values()
     for what, one, other in (
         ("processor time", with_logs.cpu_ms, without.cpu_ms),
--- a/tests/bench/test_log_cost.py
+++ b/tests/bench/test_log_cost.py
@@ -5,24 +5,16 @@
 from lagoontide.bench import logcost
 
 
-def test_both_variants_answer_all_and_only_one_writes(capsys, monkeypatch):
+def test_both_variants_answer_all_and_only_one_writes(capsys, monkeypatch, tmp_path):
     sizes = []
     stop = logcost.end_children
 
     def end_and_look(children, bound):
         stop(children, bound)
-        sizes.append(settings[0].with_suffix(".log").stat().st_size)
-
-    settings = []
-    write = logcost.write_settings
-
-    def note_path(path, *rest):
-        settings.append(path)
-        write(path, *rest)
+        sizes.append((tmp_path / "entry.log").stat().st_size)
 
     monkeypatch.setattr(logcost, "end_children", end_and_look)
-    monkeypatch.setattr(logcost, "write_settings", note_path)
-    assert asyncio.run(logcost.run_log_cost(0.5, 20.0, 1, 1)) == 0
+    assert asyncio.run(logcost.run_log_cost(tmp_path, 0.5, 20.0, 1, 1)) == 0
     assert "logs add to processor time" in capsys.readouterr().out
     logged, quiet = sizes
     assert logged > 0
