--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -22,6 +23,8 @@
 BOUND_S = 30.0
 POLL_S = 0.05
 REQUESTS = 10
+# The users' bound for a start after all power was lost (their sheet, recovery_s).
+RECOVERY_S = 12.0
 
 
 class Processes:
@@ -97,10 +100,14 @@
 
 
 @pytest.fixture
-def children(stack, ports, folder):
+def processes(stack, folder):
+    return Processes(stack, folder)
+
+
+@pytest.fixture
+def children(processes, ports, folder):
     """A store, two targets and an entry, in that order."""
     store, store_control, control, *listen = ports
-    processes = Processes(stack, folder)
     standin = "lagoontide", "standin", "platform"
     settings = folder / "entry.json"
     subprocess.run(
@@ -177,6 +184,22 @@
     asyncio.run(serve_through_troubles(children, ports))
 
 
+def test_power_lost_at_every_entry_is_made_good_by_the_store_alone(
+    children, processes, folder
+):
+    asyncio.run(until(is_served))
+    *_, entry = children
+    entry.kill()
+    entry.wait()
+    began = time.monotonic()
+    processes.start(
+        "lagoontide.platform.daemon",
+        **{SETTINGS_VARIABLE: str(folder / "entry.json")},
+    )
+    asyncio.run(until(is_served))
+    assert time.monotonic() - began < RECOVERY_S
+
+
 @pytest.mark.usefixtures("children")
 def test_a_new_configuration_is_taken_from_the_control_port(ports):
     asyncio.run(change_keys(ports))
