--- a/src/lagoontide/platform/standins/process.py
+++ b/src/lagoontide/platform/standins/process.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+from loguru import logger
 
 from lagoontide.errors import (
     LagoontideError,
@@ -28,6 +29,8 @@
 
 NO_LEASE = "0"
 REGISTER_POLL_S = 0.1
+# A store that is gone does not keep a target from stopping.
+LEAVE_BOUND_S = 2.0
 DRAIN_POLL_S = 0.02
 
 Order = Callable[[bytes], Any]
@@ -93,7 +96,11 @@
         stack.callback(store.close)
 
         async def drain() -> bool:
-            await _register(store, target, domain, "draining")
+            try:
+                async with asyncio.timeout(LEAVE_BOUND_S):
+                    await _register(store, target, domain, "draining")
+            except TimeoutError:
+                logger.warning("not told to the store that {} leaves", target.id)
             while listener.in_flight:
                 await asyncio.sleep(DRAIN_POLL_S)
             return True
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -200,6 +200,15 @@
     assert time.monotonic() - began < RECOVERY_S
 
 
+def test_a_target_stops_also_when_the_store_is_gone(children):
+    asyncio.run(until(is_served))
+    store, target, *_ = children
+    store.kill()
+    store.wait()
+    target.send_signal(signal.SIGTERM)
+    assert target.wait(BOUND_S) == 0
+
+
 @pytest.mark.usefixtures("children")
 def test_a_new_configuration_is_taken_from_the_control_port(ports):
     asyncio.run(change_keys(ports))
