--- a/src/lagoontide/platform/standins/ports.py
+++ b/src/lagoontide/platform/standins/ports.py
@@ -1,11 +1,22 @@
 """Ports that stay those of a deployment until its listeners take them."""
 
 import contextlib
+import os
 import socket
 
-__all__ = ["HOST", "keep_ports"]
+__all__ = ["HOST", "keep_ports", "own_host"]
 
 HOST = "127.0.0.1"
+FIRST_NET, NETS, SUBNETS = 10, 200, 250
+
+
+def own_host() -> str:
+    """Return a loopback address that no process started about now has, too.
+
+    For entries, whose ports are the same everywhere.
+    """
+    pid = os.getpid()
+    return f"127.{FIRST_NET + pid % NETS}.{pid // NETS % SUBNETS}.1"
 
 
 def keep_ports(stack: contextlib.ExitStack, number: int) -> list[int]:
