One piece each: a JSON answer, an entry process, a target's listener; targets counted once

Found by reading the change once more; behaviour stays as it is. - pieces/forecast.py counted a service's targets three times and built the set of services three times for each request that asks to be begun; once now. - What a forecast learns is a module of its own (pieces/calibration.py); it stood in admission.py, which decides. - Stand-ins: one json_answer where there were three; the processes listen by StoreDoor.start and TargetStandin.listen, which they had written again. - bench logs starts its entry by the soak's EntryProcess, and is told the host instead of working it out for each request. - The test of the processes closes its log files and names the port.

--- a/src/lagoontide/bench/logcost.py
+++ b/src/lagoontide/bench/logcost.py
@@ -2,10 +2,7 @@
 
 import asyncio
 import contextlib
-import os
 import random
-import subprocess
-import sys
 from collections import Counter
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
@@ -14,10 +11,10 @@
 
 from lagoontide.bench.processes import end_children
 from lagoontide.bench.resources import cpu_seconds
+from lagoontide.bench.soak.entries import EntryProcess
 from lagoontide.http1.client import BadAnswer
 from lagoontide.platform.configuration import CONFIGURATION_KEY
 from lagoontide.platform.local import KINDS
-from lagoontide.platform.settings import SETTINGS_VARIABLE
 from lagoontide.platform.standins.deployment import (
     make_configuration,
     make_targets,
@@ -81,13 +78,11 @@
     found = {name: Measured() for name in VARIANTS}
     rng = random.Random(seed)
     async with _start_standins() as store_port:
-        path = folder / "entry.json"
-        store = f"{HOST}:{store_port}"
-        (host,) = own_hosts(1)
-        write_settings(path, "entry-0", host, ENTRY_PORTS, store, [], GRACE_S)
+        entry = _make_entry(folder, f"{HOST}:{store_port}")
         for _ in range(turns):
             for name, code in VARIANTS.items():
-                await _measure(path, code, seconds, rate, rng, found[name])
+                entry.command = ("-c", code)
+                await _measure(entry, seconds, rate, rng, found[name])
     _print(found)
     return 1 if any(measured.failed for measured in found.values()) else 0
 
@@ -108,31 +103,29 @@
         await door.close()
 
 
-def _start_entry(settings: Path, code: str) -> subprocess.Popen[bytes]:
-    with settings.with_suffix(".log").open("ab") as out:
-        return subprocess.Popen(
-            [sys.executable, "-c", code],
-            stdout=out,
-            stderr=out,
-            env=os.environ | {SETTINGS_VARIABLE: str(settings)},
-        )
+def _make_entry(folder: Path, store: str) -> EntryProcess:
+    (host,) = own_hosts(1)
+    path = folder / "entry.json"
+    write_settings(path, "entry-0", host, ENTRY_PORTS, store, [], GRACE_S)
+    return EntryProcess("entry-0", host, path, path.with_suffix(".log"))
 
 
 async def _measure(
-    settings: Path,
-    code: str,
+    entry: EntryProcess,
     seconds: float,
     rate: float,
     rng: random.Random,
     measured: Measured,
 ) -> None:
-    child = _start_entry(settings, code)
+    entry.start()
+    assert entry.child is not None
+    child = entry.child
     try:
         async with asyncio.timeout(READY_BOUND_S):
-            while isinstance(await _ask(0, "warm"), str):
+            while isinstance(await _ask(entry.host, 0, "warm"), str):
                 await asyncio.sleep(READY_POLL_S)
         before = cpu_seconds(child.pid)
-        times = await _send_all(seconds, rate, rng)
+        times = await _send_all(entry.host, seconds, rate, rng)
         used = cpu_seconds(child.pid) - before
     finally:
         await asyncio.to_thread(end_children, [child], STOP_BOUND_S)
@@ -145,20 +138,20 @@
 
 
 async def _send_all(
-    seconds: float, rate: float, rng: random.Random
+    host: str, seconds: float, rate: float, rng: random.Random
 ) -> Sequence[float | str]:
     loop = asyncio.get_running_loop()
     ends_at = loop.time() + seconds
     next_at = loop.time()
     asked: list[asyncio.Task[float | str]] = []
     while next_at < ends_at:
-        asked.append(asyncio.create_task(_ask(len(asked), f"r{len(asked)}")))
+        asked.append(asyncio.create_task(_ask(host, len(asked), f"r{len(asked)}")))
         next_at += rng.expovariate(rate)
         await asyncio.sleep(next_at - loop.time())
     return await asyncio.gather(*asked)
 
 
-async def _ask(number: int, request_id: str) -> float | str:
+async def _ask(host: str, number: int, request_id: str) -> float | str:
     """Return the seconds until an answer was whole, or what there was but a 200."""
     loop = asyncio.get_running_loop()
     path, extra = KINDS[number % len(KINDS)]
@@ -170,7 +163,7 @@
             request_id,
             extra=extra,
             patience_ms=PATIENCE_MS,
-            host=own_hosts(1)[0],
+            host=host,
         )
     except (BadAnswer, OSError, TimeoutError) as exc:
         return f"{path} {exc!r}"
--- a/src/lagoontide/bench/soak/entries.py
+++ b/src/lagoontide/bench/soak/entries.py
@@ -32,6 +32,8 @@
 
     Attributes
     ----------
+    command : tuple of str
+        Arguments of Python that run it.
     own_exits : list of int
         Codes with which it ended though nothing had been done to it.
     """
@@ -40,6 +42,7 @@
     host: str
     settings: Path
     log: Path
+    command: tuple[str, ...] = ("-m", "lagoontide.platform.daemon")
     child: subprocess.Popen[bytes] | None = None
     is_hurt: bool = False
     own_exits: list[int] = field(default_factory=list)
@@ -48,7 +51,7 @@
         """Start the process."""
         with self.log.open("ab") as out:
             self.child = subprocess.Popen(
-                [sys.executable, "-m", "lagoontide.platform.daemon"],
+                [sys.executable, *self.command],
                 stdout=out,
                 stderr=subprocess.STDOUT,
                 env=os.environ | {SETTINGS_VARIABLE: str(self.settings)},
--- a/src/lagoontide/gateway/parts.py
+++ b/src/lagoontide/gateway/parts.py
@@ -22,7 +22,7 @@
 from lagoontide.mesh.messages import MESSAGES as MESH_MESSAGES
 from lagoontide.mesh.peers import Mesh
 from lagoontide.mesh.register import EntryAddress, Registration
-from lagoontide.pieces.admission import Calibration
+from lagoontide.pieces.calibration import Calibration
 from lagoontide.pieces.demand import Demand
 from lagoontide.pieces.desk import Desk
 from lagoontide.pieces.inputs import StageInputs
--- a/src/lagoontide/pieces/forecast.py
+++ b/src/lagoontide/pieces/forecast.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from lagoontide.forward.call import Call
-from lagoontide.pieces.admission import Calibration, Forecast, share_of
+from lagoontide.pieces.admission import Forecast, share_of
+from lagoontide.pieces.calibration import Calibration
 from lagoontide.pieces.demand import Total, predict_kind_wait, predict_wait
 from lagoontide.pieces.graph import StageGraph
 from lagoontide.routes.urgency import LATE_URGENCY
@@ -33,22 +34,21 @@
     now : float
         Loop time.
     """
-    factor = calibration.factor
-
-    def wait_at(service: str, urgency: int) -> float:
-        return predict_wait(total, service, urgency, count_targets(service))
-
-    waits = {service: wait_at(service, call.urgency) for service in graph.services}
-    late_waits = [wait_at(service, LATE_URGENCY) for service in graph.services]
+    factor, urgency = calibration.factor, call.urgency
+    targets = {service: count_targets(service) for service in graph.services}
+    waits = {
+        service: predict_wait(total, service, urgency, number)
+        for service, number in targets.items()
+    }
+    late_waits = [
+        predict_wait(total, service, LATE_URGENCY, number)
+        for service, number in targets.items()
+    ]
     kind_waits = [
         predict_kind_wait(
-            total,
-            service,
-            call.urgency,
-            count_targets(service),
-            _share(total, service, call.urgency),
+            total, service, urgency, number, _share(total, service, urgency)
         )
-        for service in graph.services
+        for service, number in targets.items()
     ]
     return Forecast(
         work=factor * graph.whole_time() + calibration.target_time(call.route.name),
@@ -58,7 +58,7 @@
         objective_left=call.objective_at - now,
         time_left=call.ends_at - now,
         is_return=call.is_return,
-        urgency=call.urgency,
+        urgency=urgency,
         spread=random.uniform(*SPREAD),
         binds=max(waits, key=waits.__getitem__, default=""),
     )
--- a/src/lagoontide/pieces/graph.py
+++ b/src/lagoontide/pieces/graph.py
@@ -91,7 +91,7 @@
         branch = self._longest_branch()
         if index in branch:
             return ()
-        own = self.times[index] + self.time_after(index)
+        own = self.time_from(index)
         for other in branch:
             if self.time_after(other) <= own * EARLY_SHARE:
                 return self.stages[other].after
--- a/src/lagoontide/pieces/inputs.py
+++ b/src/lagoontide/pieces/inputs.py
@@ -9,7 +9,8 @@
 from lagoontide.errors import PeerError
 from lagoontide.forward.call import Call
 from lagoontide.forward.inputs import InputsFailed
-from lagoontide.pieces.admission import Calibration, judge
+from lagoontide.pieces.admission import judge
+from lagoontide.pieces.calibration import Calibration
 from lagoontide.pieces.demand import Demand, Need, piece_cost
 from lagoontide.pieces.desk import Desk
 from lagoontide.pieces.forecast import make_forecast
--- a/src/lagoontide/platform/standins/process.py
+++ b/src/lagoontide/platform/standins/process.py
@@ -15,12 +15,12 @@
     StoreUnavailable,
     UsageError,
 )
-from lagoontide.http1.messages import Response
 from lagoontide.http1.server import Handler, Listener, Reply, Request, WireLimits
 from lagoontide.httpd import split_address
 from lagoontide.lifecycle import run_until_signal
 from lagoontide.platform.configuration import CONFIGURATION_KEY, decode_plan
 from lagoontide.platform.directory import TARGETS_PREFIX
+from lagoontide.platform.standins.answers import json_answer
 from lagoontide.platform.standins.store import StoreDoor, StoreStandin, Trouble
 from lagoontide.platform.standins.targets import Fault, TargetStandin
 from lagoontide.platform.store import PlatformStore
@@ -72,9 +72,9 @@
     if configuration:
         configure(_read(Path(configuration)))
     async with contextlib.AsyncExitStack() as stack:
-        await _listen(stack, listen, door.handle)
-        if control:
-            await _listen(stack, control, _make_control(orders))
+        await door.start(*_split(listen))
+        stack.push_async_callback(door.close)
+        await _take_orders(stack, control, orders)
         return await run_until_signal([], _has_ended)
 
 
@@ -90,9 +90,9 @@
     """
     store = PlatformStore(*_split(store_address))
     async with contextlib.AsyncExitStack() as stack:
-        listener, target.address = await _listen(stack, listen, target.handle)
-        if control:
-            await _listen(stack, control, _make_control(_target_orders(target)))
+        await target.listen(*_split(listen))
+        stack.push_async_callback(target.close)
+        await _take_orders(stack, control, _target_orders(target))
         stack.callback(store.close)
 
         async def drain() -> bool:
@@ -101,7 +101,7 @@
                     await _register(store, target, domain, "draining")
             except TimeoutError:
                 logger.warning("not told to the store that {} leaves", target.id)
-            while listener.in_flight:
+            while target.is_busy:
                 await asyncio.sleep(DRAIN_POLL_S)
             return True
 
@@ -138,14 +138,14 @@
     return True
 
 
-async def _listen(
-    stack: contextlib.AsyncExitStack, address: str, handle: Handler
-) -> tuple[Listener, str]:
-    host, port = _split(address)
-    listener = Listener(handle, WireLimits)
-    stack.push_async_callback(listener.close)
-    taken = await listener.start(host, port)
-    return listener, f"{host}:{taken}"
+async def _take_orders(
+    stack: contextlib.AsyncExitStack, address: str, orders: dict[str, Order]
+) -> None:
+    """Listen at a control port, if there is to be one."""
+    if address:
+        listener = Listener(_make_control(orders), WireLimits)
+        await listener.start(*_split(address))
+        stack.push_async_callback(listener.close)
 
 
 def _split(address: str) -> tuple[str, int]:
@@ -170,18 +170,15 @@
         order = orders.get(path)
         if order is None:
             there = ", ".join(orders)
-            await reply.send(_json(404, {"error": f"{path!r}: there are {there}"}))
+            await reply.send(
+                json_answer({"error": f"{path!r}: there are {there}"}, 404)
+            )
             return
         try:
             done = order(req.body)
         except (msgspec.DecodeError, LagoontideError) as exc:
-            await reply.send(_json(400, {"error": f"{exc}: {req.body[:80]!r}"}))
+            await reply.send(json_answer({"error": f"{exc}: {req.body[:80]!r}"}, 400))
         else:
-            await reply.send(_json(200, done))
+            await reply.send(json_answer(done))
 
     return answer
-
-
-def _json(status: int, value: object) -> Response:
-    fields = [(b"Content-Type", b"application/json")]
-    return Response(status, fields, msgspec.json.encode(value))
--- a/src/lagoontide/platform/standins/store.py
+++ b/src/lagoontide/platform/standins/store.py
@@ -12,6 +12,7 @@
 
 from lagoontide.http1.messages import Response
 from lagoontide.http1.server import Listener, Reply, Request, WireLimits
+from lagoontide.platform.standins.answers import json_answer
 from lagoontide.platform.standins.ports import HOST
 
 __all__ = ["StoreDoor", "StoreStandin", "Trouble"]
@@ -200,7 +201,7 @@
 
     async def start(self, host: str = HOST, port: int = 0) -> int:
         """Listen; return the port."""
-        self._listener = Listener(self.handle, WireLimits)
+        self._listener = Listener(self._handle, WireLimits)
         return await self._listener.start(host, port)
 
     async def close(self) -> None:
@@ -208,8 +209,7 @@
         if self._listener is not None:
             await self._listener.close()
 
-    async def handle(self, req: Request, reply: Reply) -> None:
-        """Answer a call, or fail as the trouble says."""
+    async def _handle(self, req: Request, reply: Reply) -> None:
         match self.trouble:
             case Trouble.BUSY:
                 await reply.send(Response(503))
@@ -224,5 +224,4 @@
             status, body = 400, {"error": f"{exc!r}: {req.head.path!r}"}
         if self.trouble is Trouble.LOSES_ANSWERS:
             return
-        json = [(b"Content-Type", b"application/json")]
-        await reply.send(Response(status, json, msgspec.json.encode(body)))
+        await reply.send(json_answer(body, status))
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -23,6 +23,7 @@
     TOKENS,
 )
 from lagoontide.platform.pieces import FREE, MAKE, REPORT
+from lagoontide.platform.standins.answers import json_answer
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.store import StoreStandin
 
@@ -108,11 +109,20 @@
 
     async def start(self, store: StoreStandin, zone: str = "z1", born: int = 1) -> None:
         """Listen, and register in the store."""
-        self._listener = Listener(self.handle, WireLimits)
-        port = await self._listener.start(HOST, 0)
-        self.address = f"{HOST}:{port}"
+        await self.listen()
         self.register(store, zone, born)
 
+    async def listen(self, host: str = HOST, port: int = 0) -> None:
+        """Listen; the address is known then."""
+        self._listener = Listener(self._handle, WireLimits)
+        taken = await self._listener.start(host, port)
+        self.address = f"{host}:{taken}"
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is under way."""
+        return self._listener is not None and self._listener.in_flight > 0
+
     @property
     def requests(self) -> Counter[str]:
         """How often each request has run here, pieces left out."""
@@ -143,8 +153,7 @@
         if self._listener is not None:
             await self._listener.close()
 
-    async def handle(self, req: Request, reply: Reply) -> None:
-        """Answer a request."""
+    async def _handle(self, req: Request, reply: Reply) -> None:
         match req.head.path:
             case path if path == MAKE:
                 await self._make(req, reply)
@@ -153,7 +162,9 @@
                 await reply.send(Response(200))
             case path if path == REPORT:
                 free = max(0, self.room - len(self.results))
-                await reply.send(_json({"queued": 0, "busy": False, "free_mb": free}))
+                await reply.send(
+                    json_answer({"queued": 0, "busy": False, "free_mb": free})
+                )
             case _:
                 await self._serve(req, reply)
 
@@ -224,7 +235,9 @@
             await reply.send(Response(503, [(NOT_RUN, b"1")]))
             return
         await asyncio.sleep(self.work)
-        await reply.send(_json({"items": [self._make_one(item) for item in items]}))
+        await reply.send(
+            json_answer({"items": [self._make_one(item) for item in items]})
+        )
 
     def _make_one(self, item: dict[str, Any]) -> dict[str, str]:
         if len(self.results) >= self.room:
@@ -249,8 +262,3 @@
     inputs = field_value(fields, INPUTS.lower())
     handles = tuple(inputs.decode().split(",")) if inputs else ()
     return Run(request_id, asyncio.get_running_loop().time(), handles)
-
-
-def _json(body: object) -> Response:
-    fields = [(b"Content-Type", b"application/json")]
-    return Response(200, fields, msgspec.json.encode(body))
--- a/tests/pieces/test_admission.py
+++ b/tests/pieces/test_admission.py
@@ -4,7 +4,8 @@
 
 from hypothesis import given, strategies as st
 
-from lagoontide.pieces.admission import Calibration, Forecast, judge, share_of
+from lagoontide.pieces.admission import Forecast, judge, share_of
+from lagoontide.pieces.calibration import Calibration
 from lagoontide.pieces.costs import CallCosts
 from lagoontide.pieces.demand import (
     Demand,
--- a/tests/pieces/test_inputs.py
+++ b/tests/pieces/test_inputs.py
@@ -8,7 +8,7 @@
 from lagoontide.forward.call import Call
 from lagoontide.forward.fields import Asked
 from lagoontide.forward.inputs import InputsFailed
-from lagoontide.pieces.admission import Calibration
+from lagoontide.pieces.calibration import Calibration
 from lagoontide.pieces.demand import Demand, Need
 from lagoontide.pieces.inputs import StageInputs
 from lagoontide.pieces.messages import OrderDone
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -18,6 +18,7 @@
 from lagoontide.platform.settings import SETTINGS_VARIABLE
 from lagoontide.platform.standins.deployment import make_configuration, send
 from lagoontide.platform.standins.ports import HOST, keep_ports, own_hosts
+from lagoontide.platform.standins.settings import ENTRY_PORTS
 
 (ENTRY_HOST,) = own_hosts(1)
 BOUND_S = 30.0
@@ -36,12 +37,13 @@
         self._numbers = itertools.count()
 
     def start(self, *arguments, **environment):
-        child = subprocess.Popen(
-            [sys.executable, "-m", *arguments],
-            stdout=(self._folder / f"{next(self._numbers)}.log").open("wb"),
-            stderr=subprocess.STDOUT,
-            env=os.environ | environment,
-        )
+        with (self._folder / f"{next(self._numbers)}.log").open("wb") as out:
+            child = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdout=out,
+                stderr=subprocess.STDOUT,
+                env=os.environ | environment,
+            )
         self._stack.callback(self._end, child)
         return child
 
@@ -74,7 +76,7 @@
 
 
 async def status_of(request_id):
-    answer = await send(18601, "/safe/a", request_id, host=ENTRY_HOST)
+    answer = await send(ENTRY_PORTS[0], "/safe/a", request_id, host=ENTRY_HOST)
     return answer.status
 
 
