Settings files change under load: kept out, reloaded, told once

Reading showed a broken file logged again every 2 s, and changes of three settings that need a restart passed over in silence.

Change: a file that stays broken is told of once, and again when a signal asks; what needs a restart is named. A test with processes breaks the file in three ways, with signals, and replaces it without one, while requests are served.

Also: test_the_whole_path_as_processes failed once beside load as the first target's control port refused. Cause: the path serves as soon as one of two targets does. Shown by a run that starts the first target 2.5 s later: the same ConnectionRefusedError. The tests now wait until both targets are registered and the control ports answer, with the bound as it was; that run is a test.

--- a/src/lagoontide/gateway/daemon.py
+++ b/src/lagoontide/gateway/daemon.py
@@ -60,15 +60,21 @@
     """Reload settings on SIGHUP, and when they have changed without it."""
     hup = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, hup.set)
+    told = ""
     while True:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LOOK_EVERY_S):
                 await hup.wait()
+        is_asked = hup.is_set()
         hup.clear()
         try:
             cfg = load()
         except SettingsError as exc:
-            logger.error("settings not reloaded: {}", exc)
+            # A file that stays broken is told of once, and again when asked for.
+            if is_asked or str(exc) != told:
+                logger.error("settings not reloaded, the old ones hold: {}", exc)
+            told = str(exc)
             continue
+        told = ""
         if cfg != gateway.cfg:
             gateway.reload(cfg)
--- a/src/lagoontide/gateway/parts.py
+++ b/src/lagoontide/gateway/parts.py
@@ -47,6 +47,8 @@
 SWEEP_EVERY_S = 0.25
 # Peers are few and come back within a second; a start of all makes no storm.
 RECONNECT_S = (0.05, 0.2)
+# The longest message has a configuration (a value of the store, 1 MB) and all targets.
+MAX_MESH_BYTES = 8 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +123,17 @@
         )
         self._outside.store.move(*cfg.store)
         self.mesh.learn(f"{host}:{port}" for host, port in cfg.seeds)
-        fixed = ("name", "host", "callers", "ready", "peers", "failure_domain")
+        fixed = (
+            "name",
+            "host",
+            "callers",
+            "ready",
+            "peers",
+            "failure_domain",
+            "metrics_port",
+            "lease_ttl_min",
+            "cpu_share",
+        )
         for name in fixed:
             if getattr(old, name) != getattr(cfg, name):
                 logger.warning("{} changed in the settings: after a restart", name)
@@ -166,7 +178,9 @@
         self.mesh = self.sync.mesh = Mesh(
             cfg.name,
             cfg.cpu_share,
-            lambda peer: connect(ctx, peer, codec, identity, RECONNECT_S),
+            lambda peer: connect(
+                ctx, peer, codec, identity, RECONNECT_S, MAX_MESH_BYTES
+            ),
             self.sync.make_status,
             self.sync.take_status,
             lambda name: self.desk.forget_peer(name),
@@ -183,7 +197,7 @@
         for part in (self.mesh, self.sync, self.desk):
             part.register(router)
         self._server: Server = bind(
-            ctx, f"tcp://{address}", codec, identity, router.handle
+            ctx, f"tcp://{address}", codec, identity, router.handle, MAX_MESH_BYTES
         )
         self.registration = Registration(
             self._outside.store,
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -26,6 +26,17 @@
 REQUESTS = 10
 # The users' bound for a start after all power was lost (their sheet, recovery_s).
 RECOVERY_S = 12.0
+# A target of the test that is started so much later than the others.
+LATE_S = 2.5
+# The entry is the fourth process that a test starts.
+ENTRY_NUMBER = 3
+# Runs a module once some seconds have passed; both stand in the arguments.
+DELAYED = """
+import runpy, sys, time
+_, seconds, *sys.argv = sys.argv
+time.sleep(float(seconds))
+runpy.run_module(sys.argv[0], run_name="__main__", alter_sys=True)
+"""
 
 
 class Processes:
@@ -36,10 +47,11 @@
         self._folder = folder
         self._numbers = itertools.count()
 
-    def start(self, *arguments, **environment):
+    def start(self, *arguments, delay=0.0, **environment):
+        how = ["-c", DELAYED, str(delay)] if delay else ["-m"]
         with (self._folder / f"{next(self._numbers)}.log").open("wb") as out:
             child = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                [sys.executable, *how, *arguments],
                 stdout=out,
                 stderr=subprocess.STDOUT,
                 env=os.environ | environment,
@@ -80,6 +92,25 @@
     return answer.status
 
 
+async def all_started(ports):
+    """Return whether the control ports answer and every target has registered."""
+    store, store_control, control, *_ = ports
+    calm = b'{"trouble": "none"}'
+    await tell(store_control, b"POST", b"/trouble", calm)
+    await tell(control, b"GET", b"/runs")
+    _, listed = await tell(store, b"GET", b"/lagoontide/kv-range?prefix=servers/")
+    return len(listed["items"]) == 2
+
+
+async def start_serving(ports):
+    """Wait until everything has started, and the path serves.
+
+    One target alone can serve while the other is still starting.
+    """
+    await until(lambda: all_started(ports))
+    await until(is_served)
+
+
 async def is_served(request_id="first"):
     return await status_of(request_id) == 200
 
@@ -107,7 +138,13 @@
 
 
 @pytest.fixture
-def children(processes, ports, folder):
+def late():
+    """Seconds by which the first target starts after the others."""
+    return 0.0
+
+
+@pytest.fixture
+def children(processes, ports, folder, late):
     """A store, two targets and an entry, in that order."""
     store, store_control, control, *listen = ports
     standin = "lagoontide", "standin", "platform"
@@ -134,6 +171,7 @@
                 "--service=plain",
                 f"--name=plain-{number}",
                 *([] if number else [f"--control={HOST}:{control}"]),
+                delay=0.0 if number else late,
             )
             for number, port in enumerate(listen)
         ),
@@ -145,7 +183,7 @@
 
 async def serve_through_troubles(children, ports):
     _, store_control, target_control, *_ = ports
-    await until(is_served)
+    await start_serving(ports)
 
     # One of two targets says that it is full: its requests go to the other.
     order = b'{"fault": "full", "count": 1000}'
@@ -172,7 +210,7 @@
 
 async def change_keys(ports):
     store_control = ports[1]
-    await until(is_served)
+    await start_serving(ports)
     changed = make_configuration(2, tenants=[{"name": "first", "api_keys": ["other"]}])
     assert (await tell(store_control, b"POST", b"/configuration", changed))[0] == 200
 
@@ -186,10 +224,51 @@
     asyncio.run(serve_through_troubles(children, ports))
 
 
+@pytest.mark.parametrize("late", [LATE_S])
+def test_the_whole_path_with_a_target_that_starts_late(children, ports):
+    asyncio.run(serve_through_troubles(children, ports))
+
+
+def lines_of(folder, number, words):
+    """Return the log lines of a process that have these words."""
+    text = (folder / f"{number}.log").read_text()
+    return [line for line in text.splitlines() if words in line]
+
+
+async def change_settings(entry, folder):
+    """Change the settings file, wrongly and rightly, while a request runs."""
+    path = folder / "entry.json"
+    sound = path.read_bytes()
+    kept_out, reloaded = "the old ones hold", "settings reloaded"
+
+    async def is_told(words, times):
+        return len(lines_of(folder, ENTRY_NUMBER, words)) >= times
+
+    for times, broken in enumerate((b"{", b"[]", sound.replace(b'"ip"', b'"pi"')), 1):
+        path.write_bytes(broken)
+        entry.send_signal(signal.SIGHUP)
+        await until(lambda times=times: is_told(kept_out, times))
+        assert await is_served(f"broken {times}")
+    data = json.loads(sound)
+    data["bounds"] = {"grace_s": 5.0}
+    # Replaced in place, and with no signal.
+    path.write_bytes(json.dumps(data).encode())
+    await until(lambda: is_told(reloaded, 1))
+    assert await is_served("reloaded")
+    assert entry.poll() is None
+
+
+def test_changed_settings_files_are_taken_and_broken_ones_kept_out(
+    children, folder, ports
+):
+    asyncio.run(start_serving(ports))
+    asyncio.run(change_settings(children[-1], folder))
+
+
 def test_power_lost_at_every_entry_is_made_good_by_the_store_alone(
-    children, processes, folder
+    children, processes, folder, ports
 ):
-    asyncio.run(until(is_served))
+    asyncio.run(start_serving(ports))
     *_, entry = children
     entry.kill()
     entry.wait()
@@ -202,8 +281,8 @@
     assert time.monotonic() - began < RECOVERY_S
 
 
-def test_a_target_stops_also_when_the_store_is_gone(children):
-    asyncio.run(until(is_served))
+def test_a_target_stops_also_when_the_store_is_gone(children, ports):
+    asyncio.run(start_serving(ports))
     store, target, *_ = children
     store.kill()
     store.wait()
