A stop does not wait for a silent store after its requests

The stop ended requests by 0.6 s before the grace's end, and only then asked the store to end its lease, which takes up to 1.5 s without an answer. And a renewal that found the lease gone registered anew.

Change: the lease is ended beside the requests, within the same bound, for good.

--- a/src/lagoontide/gateway/stop.py
+++ b/src/lagoontide/gateway/stop.py
@@ -1,6 +1,7 @@
 """A graceful stop: what is under way ends, and nobody is sent here any more."""
 
 import asyncio
+import contextlib
 
 from loguru import logger
 
@@ -30,9 +31,13 @@
     await asyncio.sleep(min(BALANCER_S, grace / 2))
     gateway.callers.stop_accepting()
     gateway.callers.close_idle()
+    # The store may be silent; it is asked while requests end, not after them.
+    unregistering = asyncio.create_task(gateway.registration.end())
     while gateway.callers.in_flight and loop.time() < ends_at:
         await asyncio.sleep(LOOK_S)
-    await gateway.registration.end()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout_at(ends_at):
+            await unregistering
     left = gateway.callers.in_flight
     logger.info("stopped with {} requests under way", left)
     return not left
--- a/src/lagoontide/mesh/register.py
+++ b/src/lagoontide/mesh/register.py
@@ -53,10 +53,11 @@
         self._value = msgspec.json.encode(entry)
         self._ttl = max(LEASE_S, ttl_min)
         self._lease: str | None = None
+        self._has_ended = False
 
     async def run(self) -> None:
-        """Hold the key for ever."""
-        while True:
+        """Hold the key until it is given up."""
+        while not self._has_ended:
             try:
                 wait = await self._hold()
             except LeaseGone:
@@ -69,7 +70,8 @@
             await asyncio.sleep(wait)
 
     async def end(self) -> None:
-        """Give the key up."""
+        """Give the key up, for good."""
+        self._has_ended = True
         if self._lease is None:
             return
         try:
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -8,11 +8,14 @@
 from lagoontide.http1.client import BadAnswer, TargetConn
 from lagoontide.http1.link import connect_link
 from lagoontide.http1.messages import RequestHead, field_value
+from lagoontide.mesh.register import ENTRIES_PREFIX
 from lagoontide.platform.standins.deployment import send, start_small
 from lagoontide.platform.standins.store import Trouble
 from lagoontide.platform.standins.targets import Fault
 from tests.support.waiting import wait_for
 
+GRACE_S = 3.0
+
 
 def play(scenario, entries=1):
     """Run a scenario against a small deployment."""
@@ -358,3 +361,35 @@
         assert (await send(small.ports[0], "/safe/a", "r1")).status == 200
 
     play(scenario)
+
+
+def test_a_stop_ends_within_its_grace_while_the_store_is_silent():
+    async def scenario(small):
+        set_fault(small, "plain", Fault.STALLS, times=1)
+        running = asyncio.create_task(
+            send(small.ports[0], "/once/a", "r1", patience_ms=9000)
+        )
+        await wait_for(lambda: runs(small, "r1") == 1)
+        small.doors[0].trouble = Trouble.SILENT
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await stop_gracefully(small.gateways[0], GRACE_S)
+        assert loop.time() - began < GRACE_S - 0.3
+        assert (await running).status in (502, 504)
+
+    play(scenario)
+
+
+def test_an_entry_that_has_given_its_key_up_does_not_register_anew():
+    async def scenario(small):
+        registration = small.gateways[0].registration
+        await wait_for(lambda: small.store.keys(ENTRIES_PREFIX))
+        await registration.end()
+        assert not small.store.keys(ENTRIES_PREFIX)
+        # As the next renewal finds its lease gone.
+        running = asyncio.create_task(registration.run())
+        await asyncio.sleep(0.3)
+        assert not small.store.keys(ENTRIES_PREFIX)
+        running.cancel()
+
+    play(scenario)
