Bound what a target in trouble can send, and act on refusals at their head

Cause: by a target of a few lines, 1xx heads and another request's answer without end were read until the caller's time was up (610 MB in 6 s); refusals were read to their end before the next target was asked; bodies of failures, of stage calls and of the store's answers had no bound; comments kept a stalled stream open; an answer cut after 1 MB was asked for at a second target although its head had gone out.

A refusal's body is read on behind the request's back, 64 KB and 0.5 s, to keep its connection. Comments no longer count as progress. A second copy of a stage call's answer is told by its results.

--- a/src/lagoontide/forward/attempt.py
+++ b/src/lagoontide/forward/attempt.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass
+from typing import NoReturn
 
 from lagoontide.errors import TargetFailed, TargetUnreachable
 from lagoontide.forward.call import Call, World
@@ -58,10 +59,10 @@
         self.head = await self._conn.read_head(is_ours)
         self.marks = world.dialect.read_answer(self.head)
 
-    async def body(self) -> AsyncIterator[bytes]:
-        """Yield the body as it comes; raises TargetFailed."""
+    async def body(self, most: int | None = None) -> AsyncIterator[bytes]:
+        """Yield the body as it comes, of up to ``most`` bytes; raises TargetFailed."""
         try:
-            async for data in self._conn.read_body():
+            async for data in self._conn.read_body(most):
                 yield data
         except (OSError, BadAnswer) as exc:
             raise TargetFailed(
@@ -75,6 +76,12 @@
         self._is_closed = True
         self._pool.give_back(self._conn, is_whole and self._conn.rest())
 
+    def settle(self) -> None:
+        """Let go of the connection while its answer may still be coming."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._pool.settle(self._conn)
+
 
 @contextlib.contextmanager
 def losses_noted(health: Health, target: Target) -> Iterator[None]:
@@ -115,7 +122,7 @@
         await _send(world, call, opened, conn, options)
         if opened.marks.has_not_run:
             call.ledger.disprove(number)
-            await _refused(world, opened)
+            _refused(world, opened)
         is_sound = True
     except (OSError, BadAnswer, BadFields) as exc:
         raise TargetFailed(f"no answer: {exc!r}", step="send", peer=target.id) from exc
@@ -142,15 +149,10 @@
     await opened.read_head(world, call.asked.request_id, is_fresh)
 
 
-async def _refused(world: World, opened: Opened) -> None:
-    """Read a refusal to its end and raise it."""
+def _refused(world: World, opened: Opened) -> NoReturn:
+    """Raise a refusal; its head says all, so its body is not waited for."""
     target = opened.target
-    try:
-        async for _ in opened.body():
-            pass
-        opened.close(is_whole=True)
-    except TargetFailed:
-        opened.close()
+    opened.settle()
     if opened.marks.is_misdirected:
         world.directory.mark_left(target, "another target has its address")
     kind = InputsGone if opened.marks.lacks_inputs else TargetUnreachable
--- a/src/lagoontide/forward/events.py
+++ b/src/lagoontide/forward/events.py
@@ -7,7 +7,9 @@
 
 # WHATWG HTML, 9.2: a blank line ends an event; lines end by LF, CR or both.
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+CONTENT_LINE = re.compile(rb"^(?:id|data|event)\b", re.MULTILINE)
 ID_LINE = re.compile(rb"^id:[ ]?(\d+)[ ]*\r?$", re.MULTILINE)
+LONGEST_END = 4
 MAX_EVENT_BYTES = 1 << 20
 
 
@@ -19,10 +21,13 @@
     ----------
     id : int or None
         Its number in the stream, if it says one.
+    has_content : bool
+        Whether it is more than comments and blank lines.
     """
 
     data: bytes
     id: int | None
+    has_content: bool = True
 
 
 class EventSplitter:
@@ -41,7 +46,9 @@
         text = self._rest + data
         events = []
         begin = 0
-        for end in EVENT_END.finditer(text):
+        # What was kept back has no end of an event, at most the start of one.
+        searched = max(0, len(self._rest) - LONGEST_END + 1)
+        for end in EVENT_END.finditer(text, searched):
             events.append(_make_event(text[begin : end.end()]))
             begin = end.end()
         self._rest = text[begin:]
@@ -52,4 +59,5 @@
 
 def _make_event(data: bytes) -> Event:
     found = ID_LINE.search(data)
-    return Event(data, int(found[1]) if found else None)
+    number = int(found[1]) if found else None
+    return Event(data, number, CONTENT_LINE.search(data) is not None)
--- a/src/lagoontide/forward/plain.py
+++ b/src/lagoontide/forward/plain.py
@@ -15,6 +15,7 @@
 from lagoontide.targets.records import Target
 
 __all__ = [
+    "MAX_FAILURE_BYTES",
     "describe_choice",
     "forward_plain",
     "has_failed",
@@ -25,6 +26,10 @@
 MOST_REFUSALS = 3
 # Longer answers are passed on as they come and cannot be asked for again.
 BUFFER_BYTES = 1 << 20
+# A failure is passed on whole or not at all; it is short.
+MAX_FAILURE_BYTES = 256 << 10
+# An answer that is longer is cut: it is taken for one without end.
+MAX_ANSWER_BYTES = 256 << 20
 FIRST_SERVER_ERROR = 500
 # A repeatable request is asked for elsewhere after this many times the usual
 # time, but no earlier than this share of its objective.
@@ -90,6 +95,8 @@
             why = str(exc)
             log.warning("may have run: {}", exc)
             call.attempts += 1
+            if reply.is_started:
+                return Ended(is_whole=False, why=why)
         else:
             if isinstance(answer, Ended) or not has_failed(answer.response.status):
                 return answer
@@ -156,7 +163,8 @@
     if is_success(head.status) and not opened.marks.is_sealed:
         raise TargetFailed("success without a seal", step="head", peer=peer)
     body = bytearray()
-    chunks = opened.body()
+    is_failure = has_failed(head.status)
+    chunks = opened.body(MAX_FAILURE_BYTES if is_failure else MAX_ANSWER_BYTES)
     async for data in chunks:
         body += data
         if len(body) > BUFFER_BYTES:
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -20,6 +20,7 @@
 from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answer, Ended, Outcome
 from lagoontide.forward.plain import (
+    MAX_FAILURE_BYTES,
     describe_choice,
     has_failed,
     retry_after,
@@ -46,6 +47,8 @@
 SILENCE_MIN_S = 0.8
 FIRST_EVENT_SHARE = 1.0
 FIRST_EVENT_MIN_S = 1.2
+# Comments of a stream without an event between them; more are taken for no stream.
+MAX_COMMENT_BYTES = 16 << 10
 # A target fetches results of stages before it reads the prompt (PROTOCOL,
 # Stages); they take room that other requests wait for.
 FETCH_S = 0.12
@@ -226,7 +229,7 @@
 
 
 async def _read_failure(call: Call, opened: Opened, is_started: bool) -> Outcome:
-    body = b"".join([data async for data in opened.body()])
+    body = b"".join([data async for data in opened.body(MAX_FAILURE_BYTES)])
     opened.close(is_whole=True)
     status = opened.head.status
     if is_started or (has_failed(status) and call.may_go_on(after=1)):
@@ -255,6 +258,7 @@
         self._inputs = inputs
         self._wait = wait
         self._loop = asyncio.get_running_loop()
+        self._comment_bytes = 0
 
     async def run(self) -> None:
         """Pass on all events; raises TargetFailed if the stream breaks."""
@@ -263,14 +267,12 @@
             raise self._cut("no sealed stream")
         splitter = EventSplitter()
         async for data in self._opened.body():
-            try:
-                events = splitter.feed(data)
-            except ValueError as exc:
-                raise self._cut(str(exc)) from exc
-            fresh = [event for event in events if self._is_next(event)]
-            if fresh:
-                await self._pass_on(b"".join(event.data for event in fresh))
-                self._progress.last_event = _last_id(fresh, self._progress.last_event)
+            for begin in range(0, len(data), MAX_COMMENT_BYTES):
+                try:
+                    events = splitter.feed(data[begin : begin + MAX_COMMENT_BYTES])
+                except ValueError as exc:
+                    raise self._cut(str(exc)) from exc
+                await self._take([event for event in events if self._is_next(event)])
         if splitter.has_rest:
             raise self._cut("ended within an event")
         if not self._progress.is_started:
@@ -278,6 +280,21 @@
         await self._reply.finish()
         self._opened.close(is_whole=True)
 
+    async def _take(self, fresh: list[Event]) -> None:
+        """Pass on what the caller lacks, in the order of its arrival."""
+        data = b"".join(event.data for event in fresh)
+        if any(event.has_content for event in fresh):
+            self._comment_bytes = 0
+            await self._pass_on(data)
+            self._progress.last_event = _last_id(fresh, self._progress.last_event)
+            return
+        # Comments say that the connection is there, not that work goes on.
+        self._comment_bytes += len(data)
+        if self._comment_bytes > MAX_COMMENT_BYTES:
+            raise self._cut(f"over {MAX_COMMENT_BYTES} bytes of comments")
+        if data and self._progress.is_started:
+            await self._reply.send_data(data)
+
     def _is_next(self, event: Event) -> bool:
         """Return whether the caller lacks an event; raises if some are missing."""
         last = self._progress.last_event
--- a/src/lagoontide/http1/client.py
+++ b/src/lagoontide/http1/client.py
@@ -1,6 +1,7 @@
 """The targets' side: one request at a time on a connection."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -16,12 +17,19 @@
     is_success,
 )
 
-__all__ = ["BadAnswer", "TargetConn"]
+__all__ = ["BadAnswer", "TargetConn", "TooLong"]
 
 MAX_HEAD_BYTES = 64 << 10
 # A body this long may still be unread when an early answer comes.
 LONG_BODY_BYTES = 16 << 10
+# Interim answers (RFC 9110, 15.2) before the final one; usual are one or two.
+MAX_INTERIM_HEADS = 16
 MAX_STRAY_ANSWERS = 4
+# An answer to another request is read on for the one behind it, up to here.
+MAX_STRAY_BYTES = 256 << 10
+STRAY_TIMEOUT_S = 1.0
+# What a call reads whole, unless it says otherwise.
+MAX_CALL_BYTES = 1 << 20
 
 IsOurs = Callable[[ResponseHead], bool]
 
@@ -30,6 +38,10 @@
     """What arrived is no whole answer to this request."""
 
 
+class TooLong(BadAnswer):
+    """An answer's body is longer than it may be."""
+
+
 class TargetConn:
     """A connection to a target.
 
@@ -41,6 +53,8 @@
         Seconds of idleness after which the target says that it closes.
     is_fresh : bool
         Whether nothing has been sent on it yet.
+    last_body : bytes
+        Body of the last call's answer, where it tells a doubled answer.
     """
 
     def __init__(self, link: Link) -> None:
@@ -48,6 +62,7 @@
         self.idle_since = asyncio.get_running_loop().time()
         self.idle_limit: float | None = None
         self.is_fresh = True
+        self.last_body = b""
         self._conn = _make_h11()
         self._sent: list[Any] = []
         self._body_bytes = 0
@@ -89,28 +104,56 @@
                 if not is_success(head.status) and self._body_bytes > LONG_BODY_BYTES:
                     self._is_spoiled = True
                 return head
-            async for _ in self.read_body():
-                pass
             await self._skip_answer()
         raise BadAnswer("only answers to other requests")
 
-    async def read_body(self) -> AsyncIterator[bytes]:
-        """Yield the body as it comes; raises BadAnswer or ConnectionError."""
+    async def read_body(self, most: int | None = None) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        Parameters
+        ----------
+        most : int, optional
+            Bytes that it may have.
+
+        Raises
+        ------
+        BadAnswer, ConnectionError
+        """
+        left = math.inf if most is None else most
         while True:
             match await self._next_event():
                 case h11.Data(data=data):
+                    left -= len(data)
+                    if left < 0:
+                        self._is_spoiled = True
+                        raise TooLong(f"a body of over {most} bytes")
                     yield bytes(data)
                 case h11.EndOfMessage():
                     return
                 case h11.ConnectionClosed():
                     raise BadAnswer("the answer was cut")
 
-    async def call(self, head: RequestHead, body: bytes = b"") -> Response:
-        """Send a request and return its answer, read whole."""
+    async def read_whole(self, most: int) -> bytes:
+        """Return the whole body, of up to ``most`` bytes; see ``read_body``."""
+        return b"".join([chunk async for chunk in self.read_body(most)])
+
+    async def call(
+        self, head: RequestHead, body: bytes = b"", most: int = MAX_CALL_BYTES
+    ) -> Response:
+        """Send a request and return its answer, read whole.
+
+        Parameters
+        ----------
+        most : int
+            Bytes that the answer's body may have.
+
+        Raises
+        ------
+        BadAnswer, ConnectionError
+        """
         await self.send(head, body)
         answer = await self.read_head()
-        data = b"".join([chunk async for chunk in self.read_body()])
-        return Response(answer.status, answer.fields, data)
+        return Response(answer.status, answer.fields, await self.read_whole(most))
 
     def rest(self) -> bool:
         """Make ready for the next request; return whether there can be one."""
@@ -134,7 +177,7 @@
         return b"".join(self._conn.send(event) or b"" for event in self._sent)
 
     async def _read_any_head(self) -> ResponseHead:
-        while True:
+        for _ in range(MAX_INTERIM_HEADS):
             match await self._next_event():
                 case h11.Response() as event:
                     fields = list(event.headers.raw_items())
@@ -148,9 +191,18 @@
                     )
                 case h11.ConnectionClosed():
                     raise ConnectionResetError("closed without an answer")
+        self._is_spoiled = True
+        raise BadAnswer(f"{MAX_INTERIM_HEADS} interim answers and no other")
 
     async def _skip_answer(self) -> None:
-        """Expect the answer anew behind one that was not ours."""
+        """Read an answer that is not ours, and expect ours behind it."""
+        try:
+            async with asyncio.timeout(STRAY_TIMEOUT_S):
+                async for _ in self.read_body(MAX_STRAY_BYTES):
+                    pass
+        except TimeoutError:
+            self._is_spoiled = True
+            raise BadAnswer("another request's answer does not end") from None
         data, has_ended = self._conn.trailing_data
         must_close = self._conn.our_state is h11.MUST_CLOSE
         if has_ended or must_close:
--- a/src/lagoontide/platform/pieces.py
+++ b/src/lagoontide/platform/pieces.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from lagoontide.errors import TargetFailed, TargetUnreachable
-from lagoontide.http1.client import BadAnswer
+from lagoontide.http1.client import BadAnswer, TargetConn
 from lagoontide.http1.messages import RequestHead, Response
 from lagoontide.pieces.records import Failure, Piece, PieceResult
 from lagoontide.platform.fields import MISDIRECTED, MS_PER_S, NOT_RUN, TARGET
@@ -23,6 +23,7 @@
 # One way takes a few ms; a target that does not accept in this time is silent.
 CONNECT_S = 0.3
 OK = 200
+RESULT_MARK = b'"handle"'
 REASONS = {
     "late": Failure.LATE,
     "gone": Failure.INPUT_GONE,
@@ -131,6 +132,7 @@
         try:
             async with asyncio.timeout(timeout):
                 answer = await conn.call(head, body)
+            _check_not_doubled(conn, path, answer.body)
             is_kept = conn.rest()
         except (OSError, BadAnswer, TimeoutError) as exc:
             raise TargetFailed(
@@ -141,6 +143,18 @@
         return answer
 
 
+def _check_not_doubled(conn: TargetConn, path: bytes, body: bytes) -> None:
+    """Raise BadAnswer for a second copy of the answer before it.
+
+    Calls have no id, but no two of them yield the same results.
+    """
+    if path != MAKE:
+        return
+    if body == conn.last_body and RESULT_MARK in body:
+        raise BadAnswer("a second copy of the answer before")
+    conn.last_body = body
+
+
 def _to_wire(piece: Piece) -> _Piece:
     return _Piece(
         id=piece.request_id,
--- /dev/null
+++ b/src/lagoontide/platform/standins/rogue.py
@@ -0,0 +1,191 @@
+"""A stand-in for a replica in trouble: bytes that are no answer, or too many."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from enum import StrEnum
+
+import msgspec
+
+from lagoontide.platform.directory import TARGETS_PREFIX
+from lagoontide.platform.fields import NOT_RUN, REQUEST_ID, SEAL
+from lagoontide.platform.standins.ports import HOST
+from lagoontide.platform.standins.store import StoreStandin
+
+__all__ = ["RogueTarget", "Trouble"]
+
+MAX_REQUEST_HEAD_BYTES = 64 << 10
+TRICKLE_S = 0.2
+BLOCK_BYTES = 32 << 10
+
+
+class Trouble(StrEnum):
+    """What it sends in place of an answer; some have no end."""
+
+    HEAD = "a head without end"
+    INTERIM = "interim answers without end"
+    CHUNK_SIZE = "a chunk's size without end"
+    TRAILERS = "trailers without end"
+    REFUSAL = "a refusal without end"
+    FAILURE = "a failure without end"
+    STRAY = "another request's answer without end"
+    BODY = "an answer without end"
+    COMMENTS = "comments without end"
+    EVENT = "an event without end"
+    TRICKLE = "a byte now and then"
+    STALL_COMMENTS = "comments after the first event"
+    SHORT = "fewer bytes than the length says"
+    LONG = "more bytes than the length says"
+    SECOND_COPY = "the answer twice"
+    LATE_COPY = "the answer before once more, then the answer"
+
+
+class RogueTarget:
+    """Answers every request with its trouble.
+
+    Attributes
+    ----------
+    asked : Counter
+        How often each request came here, by its id.
+    sent : int
+        Bytes sent in all.
+    """
+
+    def __init__(self, name: str, service: str, trouble: Trouble) -> None:
+        self.id = name
+        self.service = service
+        self.trouble = trouble
+        self.address = ""
+        self.asked: Counter[str] = Counter()
+        self.sent = 0
+        self._server: asyncio.Server | None = None
+        self._last = b""
+
+    async def start(self, store: StoreStandin, zone: str = "z1") -> None:
+        """Listen, and register in the store."""
+        self._server = await asyncio.start_server(
+            self._serve, HOST, 0, limit=MAX_REQUEST_HEAD_BYTES
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{HOST}:{port}"
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 64,
+            "state": "ready",
+            "seq": 1,
+            "born": 1,
+        }
+        store.put(TARGETS_PREFIX + self.id, msgspec.json.encode(entry))
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(_length(head))
+                await self._answer(_request_id(head), writer)
+        except (OSError, EOFError, asyncio.LimitOverrunError):
+            return
+        finally:
+            writer.close()
+
+    async def _answer(self, request_id: str, writer: asyncio.StreamWriter) -> None:
+        self.asked[request_id] += 1
+        async for data in self._bytes(request_id):
+            writer.write(data)
+            self.sent += len(data)
+            await writer.drain()
+        if self.trouble is Trouble.SHORT:
+            writer.close()
+
+    async def _bytes(self, request_id: str) -> AsyncIterator[bytes]:
+        whole = _head(request_id, b"Content-Length: 4") + b"done"
+        match self.trouble:
+            case Trouble.TRICKLE:
+                for byte in whole:
+                    await asyncio.sleep(TRICKLE_S)
+                    yield bytes([byte])
+            case Trouble.STALL_COMMENTS:
+                yield _head(request_id, CHUNKED) + _chunk(b"id: 1\ndata: a\n\n")
+                while True:
+                    await asyncio.sleep(TRICKLE_S)
+                    yield _chunk(b": there\n\n")
+            case Trouble.SHORT:
+                yield _head(request_id, b"Content-Length: 400") + b"done"
+            case Trouble.LONG:
+                yield whole + b"and more"
+            case Trouble.SECOND_COPY:
+                yield whole * 2
+            case Trouble.LATE_COPY:
+                yield self._last + whole
+                self._last = whole
+            case trouble:
+                start, block = _endless(trouble, request_id)
+                yield start
+                while True:
+                    yield block
+
+
+CHUNKED = b"Transfer-Encoding: chunked"
+
+
+def _endless(trouble: Trouble, request_id: str) -> tuple[bytes, bytes]:
+    """Return how a trouble begins, and what follows for ever."""
+    filler = b"a" * BLOCK_BYTES
+    body = _chunk(filler)
+    head = _head(request_id, CHUNKED)
+    endless = {
+        Trouble.HEAD: (b"HTTP/1.1 200 OK\r\nX-Long: ", filler),
+        Trouble.INTERIM: (b"", b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" * 64),
+        Trouble.CHUNK_SIZE: (head, b"0" * BLOCK_BYTES),
+        Trouble.TRAILERS: (head + b"0\r\n", b"X-Trailer: value\r\n" * 1024),
+        Trouble.REFUSAL: (
+            _head(request_id, CHUNKED + b"\r\n" + NOT_RUN + b": 1", b"503 Full"),
+            body,
+        ),
+        Trouble.FAILURE: (_head(request_id, CHUNKED, b"500 Failed"), body),
+        Trouble.STRAY: (_head("other", CHUNKED), body),
+        Trouble.BODY: (head, body),
+        Trouble.COMMENTS: (head, _chunk(b": there\n\n" * 1024)),
+        Trouble.EVENT: (head + _chunk(b"id: 1\ndata: "), body),
+    }
+    return endless[trouble]
+
+
+def _head(request_id: str, framing: bytes, status: bytes = b"200 OK") -> bytes:
+    fields = (
+        b"HTTP/1.1 " + status,
+        REQUEST_ID + b": " + request_id.encode(),
+        SEAL + b": rogue",
+        framing,
+    )
+    return b"\r\n".join(fields) + b"\r\n\r\n"
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _field(head: bytes, name: bytes) -> bytes:
+    for line in head.split(b"\r\n"):
+        key, _, value = line.partition(b":")
+        if key.lower() == name.lower():
+            return value.strip()
+    return b""
+
+
+def _length(head: bytes) -> int:
+    return int(_field(head, b"Content-Length") or 0)
+
+
+def _request_id(head: bytes) -> str:
+    return _field(head, REQUEST_ID).decode()
--- a/src/lagoontide/platform/store.py
+++ b/src/lagoontide/platform/store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lagoontide.errors import StoreUnavailable
-from lagoontide.http1.client import BadAnswer, TargetConn
+from lagoontide.http1.client import BadAnswer, TargetConn, TooLong
 from lagoontide.http1.link import connect_link
 from lagoontide.http1.messages import RequestHead, Response
 from lagoontide.store.feed import Changes, HistoryGone, Item, LeaseGone, Listing
@@ -20,6 +20,11 @@
 CALL_TIMEOUT_S = 1.5
 # A waiting watch has been taken already; only its answer is still to come.
 WATCH_SLACK_S = 0.8
+# A page has about 1 MB of values (PROTOCOL, The platform's metadata store), in base64
+# with keys around them; changes that are longer are had by listing.
+MAX_PAGE_BYTES = 4 << 20
+MAX_CHANGES_BYTES = 8 << 20
+MAX_LISTING_BYTES = 64 << 20
 MAX_PAGES = 1000
 MS_PER_S = 1000.0
 
@@ -88,17 +93,24 @@
         items: list[Item] = []
         as_of = 0
         after = ""
+        size = 0
         for _ in range(MAX_PAGES):
             query = urlencode({"prefix": prefix, **({"after": after} if after else {})})
             body = await self._call("GET", f"{RANGE}?{query}")
             page = _decode(body, _Range)
+            size += len(body)
+            if size > MAX_LISTING_BYTES:
+                break
             # Pages are no snapshot: what changed since the first is watched for.
             as_of = as_of or page.as_of
             items += [item.to_item() for item in page.items]
             if not page.more_pages or not page.items:
                 return Listing(tuple(items), as_of)
             after = page.items[-1].key
-        raise StoreUnavailable(f"over {MAX_PAGES} pages", step="list")
+        raise StoreUnavailable(
+            f"a listing over {MAX_PAGES} pages or {MAX_LISTING_BYTES} bytes",
+            step="list",
+        )
 
     async def watch(self, prefix: str, after: int, wait: float) -> Changes:
         """See RevisionStore."""
@@ -143,9 +155,14 @@
     ) -> bytes:
         step = path.partition("?")[0].rpartition("kv-")[2]
         try:
+            most = MAX_CHANGES_BYTES if wait else MAX_PAGE_BYTES
             slack = WATCH_SLACK_S if wait else CALL_TIMEOUT_S
             async with asyncio.timeout(slack + wait):
-                answer = await self._exchange(method, path, body)
+                answer = await self._exchange(method, path, body, most)
+        except TooLong as exc:
+            if wait:
+                raise HistoryGone(f"changes not read: {exc}", step=step) from exc
+            raise StoreUnavailable(str(exc), step=step) from exc
         except (OSError, BadAnswer, TimeoutError) as exc:
             raise StoreUnavailable(f"no answer: {exc!r}", step=step) from exc
         match answer.status:
@@ -158,7 +175,9 @@
             case status:
                 raise StoreUnavailable(f"status {status}", step=step)
 
-    async def _exchange(self, method: str, path: str, body: object) -> Response:
+    async def _exchange(
+        self, method: str, path: str, body: object, most: int
+    ) -> Response:
         conn = await self._take()
         fields = [(b"Host", f"{self._host}:{self._port}".encode())]
         data = b""
@@ -168,7 +187,7 @@
         is_kept = False
         try:
             answer = await conn.call(
-                RequestHead(method.encode(), path.encode(), fields), data
+                RequestHead(method.encode(), path.encode(), fields), data, most
             )
             is_kept = conn.rest()
         finally:
--- a/src/lagoontide/targets/pool.py
+++ b/src/lagoontide/targets/pool.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+from loguru import logger
+
 from lagoontide.errors import TargetUnreachable
-from lagoontide.http1.client import TargetConn
+from lagoontide.http1.client import BadAnswer, TargetConn
 from lagoontide.http1.link import connect_link
+from lagoontide.tasks import TaskSet
 
 __all__ = ["ConnPool"]
 
@@ -15,6 +18,9 @@
 # repeated goes only on connections used this recently.
 UNTOLD_IDLE_S = 0.4
 KEPT_IDLE_S = 20.0
+# The rest of an answer that nobody waits for is worth a kept connection up to here.
+MAX_SETTLED_BYTES = 64 << 10
+SETTLE_TIMEOUT_S = 0.5
 
 
 class ConnPool:
@@ -38,6 +44,7 @@
         self._port = port
         self._idle: list[TargetConn] = []
         self._in_use = 0
+        self._settling = TaskSet()
         # The shortest idleness after which the target closed a connection.
         self._closed_after = KEPT_IDLE_S
 
@@ -88,11 +95,27 @@
         conn.link.on_lost = lambda: self._drop(conn)
         self._idle.append(conn)
 
+    def settle(self, conn: TargetConn) -> None:
+        """Read an answer that nobody waits for to its end; then as ``give_back``."""
+        self._settling.start(self._settle(conn))
+
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections, and those with an answer nobody waits for."""
+        self._settling.cancel()
         while self._idle:
             self._idle.pop().close()
 
+    async def _settle(self, conn: TargetConn) -> None:
+        is_kept = False
+        try:
+            async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                await conn.read_whole(MAX_SETTLED_BYTES)
+            is_kept = conn.rest()
+        except (OSError, BadAnswer, TimeoutError) as exc:
+            logger.bind(target=self._name).info("refusal without end: {!r}", exc)
+        finally:
+            self.give_back(conn, is_kept)
+
     def _unreachable(self, why: str) -> TargetUnreachable:
         return TargetUnreachable(why, step="connect", peer=self._name)
 
--- a/src/lagoontide/wire/conn.py
+++ b/src/lagoontide/wire/conn.py
@@ -17,6 +17,7 @@
 __all__ = ["Conn", "Context", "Exchange", "Identity", "connect"]
 
 SEND_QUEUE_MESSAGES = 10_000
+MAX_MESSAGE_BYTES = 64 << 20
 CONNECT_S = 0.5
 CONNECT_POLL_S = 0.01
 KEEPALIVE_IDLE_S = 10
@@ -188,6 +189,7 @@
     codec: Codec,
     identity: Identity,
     reconnect: tuple[float, float] = RECONNECT_S,
+    max_bytes: int = MAX_MESSAGE_BYTES,
 ) -> Conn:
     """Return a connection to ``address``, for example ``tcp://10.0.0.7:7101``.
 
@@ -195,10 +197,13 @@
     ----------
     reconnect : tuple of float
         Seconds before the first try to connect anew, and the most before others.
+    max_bytes : int
+        Bytes of the longest message; a peer that sends more is cut off.
     """
     sock = ctx.socket(zmq.DEALER)
     sock.set(zmq.LINGER, 0)
     sock.set(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+    sock.set(zmq.MAXMSGSIZE, max_bytes)
     # Without a connection a message is refused at once rather than kept for
     # whoever listens there later: what was refused has certainly not run.
     sock.set(zmq.IMMEDIATE, 1)
--- a/src/lagoontide/wire/server.py
+++ b/src/lagoontide/wire/server.py
@@ -10,12 +10,16 @@
 from lagoontide.errors import LagoontideError, WireError
 from lagoontide.tasks import TaskSet
 from lagoontide.wire.codec import Codec, Header
-from lagoontide.wire.conn import SEND_QUEUE_MESSAGES, Context, Identity
+from lagoontide.wire.conn import (
+    MAX_MESSAGE_BYTES,
+    SEND_QUEUE_MESSAGES,
+    Context,
+    Identity,
+)
 from lagoontide.wire.sock import LoopSocket
 
 __all__ = ["Handler", "Send", "Server", "bind"]
 
-MAX_MESSAGE_BYTES = 64 << 20
 
 Send = Callable[[msgspec.Struct], Awaitable[None]]
 Handler = Callable[[str, Any, Send], Awaitable[None]]
@@ -87,9 +91,15 @@
     codec: Codec,
     identity: Identity,
     handler: Handler,
+    max_bytes: int = MAX_MESSAGE_BYTES,
 ) -> Server:
     """Return a server bound to ``address``; port 0 takes a free one.
 
+    Parameters
+    ----------
+    max_bytes : int
+        Bytes of the longest message; a peer that sends more is cut off.
+
     Raises
     ------
     WireError
@@ -98,7 +108,7 @@
     sock = ctx.socket(zmq.ROUTER)
     sock.set(zmq.LINGER, 0)
     sock.set(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
-    sock.set(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    sock.set(zmq.MAXMSGSIZE, max_bytes)
     try:
         sock.bind(address)
     except zmq.ZMQError as exc:
