An owner that leaves says so, and the one after it expects calls under way

An entry that was leaving gave its orders back once, and took new ones of entries that had not heard of it; one that was answered 'moved' asked the same entry again. The next owner gave inputs up 0.1 s after its call began, while at the target the calls of the owner before still ran.

Four tests; three failed before, the fourth is the owner that leaves alone.

--- a/src/lagoontide/pieces/desk.py
+++ b/src/lagoontide/pieces/desk.py
@@ -75,6 +75,7 @@
         self._calls = calls
         self._service_of = service_of
         self._owners: dict[tuple[str, int], Owner] = {}
+        self._is_leaving = False
         self._tasks = TaskSet()
 
     @property
@@ -118,6 +119,8 @@
             done = await self._make_by(name, order)
             if done is not None and done.failure is not Failure.MOVED:
                 return done
+            if done is not None and name != self._peers.name:
+                self._peers.suspect(name)
             await asyncio.sleep(LOOK_S / 2)
             if asyncio.get_running_loop().time() > ends_at:
                 return OrderDone(failure=Failure.LATE)
@@ -146,7 +149,8 @@
             logger.bind(peer=name).info("results not freed: {}", exc)
 
     def hand_over(self) -> None:
-        """Give back what is not begun, as this entry leaves."""
+        """Give back what is not begun, as this entry leaves, and take no more."""
+        self._is_leaving = True
         for owner in self._owners.values():
             owner.hand_over()
 
@@ -250,6 +254,9 @@
             logger.bind(request=order.request_id).info("not withdrawn: {}", exc)
 
     async def _take_order(self, peer: str, message: Order, send: Send) -> None:
+        if self._is_leaving and self._peers.name not in self._peers.live():
+            await send(OrderDone(failure=Failure.MOVED))
+            return
         try:
             done = await self._owner(message.service, message.pool).submit(
                 message, peer
--- a/src/lagoontide/pieces/makers.py
+++ b/src/lagoontide/pieces/makers.py
@@ -53,6 +53,9 @@
         Bytes of results that are not known here, until ``foreign_until``.
     slowness : float
         Running mean of the time of its calls over the time expected.
+    has_answered : bool
+        Whether a call of this owner has ended; until then another owner's may be
+        under way, and calls wait for its end.
     """
 
     target: Target
@@ -63,6 +66,7 @@
     foreign_until: float = 0.0
     is_asked: bool = False
     slowness: float = 1.0
+    has_answered: bool = False
     losses: int = 0
     rests_until: float = 0.0
     called_at: float = 0.0
@@ -94,6 +98,9 @@
     def note_time(self, ratio: float) -> None:
         """Take note of a call's time over the time expected."""
         self.losses = 0
+        if not self.has_answered:
+            self.has_answered = True
+            return
         self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
 
     def rest(self, now: float, has_failed: bool) -> None:
--- a/src/lagoontide/pieces/owner.py
+++ b/src/lagoontide/pieces/owner.py
@@ -328,6 +328,7 @@
             is_safe = self._loop.time() - self._full_at > FULL_RECENTLY_S
             # Calls that take long may have to wait for their turn first.
             is_safe = is_safe and maker.slowness <= PROMPT_SLOWNESS
+            is_safe = is_safe and maker.has_answered
             if is_safe and not group.waiting and not group.is_closed:
                 self._free_inputs(group)
 
--- a/tests/pieces/test_desk.py
+++ b/tests/pieces/test_desk.py
@@ -45,6 +45,40 @@
         return None
 
 
+class Leaving(Peers):
+    """This entry leaves: others do its work."""
+
+    def live(self):
+        return self.others
+
+
+class Moved(Peers):
+    """Another entry is the owner, and says that it is not."""
+
+    asked = 0
+
+    def live(self):
+        return self.others or (self.name,)
+
+    def conn(self, name):
+        return self
+
+    async def open(self, order):
+        self.asked += 1
+        return MovedExchange()
+
+
+class MovedExchange:
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc):
+        pass
+
+    async def next(self, timeout):
+        return OrderDone(failure=Failure.MOVED)
+
+
 def make_desk(peers, work=WORK, domains=4):
     directory = Directory(asyncio.get_running_loop().time)
     for number in range(domains):
@@ -72,6 +106,45 @@
     assert asyncio.run(main()) == [OrderDone(failure=Failure.MOVED)]
 
 
+def test_an_owner_that_leaves_takes_no_more_orders_of_others():
+    async def main():
+        desk, calls = make_desk(Leaving("a"))
+        router = Router()
+        desk.register(router)
+        answers = []
+
+        async def send(message):
+            answers.append(message)
+
+        desk.hand_over()
+        await router.handle("a", ORDER, send)
+        return answers, calls.batches
+
+    assert asyncio.run(main()) == ([OrderDone(failure=Failure.MOVED)], [])
+
+
+def test_an_owner_that_leaves_alone_goes_on():
+    async def main():
+        desk, _ = make_desk(Peers())
+        desk.hand_over()
+        done = await desk.make(ORDER)
+        desk.close()
+        return done
+
+    assert len(asyncio.run(main()).handles) == 2
+
+
+def test_one_that_says_it_is_no_owner_is_not_asked_again_at_once():
+    async def main():
+        peers = Moved("a")
+        desk, _ = make_desk(peers)
+        done = await asyncio.wait_for(desk.make(ORDER), 1.0)
+        desk.close()
+        return peers.asked, len(done.handles)
+
+    assert asyncio.run(main()) == (1, 2)
+
+
 def test_entries_agree_on_owners_and_share_services_out():
     async def main():
         desk, _ = make_desk(Peers("a", "b", "c"))
--- a/tests/pieces/test_owner.py
+++ b/tests/pieces/test_owner.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections import Counter
 
+from msgspec.structs import replace
+
 from lagoontide.errors import TargetFailed, TargetUnreachable
 from lagoontide.pieces.makers import MAX_REST_S, REST_S, Maker
 from lagoontide.pieces.messages import Order
-from lagoontide.pieces.owner import Owner
+from lagoontide.pieces.owner import FETCH_S, Owner
 from lagoontide.pieces.records import Failure, PieceResult
 from lagoontide.routes.records import PieceWork
 from lagoontide.targets.records import Target, TargetState
@@ -28,11 +30,12 @@
         self.made = Counter()
         self.freed = []
         self.room = 10e6
+        self.seconds = 0.02
 
     async def make(self, target, pieces, timeout):
         self.batches.append([(piece.request_id, piece.number) for piece in pieces])
         action = self.plan.pop(0) if self.plan else None
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(self.seconds)
         if isinstance(action, Exception):
             raise action
         if isinstance(action, Failure):
@@ -72,6 +75,22 @@
     asyncio.run(main())
 
 
+def test_before_its_first_answer_a_target_may_be_busy_for_another_owner():
+    async def scenario(owner, calls, fetched):
+        # The calls before wait at the targets for those of the owner before.
+        calls.seconds = 0.2
+        order = replace(make_order("r1"), inputs=("h:9/1",), frees_inputs=True)
+        first = owner.submit(order, "me")
+        await asyncio.sleep(FETCH_S + 0.05)
+        assert fetched == []
+        await first
+        assert fetched == ["h:9/1"]
+        # What its first call took says nothing of the target.
+        assert all(maker.slowness == 1.0 for maker in owner._makers.ready())
+
+    play(scenario)
+
+
 def test_pieces_of_many_requests_share_calls():
     async def scenario(owner, calls, fetched):
         orders = [owner.submit(make_order(f"r{n}"), "me") for n in range(8)]
