--- a/src/lagoontide/mesh/register.py
+++ b/src/lagoontide/mesh/register.py
@@ -56,6 +56,7 @@
         self._value = msgspec.json.encode(entry)
         self._ttl = max(LEASE_S, ttl_min)
         self._lease: str | None = None
+        self._has_key = False
         self._has_ended = False
 
     async def run(self) -> None:
@@ -65,7 +66,7 @@
                 wait = await self._hold()
             except LeaseGone:
                 logger.info("lease gone; registering anew")
-                self._lease = None
+                self._lease, self._has_key = None, False
                 wait = 0.0
             except StoreUnavailable as exc:
                 logger.debug("not registered: {}", exc)
@@ -84,9 +85,14 @@
 
     async def _hold(self) -> float:
         if self._lease is None:
-            lease, _ = await self._store.grant(self._ttl)
-            await self._store.put(self._key, self._value, lease)
-            self._lease = lease
-        else:
+            self._lease, _ = await self._store.grant(self._ttl)
+            if self._has_ended:
+                # It was given up before the lease was known.
+                await self.end()
+                return 0.0
+        if self._has_key:
             await self._store.keep(self._lease)
+        else:
+            await self._store.put(self._key, self._value, self._lease)
+            self._has_key = True
         return self._ttl * KEEP_SHARE
--- a/src/lagoontide/mesh/roster.py
+++ b/src/lagoontide/mesh/roster.py
@@ -9,7 +9,7 @@
 # Without a hub's word for this long an entry is on its own.
 FRESH_S = 2.0
 # An entry that no list names for this long is lost; a new hub's list may lack some.
-LOST_S = 1.5
+LOST_S = 0.5
 
 
 class Roster:
--- a/src/lagoontide/pieces/desk.py
+++ b/src/lagoontide/pieces/desk.py
@@ -25,6 +25,9 @@
 
 # How often a waiting entry looks whether the owner is still there.
 LOOK_S = 0.1
+# What was made for an entry is kept this long after it fell silent: it may only be
+# slow, or cut off from here and not from its targets.
+FORGET_AFTER_S = 2.0
 
 
 class Peers(Protocol):
@@ -155,15 +158,21 @@
             owner.hand_over()
 
     def forget_peer(self, peer: str) -> None:
-        """Give up what was made for an entry that is gone."""
-        for owner in self._owners.values():
-            owner.forget_peer(peer)
+        """Give up what was made for an entry, unless it is heard again soon."""
+        self._tasks.start(self._forget_later(peer))
 
     def close(self) -> None:
         """Stop all owners."""
+        self._tasks.cancel()
         for owner in self._owners.values():
             owner.close()
 
+    async def _forget_later(self, peer: str) -> None:
+        await asyncio.sleep(FORGET_AFTER_S)
+        if self._peers.is_lost(peer):
+            for owner in self._owners.values():
+                owner.forget_peer(peer)
+
     def _owner(self, service: str, pool: int) -> Owner:
         owner = self._owners.get((service, pool))
         work = self._service_of(service).piece_work
--- a/tests/pieces/test_desk.py
+++ b/tests/pieces/test_desk.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lagoontide.pieces.desk import Desk
+from lagoontide.pieces.desk import FORGET_AFTER_S, Desk
 from lagoontide.pieces.messages import FreeResults, Order, OrderDone
 from lagoontide.pieces.records import Failure
 from lagoontide.routes.records import Service
@@ -106,6 +106,52 @@
     assert asyncio.run(main()) == [OrderDone(failure=Failure.MOVED)]
 
 
+def test_an_entry_that_is_only_silent_for_a_while_keeps_its_running_work():
+    async def main():
+        peers = Peers("a")
+        desk, calls = make_desk(peers)
+        router = Router()
+        desk.register(router)
+        answers = []
+
+        async def send(message):
+            answers.append(message)
+
+        calls.seconds = 0.1
+        order = asyncio.ensure_future(router.handle("a", ORDER, send))
+        await asyncio.sleep(0.05)
+        peers.others = ()
+        desk.forget_peer("a")
+        await asyncio.sleep(FORGET_AFTER_S / 2)
+        peers.others = ("a",)
+        await order
+        await asyncio.sleep(FORGET_AFTER_S)
+        desk.close()
+        return answers[0].failure, calls.freed
+
+    assert asyncio.run(main()) == (None, [])
+
+
+def test_what_was_made_for_an_entry_that_stays_away_is_given_up():
+    async def main():
+        peers = Peers("a")
+        desk, calls = make_desk(peers)
+        router = Router()
+        desk.register(router)
+
+        async def send(message):
+            pass
+
+        await router.handle("a", ORDER, send)
+        peers.others = ()
+        desk.forget_peer("a")
+        await asyncio.sleep(FORGET_AFTER_S + 0.1)
+        desk.close()
+        return len(calls.freed)
+
+    assert asyncio.run(main()) == 2
+
+
 def test_an_owner_that_leaves_takes_no_more_orders_of_others():
     async def main():
         desk, calls = make_desk(Leaving("a"))
