A stage call lost on a connection gone silent is found by asking the target

A call was put back after 1.7 times its time, but its target counted as busy until 8 times it, 2.4 s; meanwhile one target did the work of three, and 132 pieces waited.

Change: when a call is over its time its target is asked, on a new connection, whether it works; if not, or if it does not answer, the call is given up and the target rests as any other that failed. One that works is waited for as before.

Tests: a silent target's place is free again (failed before: nobody asked), a slow one that is at work is waited for.

--- a/src/lagoontide/pieces/owner.py
+++ b/src/lagoontide/pieces/owner.py
@@ -21,6 +21,7 @@
 from lagoontide.pieces.records import Failure, Piece, PieceResult, PieceTargets
 from lagoontide.pieces.room import whole_groups
 from lagoontide.pieces.upkeep import Upkeep
+from lagoontide.pieces.watched import HEDGE_RATIO, make_watched
 from lagoontide.routes.records import PieceWork
 from lagoontide.targets.records import Target
 from lagoontide.tasks import TaskSet
@@ -28,10 +29,6 @@
 __all__ = ["Owner"]
 
 MAX_ERRORS = 4
-# Pieces of a call that is this much over its time are made elsewhere as well.
-HEDGE_RATIO = 1.7
-HEDGE_MIN_S = 0.1
-GIVE_UP_RATIO = 8.0
 # A call at a free target fetches its inputs first (PROTOCOL, Stages).
 FETCH_S = 0.1
 # While targets say that they have no room, calls may have to be made again, and
@@ -237,13 +234,13 @@
         began = self._loop.time()
         maker.busy_until = began + expected * max(1.0, maker.slowness)
         self._loop.call_later(FETCH_S, self._note_fetched, maker, picks)
-        hedge = self._loop.call_later(
-            HEDGE_RATIO * expected + HEDGE_MIN_S, self._put_back, picks
-        )
-        pieces = tuple(_to_piece(pick, began) for pick in picks)
         try:
-            results = await self._calls.make(
-                maker.target, pieces, GIVE_UP_RATIO * expected
+            results = await make_watched(
+                self._calls,
+                maker.target,
+                tuple(_to_piece(pick, began) for pick in picks),
+                expected,
+                lambda: self._put_back(picks),
             )
         except (TargetUnreachable, TargetFailed) as exc:
             logger.bind(target=maker.target.id).info("{} pieces: {}", len(picks), exc)
@@ -274,7 +271,6 @@
                 self._costs.learn(kinds, seconds)
             self._take(maker, picks, results)
         finally:
-            hedge.cancel()
             maker.calls -= 1
             maker.promised -= sum(pick.group.result_bytes for pick in picks)
             self._pump_soon()
--- a/src/lagoontide/pieces/records.py
+++ b/src/lagoontide/pieces/records.py
@@ -74,6 +74,12 @@
     async def free(self, target: Target, handles: tuple[str, ...]) -> None:
         """Give results up; raises TargetFailed."""
 
+    async def is_at_work(self, target: Target) -> bool:
+        """Return whether a target has a call, as it says on a new connection.
+
+        One that does not answer is not.
+        """
+
     async def free_room(self, target: Target) -> float:
         """Return the most bytes that a target may have left; TargetFailed."""
 
--- a/src/lagoontide/platform/pieces.py
+++ b/src/lagoontide/platform/pieces.py
@@ -20,6 +20,7 @@
 REPORT = b"/lagoontide/report"
 BYTES_PER_MB = 1e6
 FREE_TIMEOUT_S = 1.0
+ASK_TIMEOUT_S = 0.3
 # One way takes a few ms; a target that does not accept in this time is silent.
 CONNECT_S = 0.3
 OK = 200
@@ -48,6 +49,8 @@
 
 class _Report(msgspec.Struct):
     free_mb: float
+    busy: bool = False
+    queued: int = 0
 
 
 class _Results(msgspec.Struct):
@@ -98,17 +101,30 @@
         if answer.status != OK:
             raise TargetFailed(f"status {answer.status}", step="free", peer=target.id)
 
+    async def is_at_work(self, target: Target) -> bool:
+        """See PieceTargets."""
+        # Kept connections may have gone silent together.
+        self._pool_of(target).forget_idle()
+        try:
+            report = await self._report(target, ASK_TIMEOUT_S)
+        except (TargetUnreachable, TargetFailed):
+            return False
+        return report.busy or report.queued > 0
+
     async def free_room(self, target: Target) -> float:
         """See PieceTargets."""
-        answer = await self._send(target, b"GET", REPORT, b"", FREE_TIMEOUT_S)
+        report = await self._report(target, FREE_TIMEOUT_S)
+        # Whole megabytes, cut off: there may be up to one more.
+        return (report.free_mb + 1.0) * BYTES_PER_MB
+
+    async def _report(self, target: Target, timeout: float) -> _Report:
+        answer = await self._send(target, b"GET", REPORT, b"", timeout)
         try:
-            free_mb = msgspec.json.decode(answer.body, type=_Report).free_mb
+            return msgspec.json.decode(answer.body, type=_Report)
         except msgspec.DecodeError as exc:
             raise TargetFailed(
                 f"bad report: {exc}", step="report", peer=target.id
             ) from exc
-        # Whole megabytes, cut off: there may be up to one more.
-        return (free_mb + 1.0) * BYTES_PER_MB
 
     def maker_of(self, handle: str) -> str:
         """See PieceTargets."""
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -106,6 +106,7 @@
     shown: str = ""
     _numbers: Any = field(default_factory=lambda: count(1))
     _listener: Listener | None = None
+    _making: int = 0
 
     async def start(self, store: StoreStandin, zone: str = "z1", born: int = 1) -> None:
         """Listen, and register in the store."""
@@ -162,8 +163,9 @@
                 await reply.send(Response(200))
             case path if path == REPORT:
                 free = max(0, self.room - len(self.results))
+                busy = self._making > 0
                 await reply.send(
-                    json_answer({"queued": 0, "busy": False, "free_mb": free})
+                    json_answer({"queued": 0, "busy": busy, "free_mb": free})
                 )
             case _:
                 await self._serve(req, reply)
@@ -234,7 +236,11 @@
         if self._next_fault() is Fault.FULL:
             await reply.send(Response(503, [(NOT_RUN, b"1")]))
             return
-        await asyncio.sleep(self.work)
+        self._making += 1
+        try:
+            await asyncio.sleep(self.work)
+        finally:
+            self._making -= 1
         await reply.send(
             json_answer({"items": [self._make_one(item) for item in items]})
         )
--- a/src/lagoontide/targets/pool.py
+++ b/src/lagoontide/targets/pool.py
@@ -99,11 +99,15 @@
         """Read an answer that nobody waits for to its end; then as ``give_back``."""
         self._settling.start(self._settle(conn))
 
+    def forget_idle(self) -> None:
+        """Close the idle connections, so that the next one is new."""
+        while self._idle:
+            self._idle.pop().close()
+
     def close(self) -> None:
         """Close the idle connections, and those with an answer nobody waits for."""
         self._settling.cancel()
-        while self._idle:
-            self._idle.pop().close()
+        self.forget_idle()
 
     async def _settle(self, conn: TargetConn) -> None:
         is_kept = False
--- a/tests/pieces/test_owner.py
+++ b/tests/pieces/test_owner.py
@@ -31,10 +31,18 @@
         self.freed = []
         self.room = 10e6
         self.seconds = 0.02
+        # Ids of the targets of which every connection has gone silent, and of those
+        # that say that they work when asked on a new one.
+        self.silent = set()
+        self.at_work = set()
+        self.asked = Counter()
 
     async def make(self, target, pieces, timeout):
         self.batches.append([(piece.request_id, piece.number) for piece in pieces])
         action = self.plan.pop(0) if self.plan else None
+        if target.id in self.silent:
+            await asyncio.sleep(timeout)
+            raise TargetFailed("no answer", step="make", peer=target.id)
         await asyncio.sleep(self.seconds)
         if isinstance(action, Exception):
             raise action
@@ -51,6 +59,10 @@
     async def free(self, target, handles):
         self.freed += handles
 
+    async def is_at_work(self, target):
+        self.asked[target.id] += 1
+        return target.id in self.at_work or target.id not in self.silent
+
     async def free_room(self, target):
         return self.room
 
@@ -91,6 +103,41 @@
     play(scenario)
 
 
+def play_with_silent(at_work):
+    """Let one of two targets fall silent; return its calls and rests begun."""
+    work = PieceWork(1, 4, 0.1, 0.002, 1e6, 4.0)
+
+    async def main():
+        calls = Calls()
+        calls.seconds = 0.1
+        calls.silent = {"t0"}
+        calls.at_work = at_work
+        owner = Owner("s", work, calls, lambda: TARGETS, lambda handles: None)
+        orders = [owner.submit(make_order(f"r{n}", count=4), "me") for n in range(2)]
+        done = await asyncio.wait_for(asyncio.gather(*orders), 2.0)
+        assert all(len(item.handles) == 4 for item in done)
+        maker = next(m for m in owner._makers.ready() if m.target.id == "t0")
+        await asyncio.sleep(0.3)
+        calls_open, losses = maker.calls, maker.losses
+        owner.close()
+        return calls.asked["t0"], calls_open, losses
+
+    return asyncio.run(main())
+
+
+def test_a_call_lost_on_a_connection_gone_silent_does_not_keep_its_target():
+    asked, calls_open, losses = play_with_silent(at_work=set())
+    assert asked >= 1
+    # Eight times the time of a call would have been waited for.
+    assert (calls_open, losses) == (0, 1)
+
+
+def test_a_slow_target_that_is_at_work_is_waited_for():
+    asked, calls_open, losses = play_with_silent(at_work={"t0"})
+    assert asked >= 1
+    assert (calls_open, losses) == (1, 0)
+
+
 def test_pieces_of_many_requests_share_calls():
     async def scenario(owner, calls, fetched):
         orders = [owner.submit(make_order(f"r{n}"), "me") for n in range(8)]
