What a peer only keeps since an outage is not believed for ever

A peer keeps targets that the store lacks after an outage for 2.2 s; an entry that caught up from it took them for listed ones, and no change told of their deletion once more.

Change: a peer says for how long it keeps them, and so long they are kept.

Test: fleets of 40 entries on a virtual clock under kills, pauses with late words, cuts one way and both, turned-away entries, lost hubs and dropped histories that overlap; the store's own end state is compared with every entry's.

--- a/src/lagoontide/gateway/beliefs.py
+++ b/src/lagoontide/gateway/beliefs.py
@@ -143,6 +143,9 @@
             self._world.directory.put(target)
         self.entries.clear()
         self.entries.update(beliefs.entries)
+        for name, seconds in beliefs.kept.items():
+            # The store has deleted them; no change will tell of it once more.
+            self._world.directory.keep_for(name, seconds)
         names = {target.id for target in beliefs.targets}
         # The peer has kept what may still come back; what it lacks is gone.
         self._world.directory.keep_only(names, beliefs.as_of, 0.0)
--- a/src/lagoontide/gateway/sync.py
+++ b/src/lagoontide/gateway/sync.py
@@ -190,5 +190,6 @@
                 plan=self._sink.plan_value,
                 targets=self._world.directory.all(),
                 entries=self._sink.entries,
+                kept=self._world.directory.kept(),
             )
         )
--- a/src/lagoontide/targets/directory.py
+++ b/src/lagoontide/targets/directory.py
@@ -136,6 +136,16 @@
             if target is not None and target.born == born:
                 self.mark_left(target, f"{peer} says so")
 
+    def kept(self) -> dict[str, float]:
+        """Return the seconds for which targets are kept without an entry, by id."""
+        now = self._clock()
+        return {name: until - now for name, until in self._kept.items()}
+
+    def keep_for(self, name: str, seconds: float) -> None:
+        """Keep a target for a while unless its entry comes back."""
+        if name in self._targets:
+            self._kept.setdefault(name, self._clock() + seconds)
+
     def sweep(self) -> None:
         """Drop what was kept over an outage and did not come back."""
         now = self._clock()
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from itertools import count
 
@@ -202,6 +203,7 @@
         self.capacity = capacity
         self.is_paused = False
         self.held = []
+        self.unsent = []
         self.door = Door(fleet.store)
         self.lost = []
         self.seen = []
@@ -305,6 +307,10 @@
     def deliver(self, source, target, message, reply):
         if (source, target) in self.cut or source not in self.entries:
             return
+        sender = self.entries[source]
+        if sender.is_paused:
+            sender.unsent.append((target, message, reply))
+            return
         entry = self.entries.get(target)
         if entry is None:
             raise PeerError("no connection", step="send", peer=target)
@@ -329,14 +335,20 @@
         task.add_done_callback(entry.tasks.remove)
 
     def pause(self, name):
-        """Hold all that comes to an entry, and its own turns."""
-        self.entries[name].is_paused = True
+        """Hold all that an entry sends and gets, the store's answers too."""
         entry = self.entries[name]
-        entry.waking = asyncio.Event()
+        entry.is_paused = True
+        entry.door.trouble = "silent"
 
     def wake(self, name):
+        """Let go of it all: old words arrive late."""
         entry = self.entries[name]
         entry.is_paused = False
+        entry.door.trouble = ""
+        unsent, entry.unsent = entry.unsent, []
+        for target, message, reply in unsent:
+            with contextlib.suppress(PeerError):
+                self.deliver(name, target, message, reply)
         held, entry.held = entry.held, []
         for source, message, reply in held:
             self._arrive(entry, source, message, reply)
