Shared parts read again and far results weigh 1.5 times the tokens of a wait

Change: both weigh 1.5 times the time that they take. Streams weigh 1,800 tokens, that prompts keep away from them as before (tests/targets/test_choose.py).

--- a/src/lagoontide/targets/choose.py
+++ b/src/lagoontide/targets/choose.py
@@ -34,13 +34,16 @@
 # The users price a gigabyte between failure domains like 360,000 tokens that are
 # read again (their site files, prices).
 TOKENS_A_FAR_BYTE = 360e3 / 1e9
+# What is read again or moved costs the users, beside the time that it takes, so many
+# times the tokens that a request would rather wait for.
+PRICED_WEIGHT = 1.5
 # Key of the order in which targets are filled with streams, and how far they are:
 # a step grows with the requests that run, and other requests need places too.
 STREAMS = "streams"
 MOST_STREAMS_SHARE = 0.25
 MOST_BURDEN = 1.5
 # Tokens that a prompt would rather wait for than hold up one stream.
-TOKENS_A_STREAM = 1500.0
+TOKENS_A_STREAM = 1800.0
 ALMOST_ONE = 1.0 - 2.0**-53
 
 
@@ -163,13 +166,15 @@
     input_bytes = sum(inputs.values())
     burdens = health.burdens(targets)
 
+    all_shared = sum(tokens for _, tokens in shared)
+
     def cost(target: Target) -> float:
-        kept = sum(tokens for _, tokens in shared) if target is home else common
+        kept = all_shared if target is home else common
         reading = total - kept + loads.of(target) * TOKENS_A_LOAD
         far = input_bytes - inputs.get(target.failure_domain, 0.0)
-        moving = far * TOKENS_A_FAR_BYTE
+        priced = all_shared - kept + far * TOKENS_A_FAR_BYTE
         harm = streams.of(target) * TOKENS_A_STREAM
-        work = reading + moving + harm + FIXED_TOKENS
+        work = reading + PRICED_WEIGHT * priced + harm + FIXED_TOKENS
         return work * burdens[target.id]
 
     best = min(targets, key=lambda target: (cost(target), -weigh(key, target.id)))
