--- a/src/lagoontide/mesh/feed.py
+++ b/src/lagoontide/mesh/feed.py
@@ -87,13 +87,18 @@
         self._followers: dict[str, tuple[int, float]] = {}
 
     @property
-    def has_followers(self) -> bool:
-        """Whether entries have asked lately."""
+    def followers(self) -> int:
+        """How many entries have asked lately."""
         horizon = self._clock() - FOLLOWED_S
         for name, (_, at) in tuple(self._followers.items()):
             if at < horizon:
                 del self._followers[name]
-        return bool(self._followers)
+        return len(self._followers)
+
+    @property
+    def has_followers(self) -> bool:
+        """Whether entries have asked lately."""
+        return self.followers > 0
 
     def restart(self, as_of: int) -> None:
         """Begin anew behind a listing: what came before it is not known."""
--- a/src/lagoontide/store/follow.py
+++ b/src/lagoontide/store/follow.py
@@ -94,8 +94,14 @@
 
     async def run(self) -> None:
         """Follow for ever."""
+        was_fed = False
         while True:
-            if self._is_fed() and not self._must_list:
+            is_fed = self._is_fed() and not self._must_list
+            if is_fed != was_fed:
+                was_fed = is_fed
+                source = "hubs" if is_fed else "the store itself"
+                logger.info("revision {}: changes come from {}", self.as_of, source)
+            if is_fed:
                 await asyncio.sleep(FED_LOOK_S)
                 continue
             try:
--- /dev/null
+++ b/tests/http1/test_fuzz.py
@@ -0,0 +1,106 @@
+"""Bytes by chance for the readers of answers and streams.
+
+    FUZZ_EXAMPLES=100000 pytest tests/http1/test_fuzz.py
+
+plays more of them than CI does.
+"""
+
+import asyncio
+import os
+
+from hypothesis import HealthCheck, example, given, settings, strategies as st
+
+from lagoontide.forward.events import EventSplitter
+from lagoontide.http1.client import BadAnswer, TargetConn
+from lagoontide.http1.messages import RequestHead
+
+EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "300"))
+MOST = 4096
+CALL = RequestHead(b"GET", b"/", [(b"Host", b"a")])
+CHECKS = settings(
+    max_examples=EXAMPLES, deadline=None, suppress_health_check=[HealthCheck.too_slow]
+)
+
+LINES = st.sampled_from(
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 103 Early Hints\r\n\r\n",
+        b"HTTP/1.1 503 Full\r\n",
+        b"HTTP/1.0 200\r\n",
+        b"Content-Length: 4\r\n",
+        b"Content-Length: -1\r\n",
+        b"Content-Length: 99999999999\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Connection: close\r\n",
+        b"Keep-Alive: timeout=5\r\n",
+        b"X-Lagoontide-Request-Id: r\r\n",
+        b"\r\n",
+        b"4\r\nbody\r\n",
+        b"0\r\n\r\n",
+        b"ffffffff\r\n",
+        b"body",
+        b"\n",
+        b"\x00\xff",
+    ]
+)
+ANSWERS = st.lists(LINES | st.binary(max_size=12), max_size=14).map(b"".join)
+
+
+class Link:
+    """Gives bytes in pieces, then the peer's close."""
+
+    transport = None
+    is_lost = has_unread = False
+
+    def __init__(self, pieces):
+        self.pieces = list(pieces)
+
+    async def write(self, data):
+        pass
+
+    async def read(self):
+        return self.pieces.pop(0) if self.pieces else b""
+
+
+def cut(data, places):
+    edges = [0, *sorted(place % (len(data) + 1) for place in places), len(data)]
+    return [data[a:b] for a, b in zip(edges, edges[1:], strict=False) if a < b]
+
+
+@CHECKS
+@given(ANSWERS, st.lists(st.integers(0, 400), max_size=5))
+@example(b"HTTP/1.1 103 E\r\n\r\n" * 40, [])
+@example(b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + b"a" * 9999, [])
+def test_an_answer_is_whole_or_an_error(data, places):
+    async def main():
+        conn = TargetConn(Link(cut(data, places)))
+        try:
+            answer = await conn.call(CALL, most=MOST)
+        except (BadAnswer, ConnectionError):
+            return
+        assert 200 <= answer.status <= 999
+        assert len(answer.body) <= MOST
+
+    asyncio.run(main())
+
+
+@CHECKS
+@given(
+    st.lists(
+        st.sampled_from([b"id: 1\n", b"data: a\n", b": c\n", b"\n", b"\r\n", b"\r"])
+        | st.binary(max_size=4),
+        max_size=20,
+    ).map(b"".join),
+    st.lists(st.integers(0, 200), max_size=6),
+)
+def test_events_do_not_depend_on_how_their_bytes_arrive(data, places):
+    pieces = cut(data, places)
+    whole, parts = EventSplitter(), EventSplitter()
+    expected = whole.feed(data)
+    found = [event for piece in pieces for event in parts.feed(piece)]
+    joined = b"".join(event.data for event in expected)
+    # A CR at the end of a piece may be half of a line's end; no byte is lost by it.
+    assert b"".join(event.data for event in found) in (joined, data[: len(joined)])
+    if b"\r" not in data:
+        assert found == expected
