Sums of loads weigh a fifth: they are older than a prompt's reading

Sums are 0.3 to 0.5 s old, prompts are read in 0.1 to 0.2 s: what they say is over, and all entries went to the same engines that had been free. Streams last seconds and stages wait: their sums are used as they are.

Change: loads of engines in sums count a fifth.

--- a/src/lagoontide/gateway/sync.py
+++ b/src/lagoontide/gateway/sync.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from loguru import logger
+from msgspec.structs import replace
 
 from lagoontide.errors import PeerError, PeerTimeout
 from lagoontide.forward.call import World
@@ -34,6 +35,9 @@
 ASK_TIMEOUT_S = 1.0
 # Under this name stand the sums of all other entries, as hubs tell them.
 FLEET = "fleet"
+# Prompts are read within 0.2 s and sums are twice as old: most of what they say of
+# engines is over, and all entries see the same. The rest is worth so much.
+SUMS_WEIGHT = 0.2
 
 
 class Sync:
@@ -119,7 +123,8 @@
 
     def take_sums(self, sums: Sums) -> None:
         """Believe what hubs say of all other entries."""
-        self._take_work(FLEET, sums)
+        unread = {name: SUMS_WEIGHT * load for name, load in sums.loads.items()}
+        self._take_work(FLEET, replace(sums, loads=unread))
         self._world.directory.note_left(sums.left, FLEET)
 
     def _take_work(self, name: str, told: Status | Sums) -> None:
