Alone in a large fleet an entry keeps to its part of the stage targets

Change: the same rule by the store's list of entries, where a hub's list has less than half of them or none is heard.

Test: failed before.

--- a/src/lagoontide/mesh/peers.py
+++ b/src/lagoontide/mesh/peers.py
@@ -149,6 +149,10 @@
         do not know of each other, it takes by its own part only.
         """
         if self._is_large():
+            names = sorted({self.name, *self._registered})
+            heard = len(self.roster) if self.roster.is_fresh else 1
+            if 2 * heard < len(names):
+                return names.index(self.name), len(names)
             return None
         names = sorted((self.name, *self._peers))
         heard = 1 + sum(not peer.is_lost for peer in self._peers.values())
--- a/tests/mesh/test_hubs.py
+++ b/tests/mesh/test_hubs.py
@@ -182,11 +182,16 @@
         fleet.cut = {(a, b) for other in fleet.entries for a, b in _both("e9", other)}
         await asyncio.sleep(3.0)
         assert fleet.entries["e9"].mesh.live() == ("e9",)
+        # Others call the targets, too; alone it keeps to its part of them.
+        names = sorted(f"e{place}" for place in range(LARGE))
+        assert fleet.entries["e9"].mesh.minority() == (names.index("e9"), LARGE)
+        assert fleet.entries["e1"].mesh.minority() is None
         assert "e9" not in fleet.entries["e1"].mesh.live()
         fleet.cut = set()
         await asyncio.sleep(2.5)
         lives = {frozenset(entry.mesh.live()) for entry in fleet.entries.values()}
         assert lives == {frozenset(fleet.entries)}
+        assert fleet.entries["e9"].mesh.minority() is None
 
     play(LARGE, scenario)
 
