--- a/src/lagoontide/mesh/peers.py
+++ b/src/lagoontide/mesh/peers.py
@@ -34,9 +34,7 @@
 FORGOTTEN_AFTER_S = 20.0
 # Entries that start together hear each other within this time.
 SETTLE_S = 0.4
-# In a large fleet the store's list is believed until hubs have told for the first
-# time, but no longer than this.
-START_S = 3.0
+SETTLE_LARGE_S = 1.0
 # Peers that one entry tells its status at a time, by turns; in a fleet of more than
 # FULL_MESH entries it goes to hubs, so that what this costs does not grow.
 MOST_TOLD = 12
@@ -137,7 +135,10 @@
 
     def is_settling(self) -> bool:
         """Return whether it has just started and has yet to hear known entries."""
-        if self._loop.time() - self._started_at > SETTLE_S or self._is_large():
+        age = self._loop.time() - self._started_at
+        if self._is_large():
+            return age < SETTLE_LARGE_S and not self.roster.is_fresh
+        if age > SETTLE_S:
             return False
         return len(self._known) > 1 + len(self._peers)
 
@@ -148,8 +149,6 @@
         do not know of each other, it takes by its own part only.
         """
         if self._is_large():
-            if self._is_starting():
-                return None
             names = sorted({self.name, *self._registered})
             heard = len(self.roster) if self.roster.is_fresh else 1
             if 2 * heard < len(names):
@@ -254,11 +253,6 @@
     def _is_large(self) -> bool:
         return len(self._registered) > FULL_MESH
 
-    def _is_starting(self) -> bool:
-        """Return whether no hub has told this entry yet who is there."""
-        age = self._loop.time() - self._started_at
-        return len(self.roster) == 0 and age < START_S
-
     def _tell_at(self, address: str, message: msgspec.Struct) -> None:
         self._tell_by(self._pool.get(f"tcp://{address}"), message)
 
@@ -330,8 +324,6 @@
             return set(self._peers)
         if self.roster.is_fresh:
             return set(self.roster.working()) - {self.name}
-        if self._is_starting():
-            return set(self._registered) - {self.name}
         # No hub is heard, nor any that could take its place: a cut.
         return set(self._peers)
 
