Review: hubs keep words by the one holder there is; one status a turn; one record

What the change had written again: a hub's statuses and sums aged in two dicts of their own; targets/told.py does that, with the age given. A group's and an entry's sums were made by two copies. A stand-in wrote a replica's registration a second time. What was done twice: a status was made once more for its revision alone, the list of entries sorted for each status that came. tell_all no longer waits for anything, so it is no coroutine. Behaviour is as it was.

--- a/src/lagoontide/gateway/stop.py
+++ b/src/lagoontide/gateway/stop.py
@@ -26,7 +26,7 @@
     gateway.door.stop_by(ends_at - ANSWER_S)
     gateway.callers.is_leaving = True
     gateway.mesh.is_leaving = True
-    await gateway.mesh.tell_all()
+    gateway.mesh.tell_all()
     gateway.desk.hand_over()
     await asyncio.sleep(min(BALANCER_S, grace / 2))
     gateway.callers.stop_accepting()
--- a/src/lagoontide/mesh/feed.py
+++ b/src/lagoontide/mesh/feed.py
@@ -8,7 +8,7 @@
 import time
 import zlib
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from loguru import logger
@@ -222,24 +222,16 @@
 
     def heard_ago(self) -> float:
         """Return the seconds since the store's last answer to a hub."""
-        now = self._clock()
-        return min(
-            (
-                told.age + now - told.at
-                for told in self._told.values()
-                if now - told.at < SILENT_S
-            ),
-            default=float("inf"),
-        )
+        fresh = (told.age + ago for told, ago in self._fresh())
+        return min(fresh, default=float("inf"))
 
     def up_for(self) -> float:
         """Return the seconds for which the store has been up for some hub."""
+        return max((told.up_for + ago for told, ago in self._fresh()), default=0.0)
+
+    def _fresh(self) -> Iterator[tuple[_Told, float]]:
+        """Yield the words of hubs that are not silent, and their ages."""
         now = self._clock()
-        return max(
-            (
-                told.up_for + now - told.at
-                for told in self._told.values()
-                if now - told.at < SILENT_S
-            ),
-            default=0.0,
-        )
+        for told in self._told.values():
+            if now - told.at < SILENT_S:
+                yield told, now - told.at
--- a/src/lagoontide/mesh/hub.py
+++ b/src/lagoontide/mesh/hub.py
@@ -1,7 +1,7 @@
 """The duties of a hub: sums over its group, and over the fleet, for its members."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -9,8 +9,9 @@
 
 from lagoontide.mesh.layout import Layout
 from lagoontide.mesh.messages import GroupSum, Member, Needs, Status, Sums
+from lagoontide.targets.told import Told
 
-__all__ = ["FRESH_S", "Hub", "digest_of"]
+__all__ = ["Hub", "digest_of"]
 
 # What was told this long ago no longer counts: three turns of a status, and a bit.
 FRESH_S = 0.9
@@ -39,34 +40,18 @@
             self.needs[service, urgency] += seconds
         self.left.update(part.left)
 
-    def sums_without(
-        self, status: Status, digest: int, roster: tuple[Member, ...] | None
-    ) -> Sums:
-        """Return what all but one of the entries have."""
-        own = {(name, urgency): seconds for name, urgency, seconds in status.needs}
-        return Sums(
-            digest,
-            roster,
-            _less(self.loads, status.loads),
-            _less(self.streams, status.streams),
-            [(*key, seconds) for key, seconds in _less(self.needs, own).items()],
-            tuple(self.left),
-        )
-
-    def group_sum(self, group: str, members: tuple[Member, ...]) -> GroupSum:
-        """Return what the entries of a group have."""
-        return GroupSum(
-            group,
-            members,
-            _less(self.loads, {}),
-            _less(self.streams, {}),
-            self._needs(),
+    def rest(
+        self, own: Status | None = None
+    ) -> tuple[dict[str, float], dict[str, float], Needs, tuple[tuple[str, int], ...]]:
+        """Return loads, streams, needs and what left, without those of one entry."""
+        needs = {} if own is None else {(name, u): s for name, u, s in own.needs}
+        return (
+            _less(self.loads, own.loads if own else {}),
+            _less(self.streams, own.streams if own else {}),
+            [(*key, seconds) for key, seconds in _less(self.needs, needs).items()],
             tuple(self.left),
         )
 
-    def _needs(self) -> Needs:
-        return [(*key, seconds) for key, seconds in _less(self.needs, {}).items()]
-
 
 class Hub:
     """Takes statuses of the entries of a group and sums of other groups.
@@ -88,26 +73,28 @@
         self._name = name
         self._tell = tell
         self._clock = clock
-        self._statuses: dict[str, tuple[float, Status]] = {}
-        self._groups: dict[str, tuple[float, GroupSum]] = {}
+        self._statuses: Told[Status] = Told(clock, FRESH_S)
+        self._groups: Told[GroupSum] = Told(clock, FRESH_S)
         self._serves_since: float | None = None
 
     def take_status(self, status: Status) -> None:
         """Take the status of an entry of the group."""
-        self._statuses[status.name] = self._clock(), status
+        self._statuses.take(status.name, status)
 
     def take_group(self, peer: str, message: GroupSum) -> None:
         """Take the sums of another group from one of its hubs."""
-        self._groups[peer] = self._clock(), message
+        self._groups.take(peer, message)
 
-    def serve(self, layout: Layout, own: Status, without: Iterable[str]) -> Sums | None:
+    def serve(
+        self, layout: Layout, own: Status, without: Collection[str]
+    ) -> Sums | None:
         """Tell members and other hubs; return the sums for this entry itself.
 
         Returns None if this entry has no such duty: it is no hub of its group, and
         none of the group takes it for one.
         """
-        members = self._members()
-        hubs = layout.hubs(layout.group, tuple(without))
+        members = list(self._statuses.current())
+        hubs = layout.hubs(layout.group, without)
         if self._name not in hubs and not members:
             self._serves_since = None
             return None
@@ -121,14 +108,18 @@
         for status in members:
             group.add(status)
         listed = tuple(map(_member, [own, *members]))
-        others = self._others(layout.group)
+        others = {
+            peer: part
+            for peer, part in self._groups.by_peer()
+            if part.group != layout.group
+        }
         told = set(others) | {
             hub
             for name in layout.ranks
             if name != layout.group
-            for hub in layout.hubs(name, tuple(without))
+            for hub in layout.hubs(name, without)
         }
-        message = group.group_sum(layout.group, listed)
+        message = GroupSum(layout.group, listed, *group.rest())
         for hub in told:
             self._tell(hub, message)
         for part in _widest(others.values()):
@@ -148,27 +139,8 @@
         for status in members:
             if status.wants_sums:
                 news = None if status.digest == digest else roster
-                self._tell(status.name, total.sums_without(status, digest, news))
-        return total.sums_without(own, digest, roster)
-
-    def _members(self) -> list[Status]:
-        horizon = self._clock() - FRESH_S
-        for name, (at, _) in tuple(self._statuses.items()):
-            if at < horizon:
-                del self._statuses[name]
-        return [status for _, status in self._statuses.values()]
-
-    def _others(self, own_group: str) -> dict[str, GroupSum]:
-        """Return what hubs of other groups told, by their names."""
-        horizon = self._clock() - FRESH_S
-        for name, (at, _) in tuple(self._groups.items()):
-            if at < horizon:
-                del self._groups[name]
-        return {
-            name: message
-            for name, (_, message) in self._groups.items()
-            if message.group != own_group
-        }
+                self._tell(status.name, Sums(digest, news, *total.rest(status)))
+        return Sums(digest, roster, *total.rest(own))
 
 
 def digest_of(roster: Iterable[Member]) -> int:
--- a/src/lagoontide/mesh/peers.py
+++ b/src/lagoontide/mesh/peers.py
@@ -213,19 +213,22 @@
         """Tell peers of this entry for ever."""
         while True:
             self._look()
-            self._follow()
-            await self.tell_all()
+            status = self._make_status()
+            self._follow(status.as_of)
+            self._tell_status(status)
             is_large = self._is_large()
             await asyncio.sleep(LARGE_EVERY_S if is_large else STATUS_EVERY_S)
 
-    async def tell_all(self) -> None:
+    def tell_all(self) -> None:
         """Tell peers of this entry now."""
-        status = self._make_status()
+        self._tell_status(self._make_status())
+
+    def _tell_status(self, status: Status) -> None:
         if self._is_large():
             self._tell_hubs(status)
             return
         for address in self._told(status.address):
-            self._tell_at(address, status)
+            self._tell_by(self._pool.get(f"tcp://{address}"), status)
 
     def tell(self, name: str, message: msgspec.Struct) -> None:
         """Send an entry a message, unless that would wait."""
@@ -235,7 +238,7 @@
 
     def layout(self) -> Layout:
         """Return the groups of the fleet, as the store's list has them."""
-        known = hash(tuple(sorted(self._registered)))
+        known = hash(frozenset(self._registered))
         if self._layout[0] != known:
             self._layout = known, make_layout(self.name, self._own, self._registered)
         return self._layout[1]
@@ -253,9 +256,6 @@
     def _is_large(self) -> bool:
         return len(self._registered) > FULL_MESH
 
-    def _tell_at(self, address: str, message: msgspec.Struct) -> None:
-        self._tell_by(self._pool.get(f"tcp://{address}"), message)
-
     def _tell_by(self, conn: Conn, message: msgspec.Struct) -> None:
         try:
             conn.tell_now(message)
@@ -290,8 +290,8 @@
         if sums is not None:
             self._note_sums(sums)
 
-    def _follow(self) -> None:
-        """Ask hubs for the store's changes."""
+    def _follow(self, as_of: int) -> None:
+        """Ask hubs for the store's changes after a revision."""
         now = self._loop.time()
         if now - self._followed_at < FOLLOW_EVERY_S:
             return
@@ -306,11 +306,8 @@
         far = layout.far_hub(self.name, passed_over)
         asked = (*near, far) if far else near
         self.hearing.ask(asked)
-        if not asked:
-            return
-        follow = Follow(self._make_status().as_of)
         for name in asked:
-            self.tell(name, follow)
+            self.tell(name, Follow(as_of))
 
     def _note_sums(self, sums: Sums) -> None:
         for name in self.roster.take(sums):
--- a/src/lagoontide/platform/standins/rogue.py
+++ b/src/lagoontide/platform/standins/rogue.py
@@ -5,17 +5,17 @@
 from collections.abc import AsyncIterator
 from enum import StrEnum
 
-import msgspec
-
 from lagoontide.platform.directory import TARGETS_PREFIX
 from lagoontide.platform.fields import NOT_RUN, REQUEST_ID, SEAL
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.store import StoreStandin
+from lagoontide.platform.standins.targets import make_entry
 
 __all__ = ["RogueTarget", "Trouble"]
 
 MAX_REQUEST_HEAD_BYTES = 64 << 10
 TRICKLE_S = 0.2
+SLOTS = 64
 BLOCK_BYTES = 32 << 10
 
 
@@ -68,17 +68,8 @@
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{HOST}:{port}"
-        entry = {
-            "service": self.service,
-            "address": self.address,
-            "zone": zone,
-            "version": "v1",
-            "slots": 64,
-            "state": "ready",
-            "seq": 1,
-            "born": 1,
-        }
-        store.put(TARGETS_PREFIX + self.id, msgspec.json.encode(entry))
+        entry = make_entry(self.service, self.address, zone, SLOTS)
+        store.put(TARGETS_PREFIX + self.id, entry)
 
     async def close(self) -> None:
         """Stop."""
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -27,7 +27,9 @@
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.store import StoreStandin
 
-__all__ = ["Fault", "Run", "TargetStandin"]
+__all__ = ["Fault", "Run", "TargetStandin", "make_entry"]
+
+SLOTS = 8
 
 
 class Fault(StrEnum):
@@ -59,6 +61,28 @@
     inputs: tuple[str, ...]
 
 
+def make_entry(
+    service: str,
+    address: str,
+    zone: str,
+    slots: int,
+    born: int = 1,
+    state: str = "ready",
+) -> bytes:
+    """Return what a replica says of itself in the store."""
+    entry = {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "version": "v1",
+        "slots": slots,
+        "state": state,
+        "seq": 1,
+        "born": born,
+    }
+    return msgspec.json.encode(entry)
+
+
 @dataclass(slots=True)
 class TargetStandin:
     """A replica of one service.
@@ -137,17 +161,8 @@
 
     def entry(self, zone: str, born: int = 1, state: str = "ready") -> bytes:
         """Return what this replica says of itself in the store."""
-        entry = {
-            "service": self.service,
-            "address": self.shown or self.address,
-            "zone": zone,
-            "version": "v1",
-            "slots": 8,
-            "state": state,
-            "seq": 1,
-            "born": born,
-        }
-        return msgspec.json.encode(entry)
+        address = self.shown or self.address
+        return make_entry(self.service, address, zone, SLOTS, born, state)
 
     async def close(self) -> None:
         """Stop, cutting all connections."""
--- a/src/lagoontide/targets/told.py
+++ b/src/lagoontide/targets/told.py
@@ -18,10 +18,13 @@
     ----------
     clock : callable
         Returns the seconds of a steady clock.
+    stale : float
+        Seconds after which a word no longer counts.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], stale: float = STALE_S) -> None:
         self._clock = clock
+        self._stale = stale
         self._words: dict[str, tuple[float, Word]] = {}
 
     def take(self, peer: str, word: Word) -> None:
@@ -30,9 +33,13 @@
 
     def current(self) -> Iterator[Word]:
         """Yield the words that are not stale, and drop the others."""
-        horizon = self._clock() - STALE_S
+        return (word for _, word in self.by_peer())
+
+    def by_peer(self) -> Iterator[tuple[str, Word]]:
+        """Yield peers with their words; see ``current``."""
+        horizon = self._clock() - self._stale
         for peer, (at, word) in tuple(self._words.items()):
             if at < horizon:
                 del self._words[peer]
             else:
-                yield word
+                yield peer, word
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -89,7 +89,7 @@
         mesh, told, _ = make_mesh()
         register(mesh, FULL_MESH)
         for _ in range(FULL_MESH // MOST_TOLD + 1):
-            await mesh.tell_all()
+            mesh.tell_all()
         assert len(set(told)) == FULL_MESH - 1
 
     asyncio.run(main())
