Entries that a peer keeps since an outage are not believed for ever, nor forgotten

Cause, found by reading the change: the list of entries keeps lapsed ones for 3 s after an outage of the store, as the directory does with targets. Who caught up from a peer took the peer's kept entries for registered ones, for good; and its own waits went on, so that an entry which the peer had listed was forgotten 3 s later. The same fault had been mended for targets only.

Change: a peer says for how long it keeps them; who catches up waits as long, and for nothing else.

--- a/src/lagoontide/gateway/beliefs.py
+++ b/src/lagoontide/gateway/beliefs.py
@@ -143,6 +143,10 @@
             self._world.directory.put(target)
         self.entries.clear()
         self.entries.update(beliefs.entries)
+        now = self._clock()
+        self._kept = {
+            name: now + seconds for name, seconds in beliefs.kept_entries.items()
+        }
         for name, seconds in beliefs.kept.items():
             # The store has deleted them; no change will tell of it once more.
             self._world.directory.keep_for(name, seconds)
@@ -151,6 +155,11 @@
         self._world.directory.keep_only(names, beliefs.as_of, 0.0)
         self.has_listed = True
 
+    def kept_entries(self) -> dict[str, float]:
+        """Return the seconds for which entries without a key are kept, by name."""
+        now = self._clock()
+        return {name: until - now for name, until in self._kept.items()}
+
     def sweep(self) -> None:
         """Forget entries that did not come back after an outage of the store."""
         now = self._clock()
--- a/src/lagoontide/gateway/sync.py
+++ b/src/lagoontide/gateway/sync.py
@@ -196,5 +196,6 @@
                 targets=self._world.directory.all(),
                 entries=self._sink.entries,
                 kept=self._world.directory.kept(),
+                kept_entries=self._sink.kept_entries(),
             )
         )
--- a/src/lagoontide/mesh/messages.py
+++ b/src/lagoontide/mesh/messages.py
@@ -84,8 +84,9 @@
         The configuration as it stands in the store; empty if unknown.
     entries : dict
         The entries that are registered there, by name.
-    kept : dict
-        Seconds for which targets are kept that the store lacks since an outage.
+    kept, kept_entries : dict
+        Seconds for which targets, and entries, are kept that the store lacks since
+        an outage.
     """
 
     as_of: int
@@ -94,6 +95,7 @@
     targets: tuple[Target, ...]
     entries: dict[str, EntryAddress] = {}
     kept: dict[str, float] = {}
+    kept_entries: dict[str, float] = {}
 
 
 class Follow(msgspec.Struct, frozen=True, array_like=True, tag="follow"):
