Read and log the rate limits that targets name

A limit that is no decimal number is logged, at most every 5 s for a target, and changes nothing. A response field that nothing reads is logged once by name.

Nothing is decided by it yet. Stand-in targets name limits.

--- a/src/lagoontide/forward/attempt.py
+++ b/src/lagoontide/forward/attempt.py
@@ -177,6 +177,11 @@
     is_new_conn = conn.is_fresh
     await conn.send(head, call.request.body)
     await response.read_head(state, call.metadata.request_id, is_new_conn)
+    answered = response.metadata
+    if not answered.is_misdirected:
+        state.rate_limits.observe(
+            response.target, answered.rate_limit, answered.unreadable_rate_limit
+        )
 
 
 def _raise_refusal(state: ForwardingState, response: TargetResponse) -> NoReturn:
--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -14,6 +14,7 @@
 from lagoontide.targets.health import Health
 from lagoontide.targets.load import Loads
 from lagoontide.targets.pools import Pools
+from lagoontide.targets.rate_limits import RateLimits
 
 __all__ = ["Call", "ForwardingState"]
 
@@ -28,6 +29,8 @@
         The configuration in force; None until one is known.
     loads, streams : Loads
         Work in progress at targets, and long streams at engines.
+    rate_limits : RateLimits
+        Rate limits that targets name in their responses.
     """
 
     failure_domain: str
@@ -38,6 +41,7 @@
     streams: Loads
     pools: Pools
     budget: RetryBudget
+    rate_limits: RateLimits
     route_table: RouteTable | None = None
 
 
--- a/src/lagoontide/forward/fields.py
+++ b/src/lagoontide/forward/fields.py
@@ -96,6 +96,10 @@
         Whether stage results that the request refers to are gone.
     is_encoded : bool
         Whether the body has a content encoding, which no caller asked for.
+    rate_limit : float or None
+        Requests a second that the target takes from all entries together.
+    unreadable_rate_limit : str
+        Text of the rate limit if it is invalid.
     """
 
     request_id: str | None
@@ -104,6 +108,8 @@
     is_misdirected: bool = False
     lacks_inputs: bool = False
     is_encoded: bool = False
+    rate_limit: float | None = None
+    unreadable_rate_limit: str = ""
 
 
 class FieldCodec(Protocol):
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -69,10 +69,12 @@
     """
     target = choice.target
     record = state.health.record_of(target)
+    limit = state.rate_limits.describe(target)
     return (
         f"{target.id} of {targets}: {choice.reason}, cost {choice.cost:.3g}, "
         f"load {state.loads.total_of(target):.3g}, mean {record.mean_seconds:.3f} s, "
         f"failures {record.failure_rate:.2f}, revision {target.revision}"
+        f"{limit and f', {limit}'}"
     )
 
 
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -35,6 +35,7 @@
 from lagoontide.targets.health import Health
 from lagoontide.targets.load import Loads
 from lagoontide.targets.pools import Pools
+from lagoontide.targets.rate_limits import RateLimits
 from lagoontide.wire.codec import make_codec
 from lagoontide.wire.conn import Context, Identity, connect
 from lagoontide.wire.router import Router
@@ -62,7 +63,8 @@
     field_codec : FieldCodec
         The platform's header fields.
     make_piece_client : callable
-        Returns a client for stage targets that uses the given connection pools.
+        Returns a client for stage targets that uses the given connection pools and
+        reports the rate limits that targets name.
     ready_path : bytes
         Path of the balancer's readiness probe.
     """
@@ -70,7 +72,7 @@
     store: RevisionStore
     field_codec: FieldCodec
     decoders: Decoders
-    make_piece_client: Callable[[Pools], PieceClient]
+    make_piece_client: Callable[[Pools, RateLimits], PieceClient]
     ready_path: bytes
 
 
@@ -189,6 +191,7 @@
                 self._count_entries,
                 clock,
             ),
+            rate_limits=RateLimits(clock),
         )
 
     def _make_mesh(self, ctx: Context) -> None:
@@ -219,7 +222,7 @@
         self.dispatcher = OrderDispatcher(
             self.mesh,
             self.state.directory,
-            self._platform.make_piece_client(self.state.pools),
+            self._platform.make_piece_client(self.state.pools, self.state.rate_limits),
             self._find_service,
         )
         router = Router()
@@ -274,6 +277,7 @@
             keys = {target.key for target in directory.all()}
             self.state.pools.keep_only(keys)
             self.state.health.keep_only(keys)
+            self.state.rate_limits.keep_only(keys)
             self.mesh.add_addresses(
                 entry.address for entry in self.store_view.entries.values()
             )
--- a/src/lagoontide/platform/daemon.py
+++ b/src/lagoontide/platform/daemon.py
@@ -38,7 +38,9 @@
         store=PlatformStore(*cfg.store),
         field_codec=PlatformFieldCodec(),
         decoders=Decoders(CONFIGURATION_KEY, decode_config, target_id, decode_target),
-        make_piece_client=lambda pools: PlatformPieceClient(pools.pool_of),
+        make_piece_client=lambda pools, rate_limits: PlatformPieceClient(
+            pools.pool_of, rate_limits
+        ),
         ready_path=READY_PATH,
     )
 
--- a/src/lagoontide/platform/fields.py
+++ b/src/lagoontide/platform/fields.py
@@ -1,5 +1,10 @@
 """Header fields of requests and responses, by their names on the platform."""
 
+import math
+import re
+
+from loguru import logger
+
 from lagoontide.forward.fields import (
     ForwardMetadata,
     InvalidField,
@@ -16,7 +21,7 @@
     field_values,
 )
 
-__all__ = ["PlatformFieldCodec"]
+__all__ = ["PlatformFieldCodec", "decode_rate_limit"]
 
 REQUEST_ID = b"X-Lagoontide-Request-Id"
 DEADLINE = b"X-Lagoontide-Deadline-Ms"
@@ -32,6 +37,7 @@
 PIECE_KEY = b"X-Lagoontide-Piece-Key"
 RESPONSE_SEAL = b"X-Lagoontide-Response-Seal"
 NOT_RUN = b"X-Lagoontide-Not-Executed"
+RATE_LIMIT = b"Server-Limit"
 AUTHORIZATION = b"Authorization"
 BEARER_PREFIX = "bearer "
 
@@ -55,15 +61,41 @@
         b"X-Lagoontide-Kv-Fetch",
     )
 )
+# Fields of responses that are read, here or by the HTTP client, or only passed on.
+KNOWN_RESPONSE_FIELDS = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        RESPONSE_SEAL,
+        NOT_RUN,
+        RATE_LIMIT,
+        b"Cache-Control",
+        b"Connection",
+        b"Content-Encoding",
+        b"Content-Length",
+        b"Content-Type",
+        b"Date",
+        b"Keep-Alive",
+        b"Retry-After",
+        b"Server",
+        b"Transfer-Encoding",
+    )
+)
+# Bounds the log lines about other fields: one for each name, up to this many.
+MAX_UNKNOWN_FIELDS = 50
 MISDIRECTED_STATUS = 421
 INPUTS_GONE_STATUS = 409
 MS_PER_S = 1000.0
 MAX_REQUEST_ID_CHARS = 200
+DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]+)?")
 
 
 class PlatformFieldCodec:
     """Implements lagoontide.forward.fields.FieldCodec."""
 
+    def __init__(self) -> None:
+        self._unknown_fields: set[bytes] = set()
+
     def decode_request(self, head: RequestHead) -> RequestMetadata:
         """See FieldCodec."""
         fields = head.fields
@@ -112,7 +144,9 @@
     def decode_response(self, head: ResponseHead) -> ResponseMetadata:
         """See FieldCodec."""
         fields = head.fields
+        self._log_unknown_fields(fields)
         encoding = field_value(fields, b"content-encoding")
+        rate_limit, unreadable = decode_rate_limit(fields)
         return ResponseMetadata(
             request_id=_field_text(fields, REQUEST_ID),
             has_not_run=_field_text(fields, NOT_RUN) is not None
@@ -121,8 +155,34 @@
             is_misdirected=head.status == MISDIRECTED_STATUS,
             lacks_inputs=head.status == INPUTS_GONE_STATUS,
             is_encoded=encoding is not None and encoding.lower() != b"identity",
+            rate_limit=rate_limit,
+            unreadable_rate_limit=unreadable,
         )
 
+    def _log_unknown_fields(self, fields: Fields) -> None:
+        """Log the names of fields that nothing reads, each once."""
+        for name in {key.lower() for key, _ in fields} - KNOWN_RESPONSE_FIELDS:
+            known = self._unknown_fields
+            if name not in known and len(known) < MAX_UNKNOWN_FIELDS:
+                known.add(name)
+                logger.info("targets send a field that is not read: {!r:.80}", name)
+
+
+def decode_rate_limit(fields: Fields) -> tuple[float | None, str]:
+    """Return the rate limit in a response, or None, and the text of an invalid one.
+
+    An invalid limit is no error: the response itself is still good.
+    """
+    values = [
+        value.decode("latin-1").strip()
+        for value in field_values(fields, RATE_LIMIT.lower())
+    ]
+    if not values:
+        return None, ""
+    text = ", ".join(values)
+    rate = float(text) if DECIMAL_NUMBER.fullmatch(text) else math.inf
+    return (rate, "") if math.isfinite(rate) else (None, text or "empty")
+
 
 def _field_text(fields: Fields, name: bytes) -> str | None:
     values = list(field_values(fields, name.lower()))
--- a/src/lagoontide/platform/pieces.py
+++ b/src/lagoontide/platform/pieces.py
@@ -9,8 +9,15 @@
 from lagoontide.http1.client import InvalidResponse, TargetConn
 from lagoontide.http1.messages import RequestHead, Response
 from lagoontide.pieces.records import Failure, Piece, PieceResult
-from lagoontide.platform.fields import MISDIRECTED_STATUS, MS_PER_S, NOT_RUN, TARGET
+from lagoontide.platform.fields import (
+    MISDIRECTED_STATUS,
+    MS_PER_S,
+    NOT_RUN,
+    TARGET,
+    decode_rate_limit,
+)
 from lagoontide.targets.pool import ConnPool
+from lagoontide.targets.rate_limits import RateLimits
 from lagoontide.targets.records import Target
 
 __all__ = ["PlatformPieceClient"]
@@ -64,10 +71,15 @@
     ----------
     pool_of : callable
         Returns the connection pool of a target.
+    rate_limits : RateLimits
+        Takes the limits that targets name in their responses.
     """
 
-    def __init__(self, pool_of: Callable[[Target], ConnPool]) -> None:
+    def __init__(
+        self, pool_of: Callable[[Target], ConnPool], rate_limits: RateLimits
+    ) -> None:
         self._pool_of = pool_of
+        self._rate_limits = rate_limits
 
     async def make(
         self, target: Target, pieces: tuple[Piece, ...], timeout: float
@@ -164,6 +176,8 @@
             ) from exc
         finally:
             pool.release(conn, is_reusable)
+        if answer.status != MISDIRECTED_STATUS:
+            self._rate_limits.observe(target, *decode_rate_limit(answer.fields))
         return answer
 
 
--- a/src/lagoontide/platform/standins/process.py
+++ b/src/lagoontide/platform/standins/process.py
@@ -128,7 +128,15 @@
         target.fault, target.faults_left = command.fault, command.count
         return command.fault.value
 
-    return {"/fault": fault, "/runs": lambda _: dict(target.runs)}
+    def limit(body: bytes) -> str:
+        target.rate_limit = body.decode("ascii")
+        return target.rate_limit
+
+    return {
+        "/fault": fault,
+        "/rate-limit": limit,
+        "/runs": lambda _: dict(target.runs),
+    }
 
 
 async def _register(
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -17,6 +17,7 @@
     LAST_EVENT,
     MISDIRECTED_STATUS,
     NOT_RUN,
+    RATE_LIMIT,
     REQUEST_ID,
     RESPONSE_SEAL,
     TARGET,
@@ -103,6 +104,10 @@
         Address to register in place of the target's own.
     log : list of Run
         Requests executed, in order of their start.
+    rate_limit : str
+        Text of the rate limit named in every response; empty for none.
+    arrived_at : list of float
+        Event loop time of each request, of every kind.
     pieces_by_handle : dict
         Request id, stage and piece number of each result, by handle.
     fault : TargetFault
@@ -120,6 +125,8 @@
     fault: TargetFault = TargetFault.NONE
     faults_left: int = 0
     events_before_fault: int = 2
+    rate_limit: str = ""
+    arrived_at: list[float] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     log: list[Run] = field(default_factory=list)
     pieces_by_handle: dict[str, tuple[str, int, int]] = field(default_factory=dict)
@@ -169,26 +176,33 @@
         if self._listener is not None:
             await self._listener.close()
 
+    @property
+    def _limit_fields(self) -> Fields:
+        return [(RATE_LIMIT, self.rate_limit.encode())] if self.rate_limit else []
+
     async def _handle(self, req: Request, reply: ResponseWriter) -> None:
+        self.arrived_at.append(asyncio.get_running_loop().time())
         match req.head.path:
             case path if path == RUN_PATH:
                 await self._run_pieces(req, reply)
             case path if path == FREE_PATH:
                 self.result_handles -= set(msgspec.json.decode(req.body)["handles"])
-                await reply.send(Response(200))
+                await reply.send(Response(200, self._limit_fields))
             case path if path == REPORT_PATH:
                 free = max(0, self.room - len(self.result_handles))
                 busy = self._active_calls > 0
-                await reply.send(
-                    json_response({"queued": 0, "busy": busy, "free_mb": free})
-                )
+                report = {"queued": 0, "busy": busy, "free_mb": free}
+                await reply.send(self._json_response(report))
             case _:
                 await self._serve(req, reply)
 
     async def _serve(self, req: Request, reply: ResponseWriter) -> None:
         fields = req.head.fields
         request_id = (field_value(fields, REQUEST_ID.lower()) or b"").decode()
-        response_fields: Fields = [(REQUEST_ID, request_id.encode())]
+        response_fields: Fields = [
+            (REQUEST_ID, request_id.encode()),
+            *self._limit_fields,
+        ]
         expected_id = field_value(fields, TARGET.lower())
         if expected_id is not None and expected_id.decode() != self.id:
             await reply.send(Response(MISDIRECTED_STATUS, response_fields))
@@ -260,16 +274,20 @@
         items = msgspec.json.decode(req.body)["items"]
         self.calls.append(len(items))
         if self._next_fault() is TargetFault.FULL:
-            await reply.send(Response(503, [(NOT_RUN, b"1")]))
+            await reply.send(Response(503, [(NOT_RUN, b"1"), *self._limit_fields]))
             return
         self._active_calls += 1
         try:
             await asyncio.sleep(self.work)
         finally:
             self._active_calls -= 1
-        await reply.send(
-            json_response({"items": [self._run_piece(item) for item in items]})
-        )
+        results = [self._run_piece(item) for item in items]
+        await reply.send(self._json_response({"items": results}))
+
+    def _json_response(self, value: object) -> Response:
+        response = json_response(value)
+        response.fields.extend(self._limit_fields)
+        return response
 
     def _run_piece(self, item: dict[str, Any]) -> dict[str, str]:
         if len(self.result_handles) >= self.room:
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -30,6 +30,7 @@
 )
 from lagoontide.targets.directory import Directory
 from lagoontide.targets.load import Loads
+from lagoontide.targets.rate_limits import RateLimits
 from lagoontide.targets.records import Target, TargetState
 from lagoontide.wire.router import Router
 
@@ -227,6 +228,7 @@
             Loads(loop.time),
             None,
             None,
+            RateLimits(loop.time),
         )
         self.store_view = StoreView(
             self.state,
