--- a/src/lagoontide/bench/soak/checker.py
+++ b/src/lagoontide/bench/soak/checker.py
@@ -7,7 +7,7 @@
 from lagoontide.bench.soak.records import EVENTS, Asked, Work
 from lagoontide.platform.standins.targets import TargetStandin
 
-__all__ = ["Changes", "check", "share_served"]
+__all__ = ["Changes", "NamedLimit", "check", "share_served"]
 
 NOT_RUN = frozenset((408, 421, 429, 503))
 SUCCESS = 200
@@ -15,6 +15,22 @@
 # trouble (RULES, In touch).
 LEAVING_S = 2.0 + 5.0
 REVOKED_S = 2.0 + 5.0
+# A target that names a rate limit may get one and a half times what it allows in any
+# 4 s, and 5 requests (issue 31), once all entries know of it.
+LIMIT_KNOWN_S = 1.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+
+
+@dataclass(slots=True)
+class NamedLimit:
+    """A rate limit that a target names for some time, in loop time."""
+
+    target: str
+    rate: float
+    since: float
+    until: float = float("inf")
 
 
 @dataclass(slots=True)
@@ -27,10 +43,13 @@
         When a target's entry began to say that it leaves.
     revoked_at : dict of str to float
         When a key was taken away.
+    limits : list of NamedLimit
+        Rate limits named while no entry was stopped, killed, paused or cut off.
     """
 
     left_at: dict[str, float] = field(default_factory=dict)
     revoked_at: dict[str, float] = field(default_factory=dict)
+    limits: list[NamedLimit] = field(default_factory=list)
 
 
 def check(
@@ -43,6 +62,7 @@
     for target in targets:
         runs.update(target.requests)
     found = [*_check_targets(requests, targets, changes)]
+    found += _check_limits(targets, changes)
     for item in requests.values():
         found += _check_request(item, runs[item.id], changes)
     return found
@@ -104,3 +124,16 @@
             ]
             if wrong or len(set(run.inputs)) != item.kind.inputs:
                 yield f"MIXED: {run.request_id} ran with inputs {run.inputs}"
+
+
+def _check_limits(targets: list[TargetStandin], changes: Changes) -> Iterator[str]:
+    arrivals = {target.id: target.arrived_at for target in targets}
+    for limit in changes.limits:
+        known_at = limit.since + LIMIT_KNOWN_S
+        times = [at for at in arrivals[limit.target] if known_at < at < limit.until]
+        most = max(
+            (sum(at <= t < at + LIMIT_WINDOW_S for t in times) for at in times),
+            default=0,
+        )
+        if most > LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_S + LIMIT_SLACK:
+            yield f"LIMIT: {limit.target} named {limit.rate:g}/s and got {most} in 4 s"
--- a/src/lagoontide/bench/soak/faults.py
+++ b/src/lagoontide/bench/soak/faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from lagoontide.bench.soak.checker import Changes
+from lagoontide.bench.soak.checker import Changes, NamedLimit
 from lagoontide.bench.soak.proxy import Harm, Proxy
 from lagoontide.platform.standins.deployment import write_configuration
 from lagoontide.platform.standins.store import StoreEndpoint, StoreFault, StoreStandin
@@ -16,6 +16,10 @@
 PAUSE_S = (0.05, 0.5)
 LASTS_S = (0.2, 2.0)
 TARGETS_KEPT = 1
+# What targets name as their rate limit; the texts without a rate name none.
+LIMITS = {"0": 0.0, "0.5": 0.5, "1.6": 1.6, "8": 8.0, "nan": None, "-1": None}
+# The limit of one target of each service in the calm seconds at the end.
+CALM_LIMIT = "0.5"
 
 Hurt = Callable[[random.Random], str]
 
@@ -54,6 +58,7 @@
             self._spoil_target,
             self._spoil_target,
             self._take_target_away,
+            self._limit_target,
             self._change_configuration,
             self._revoke,
             *([self._harm_link] * bool(self.proxies)),
@@ -75,6 +80,7 @@
             endpoint.trouble = StoreFault.NONE
         for target in self.targets:
             target.faults_left = 0
+            self._end_limit(target)
         for proxy in self.proxies:
             proxy.harm = Harm.NONE
             proxy.cut()
@@ -113,6 +119,40 @@
         self.changes.left_at[target.id] = asyncio.get_running_loop().time()
         return "target leaves"
 
+    def _limit_target(self) -> str:
+        target = self.rng.choice(self.targets)
+        if target.rate_limit:
+            self._end_limit(target)
+            return "target names no limit"
+        text, rate = self.rng.choice(list(LIMITS.items()))
+        target.rate_limit = text
+        # Entries that are stopped, killed, paused or cut off are excused (issue 31).
+        if rate is not None and not self.hurts and not self.proxies:
+            self._record_limit(target, rate)
+        return f"target names limit {text}"
+
+    def limit_for_calm(self) -> None:
+        """Let one target of each service that has others name a limit."""
+        ready: dict[str, list[TargetStandin]] = {}
+        for target in self.targets:
+            if target.id not in self.changes.left_at:
+                ready.setdefault(target.service, []).append(target)
+        for target, *others in ready.values():
+            if others:
+                target.rate_limit = CALM_LIMIT
+                self._record_limit(target, float(CALM_LIMIT))
+
+    def _record_limit(self, target: TargetStandin, rate: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self.changes.limits.append(NamedLimit(target.id, rate, now))
+
+    def _end_limit(self, target: TargetStandin) -> None:
+        target.rate_limit = ""
+        now = asyncio.get_running_loop().time()
+        for limit in self.changes.limits:
+            if limit.target == target.id:
+                limit.until = min(limit.until, now)
+
     def _change_configuration(self) -> str:
         self._version += self.rng.randint(1, 4)
         write_configuration(self.store, self._version, self._keys())
--- a/src/lagoontide/bench/soak/play.py
+++ b/src/lagoontide/bench/soak/play.py
@@ -13,7 +13,8 @@
 
 KEYS = ["key-one", "key-two", "key-three"]
 RATE = 60.0
-CALM_S = 1.0
+# Long enough for limits that are named then to be broken after they are known.
+CALM_S = 3.0
 # After the last fault a target that rested, or a peer that was lost, is back.
 HEALED_S = 3.0
 
@@ -26,7 +27,7 @@
     heal: Callable[[], None] = lambda: None,
     settle: float = 0.0,
 ) -> SoakResult:
-    """Send requests under faults, then some in a calm second, and check all.
+    """Send requests under faults, then some in calm seconds, and check all.
 
     Parameters
     ----------
@@ -39,6 +40,7 @@
     await asyncio.gather(callers.run(seconds), faults.run(seconds))
     heal()
     await asyncio.sleep(HEALED_S + settle)
+    faults.limit_for_calm()
     left = [key for key in KEYS if key not in faults.changes.revoked_at]
     calm = Callers(addresses, left, RATE, callers.rng, name="c")
     await calm.run(CALM_S)
