Keep to the rate limits that targets name, as a sum over all entries

Cause: no entry read the limit in responses; targets were chosen by load, latency and prompt cache alone. The class of the fault: a value that a target states about itself for the whole fleet, used by none of its callers.

Why this works: a limit is divided among a few entries, its holders, which all entries select alike by hash of the target's id and the live entries' names; the others send nothing there. Entries learn of limits and their ends through their statuses, in a large fleet through hubs' sums; the store is not involved. A draining entry holds no share, one in a minority only its part of a division by all entries. Every send counts: retries, resumed streams, and at stage targets, which their owner alone calls, calls, freeing of results and busy queries. A limit that was not confirmed for 2 s gets the next request of a holder, and passes on to other holders if none has work, so that its end is seen; a limit of 0 still gets one request in 4 s. If all targets are limited, a request waits for its turn at most half of the time to its objective, divided by its rank, and is otherwise rejected at once; a target with a limit counts for less in the forecast of stages.

--- a/src/lagoontide/forward/attempt.py
+++ b/src/lagoontide/forward/attempt.py
@@ -33,11 +33,18 @@
 
 @dataclass(frozen=True, slots=True)
 class SendOptions:
-    """Values that may differ between the sends of one request."""
+    """Values that may differ between the sends of one request.
+
+    Attributes
+    ----------
+    has_turn : bool
+        Whether this send is already counted in the target's rate limit.
+    """
 
     urgency_level: int | None = None
     inputs: tuple[str, ...] = ()
     last_event_id: int | None = None
+    has_turn: bool = False
 
 
 class TargetResponse:
@@ -130,6 +137,10 @@
         If the request may have run.
     """
     loop = asyncio.get_running_loop()
+    if not options.has_turn and not state.rate_shares.take(target):
+        raise TargetUnreachable(
+            "over the target's rate limit", step="limit", peer=target.id
+        )
     pool = state.pools.pool_of(target)
     conn = await pool.acquire(
         CONNECT_TIMEOUT_S, is_at_most_once=not call.route.may_repeat
--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -15,6 +15,7 @@
 from lagoontide.targets.load import Loads
 from lagoontide.targets.pools import Pools
 from lagoontide.targets.rate_limits import RateLimits
+from lagoontide.targets.rate_shares import RateShares
 
 __all__ = ["Call", "ForwardingState"]
 
@@ -31,6 +32,8 @@
         Work in progress at targets, and long streams at engines.
     rate_limits : RateLimits
         Rate limits that targets name in their responses.
+    rate_shares : RateShares
+        What this entry may send within them.
     """
 
     failure_domain: str
@@ -42,6 +45,7 @@
     pools: Pools
     budget: RetryBudget
     rate_limits: RateLimits
+    rate_shares: RateShares
     route_table: RouteTable | None = None
 
 
--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -19,8 +19,10 @@
     Unknown,
 )
 from lagoontide.forward.prior_wait import PriorWaitEstimator
+from lagoontide.forward.retry_after import pick_limited_retry_after, pick_retry_after
+from lagoontide.forward.selection import is_beyond_limits
 from lagoontide.forward.stream import forward_stream
-from lagoontide.forward.unary import forward_unary, pick_retry_after
+from lagoontide.forward.unary import forward_unary
 from lagoontide.http1.messages import Fields, Response, field_value
 from lagoontide.http1.server import Request, ResponseWriter
 from lagoontide.routes.records import Account, RouteKind
@@ -132,6 +134,9 @@
 
     async def _forward(self, call: Call, reply: ResponseWriter) -> Outcome:
         self._state.budget.record_request(call.service)
+        if is_beyond_limits(self._state, call):
+            after = pick_limited_retry_after(self._state, call, self._rng)
+            return NotRun("all targets at their rate limits", after)
         inputs = self._make_inputs(call) if call.route.stages else NoInputs()
         try:
             inputs.admit()
--- /dev/null
+++ b/src/lagoontide/forward/selection.py
@@ -0,0 +1,85 @@
+"""Targets that may get a request within the rate limits that they name."""
+
+import asyncio
+from collections.abc import Collection
+
+from lagoontide.forward.call import Call, ForwardingState
+from lagoontide.routes.urgency import levels_below_highest
+from lagoontide.targets.choose import Choice, usable
+from lagoontide.targets.records import Target
+
+__all__ = ["candidates", "is_beyond_limits", "wait_for_turn"]
+
+# A request waits for its turn at a limited target for at most this share of the time
+# to its objective, or of all the time left to it if that is more, and the less the less
+# urgent it is.
+OBJECTIVE_WAIT_SHARE = 0.5
+TIME_WAIT_SHARE = 0.2
+
+
+def candidates(
+    state: ForwardingState, service: str, tried: Collection[str]
+) -> list[Target]:
+    """Return the untried targets that may get a request now.
+
+    If the limit of some of them was not confirmed lately, only these: their responses
+    show whether it has ended.
+    """
+    shares = state.rate_shares
+    targets = usable(
+        shares.admitting(state.directory.ready(service)), state.health, tried
+    )
+    due = [
+        target
+        for target in targets
+        if shares.is_due(target) and not state.health.is_backed_off(target)
+    ]
+    return due or targets
+
+
+def is_beyond_limits(state: ForwardingState, call: Call) -> bool:
+    """Return whether all targets are limited, with no turn for a call in time."""
+    ready = state.directory.ready(call.service)
+    wait = state.rate_shares.shortest_wait(ready)
+    if not ready or wait <= _max_wait(call):
+        return False
+    call.choices.append(
+        f"all {len(ready)} targets at their rate limits: turn in {wait:.2f} s, "
+        f"waits at most {_max_wait(call):.2f} s"
+    )
+    return True
+
+
+async def wait_for_turn(
+    state: ForwardingState, call: Call, tried: Collection[str]
+) -> Choice | None:
+    """Reserve the next request to a limited target, and wait until it may be sent.
+
+    Returns None if there is no target, or no turn in time.
+    """
+    untried = [
+        target
+        for target in state.directory.ready(call.service)
+        if target.id not in tried
+    ]
+    if not untried:
+        return None
+    shares = state.rate_shares
+    target = min(untried, key=shares.wait)
+    wait = shares.wait(target)
+    if wait > _max_wait(call):
+        return None
+    shares.charge(target)
+    try:
+        await asyncio.sleep(wait)
+    except asyncio.CancelledError:
+        shares.refund(target)
+        raise
+    return Choice(target, wait, f"turn after {wait:.2f} s", has_turn=True)
+
+
+def _max_wait(call: Call) -> float:
+    """Return the longest time in seconds that a call waits for its turn."""
+    to_objective = call.objective_at - call.deadline + call.time_left
+    longest = max(OBJECTIVE_WAIT_SHARE * to_objective, TIME_WAIT_SHARE * call.time_left)
+    return max(0.0, longest) / (1 + levels_below_highest(call.urgency))
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -19,11 +19,12 @@
 from lagoontide.forward.events import Event, EventSplitter
 from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
+from lagoontide.forward.retry_after import pick_limited_retry_after
+from lagoontide.forward.selection import candidates, wait_for_turn
 from lagoontide.forward.unary import (
     MAX_ERROR_BODY_BYTES,
     describe_choice,
     is_server_error,
-    pick_retry_after,
 )
 from lagoontide.http1.messages import (
     Response,
@@ -38,7 +39,6 @@
     choose_engine_target,
     choose_lowest_cost,
     choose_stream_target,
-    usable,
 )
 from lagoontide.targets.records import Target
 
@@ -123,13 +123,17 @@
         call.record_step("inputs")
         choice = choose_engine(state, call, tried, rng, inputs.bytes_by_domain())
         is_retry = call.send_tracker.sends > 0
+        if choice is None and not is_retry:
+            choice = await wait_for_turn(state, call, tried)
         if choice is None or (is_retry and not state.budget.take(call.service)):
             break
         target = choice.target
         tried.add(target.id)
         ready = len(state.directory.ready(call.service))
         call.choices.append(describe_choice(state, choice, ready))
-        options = SendOptions(_urgency_level(call), handles, progress.last_event_id)
+        options = SendOptions(
+            _urgency_level(call), handles, progress.last_event_id, choice.has_turn
+        )
         log = logger.bind(request=call.metadata.request_id, target=target.id)
         try:
             outcome = await _relay_from_target(
@@ -159,7 +163,8 @@
             break
     if progress.is_started:
         return Relayed(is_complete=False, reason=reason)
-    return call.send_tracker.failure_outcome(reason, pick_retry_after(rng))
+    after = pick_limited_retry_after(state, call, rng)
+    return call.send_tracker.failure_outcome(reason, after)
 
 
 def choose_engine(
@@ -178,7 +183,7 @@
     inputs : mapping
         Bytes of stage results that the target has to fetch, by failure domain.
     """
-    targets = usable(state.directory.ready(call.service), state.health, tried)
+    targets = candidates(state, call.service, tried)
     parts = call.metadata.prompt_parts
     if not parts:
         return choose_lowest_cost(
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -14,6 +14,8 @@
 )
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
+from lagoontide.forward.retry_after import pick_limited_retry_after
+from lagoontide.forward.selection import candidates, wait_for_turn
 from lagoontide.http1.messages import (
     Response,
     ResponseHead,
@@ -21,7 +23,7 @@
     is_success,
 )
 from lagoontide.http1.server import ResponseWriter
-from lagoontide.targets.choose import Choice, choose_lowest_cost, usable
+from lagoontide.targets.choose import Choice, choose_lowest_cost
 from lagoontide.targets.records import Target
 
 __all__ = [
@@ -29,7 +31,6 @@
     "describe_choice",
     "forward_unary",
     "is_server_error",
-    "pick_retry_after",
 ]
 
 # A refusal after this many sends in total ends the request.
@@ -45,8 +46,6 @@
 # response time, but not before this share of its objective.
 ATTEMPT_TIMEOUT_FACTOR = 4.0
 MIN_ATTEMPT_TIMEOUT_SHARE = 0.4
-# Randomized so that refused callers do not all retry at once.
-RETRY_AFTER_RANGE_S = (0.1, 0.4)
 
 
 def is_server_error(status: int) -> bool:
@@ -54,11 +53,6 @@
     return status >= MIN_SERVER_ERROR_STATUS
 
 
-def pick_retry_after(rng: random.Random) -> float:
-    """Return a random Retry-After value, in seconds."""
-    return round(rng.uniform(*RETRY_AFTER_RANGE_S), 2)
-
-
 def describe_choice(state: ForwardingState, choice: Choice, targets: int) -> str:
     """Return the chosen target and the values behind the choice, for the log.
 
@@ -86,23 +80,26 @@
     failure: Answered | None = None
     reason = "no target"
     while True:
-        targets = state.directory.ready(call.service)
         choice = choose_lowest_cost(
-            usable(targets, state.health, tried),
+            candidates(state, call.service, tried),
             state.loads,
             state.health,
             state.failure_domain,
             rng,
         )
         is_retry = call.send_tracker.sends > 0
+        if choice is None and not is_retry:
+            choice = await wait_for_turn(state, call, tried)
         if choice is None or (is_retry and not state.budget.take(call.service)):
             break
         target = choice.target
         tried.add(target.id)
-        call.choices.append(describe_choice(state, choice, len(targets)))
+        ready = len(state.directory.ready(call.service))
+        call.choices.append(describe_choice(state, choice, ready))
+        options = SendOptions(has_turn=choice.has_turn)
         log = logger.bind(request=call.metadata.request_id, target=target.id)
         try:
-            answer = await _try_target(state, call, target, reply)
+            answer = await _try_target(state, call, target, options, reply)
         except TargetUnreachable as exc:
             reason = str(exc)
             log.info("request did not run at the target: {}", exc)
@@ -126,11 +123,16 @@
             log.info("target responded with status {}", answer.response.status)
         if not call.can_retry():
             break
-    return failure or call.send_tracker.failure_outcome(reason, pick_retry_after(rng))
+    after = pick_limited_retry_after(state, call, rng)
+    return failure or call.send_tracker.failure_outcome(reason, after)
 
 
 async def _try_target(
-    state: ForwardingState, call: Call, target: Target, reply: ResponseWriter
+    state: ForwardingState,
+    call: Call,
+    target: Target,
+    options: SendOptions,
+    reply: ResponseWriter,
 ) -> Answered | Relayed:
     """Send the request to one target, and record its load and health."""
     loop = asyncio.get_running_loop()
@@ -139,7 +141,9 @@
     state.loads.begin(target)
     try:
         with record_losses(state.health, target):
-            answer = await _send_with_timeout(state, call, target, reply, timeout)
+            answer = await _send_with_timeout(
+                state, call, target, options, reply, timeout
+            )
     finally:
         state.loads.end(target)
     failed = isinstance(answer, Answered) and is_server_error(answer.response.status)
@@ -151,6 +155,7 @@
     state: ForwardingState,
     call: Call,
     target: Target,
+    options: SendOptions,
     reply: ResponseWriter,
     timeout: float | None,
 ) -> Answered | Relayed:
@@ -158,7 +163,7 @@
     started_at = loop.time()
     try:
         async with asyncio.timeout(timeout):
-            response = await start_attempt(state, call, target, SendOptions())
+            response = await start_attempt(state, call, target, options)
             try:
                 return await _read_response(response, reply)
             finally:
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -36,6 +36,7 @@
 from lagoontide.targets.load import Loads
 from lagoontide.targets.pools import Pools
 from lagoontide.targets.rate_limits import RateLimits
+from lagoontide.targets.rate_shares import RateShares
 from lagoontide.wire.codec import make_codec
 from lagoontide.wire.conn import Context, Identity, connect
 from lagoontide.wire.router import Router
@@ -64,7 +65,7 @@
         The platform's header fields.
     make_piece_client : callable
         Returns a client for stage targets that uses the given connection pools and
-        reports the rate limits that targets name.
+        rate limits.
     ready_path : bytes
         Path of the balancer's readiness probe.
     """
@@ -72,7 +73,7 @@
     store: RevisionStore
     field_codec: FieldCodec
     decoders: Decoders
-    make_piece_client: Callable[[Pools, RateLimits], PieceClient]
+    make_piece_client: Callable[[Pools, RateShares], PieceClient]
     ready_path: bytes
 
 
@@ -87,11 +88,12 @@
 
     def __init__(self, cfg: GatewaySettings, ctx: Context, platform: Platform) -> None:
         loop = asyncio.get_running_loop()
+        self._clock = loop.time
         self.cfg = cfg
         self.is_draining = False
         self._platform = platform
         self._rng = random.Random(cfg.name)
-        self.state = self._make_state(loop.time)
+        self.state = self._make_state(self._clock)
         self.store_view = StoreView(
             self.state, platform.decoders, lambda: self.follower.up_since, loop.time
         )
@@ -174,6 +176,7 @@
 
     def _make_state(self, clock: Callable[[], float]) -> ForwardingState:
         cfg, bounds = self.cfg, self.cfg.bounds
+        limits = RateLimits(clock)
         return ForwardingState(
             failure_domain=cfg.failure_domain,
             field_codec=self._platform.field_codec,
@@ -191,7 +194,10 @@
                 self._count_entries,
                 clock,
             ),
-            rate_limits=RateLimits(clock),
+            rate_limits=limits,
+            rate_shares=RateShares(
+                limits, cfg.name, lambda: self.mesh.limit_sharers(), clock
+            ),
         )
 
     def _make_mesh(self, ctx: Context) -> None:
@@ -219,11 +225,16 @@
             self.peer_sync.is_cut_off,
         )
         self.mesh.add_addresses(f"{host}:{port}" for host, port in cfg.seeds)
+        # The owner of a stage target is the only entry that calls it.
+        self._stage_shares = RateShares(
+            self.state.rate_limits, cfg.name, lambda: (cfg.name,), self._clock
+        )
         self.dispatcher = OrderDispatcher(
             self.mesh,
             self.state.directory,
-            self._platform.make_piece_client(self.state.pools, self.state.rate_limits),
+            self._platform.make_piece_client(self.state.pools, self._stage_shares),
             self._find_service,
+            self._stage_shares,
         )
         router = Router()
         for part in (self.mesh, self.peer_sync, self.dispatcher):
@@ -278,6 +289,8 @@
             self.state.pools.keep_only(keys)
             self.state.health.keep_only(keys)
             self.state.rate_limits.keep_only(keys)
+            self.state.rate_shares.keep_only(keys)
+            self._stage_shares.keep_only(keys)
             self.mesh.add_addresses(
                 entry.address for entry in self.store_view.entries.values()
             )
--- a/src/lagoontide/gateway/peer_sync.py
+++ b/src/lagoontide/gateway/peer_sync.py
@@ -127,6 +127,7 @@
             leaving_targets=self._state.directory.recently_leaving(),
             peers=self.mesh.addresses(),
             needs=self._demand.own(),
+            limits=self._state.rate_limits.own_reports(),
         )
 
     def record_status(self, status: Status, counts_work: bool) -> None:
@@ -140,6 +141,7 @@
         if counts_work:
             self._record_work(status.name, status)
         self._state.directory.mark_reported_leaving(status.leaving_targets, status.name)
+        self._state.rate_limits.merge(status.name, status.limits)
         must_catch_up = self._is_store_down() or self._is_configuration_behind(status)
         self._catch_up_if(
             must_catch_up and status.as_of > self._follower.as_of, status.name
@@ -152,6 +154,7 @@
         self._state.directory.mark_reported_leaving(
             sums.leaving_targets, AGGREGATE_PEER
         )
+        self._state.rate_limits.merge(AGGREGATE_PEER, sums.limits)
 
     def _record_work(self, name: str, report: Status | Sums) -> None:
         self._state.loads.update_peer(name, report.loads)
--- a/src/lagoontide/mesh/hub.py
+++ b/src/lagoontide/mesh/hub.py
@@ -10,6 +10,7 @@
 from lagoontide.mesh.layout import Layout
 from lagoontide.mesh.messages import GroupSum, Member, Needs, Status, Sums
 from lagoontide.targets.peer_reports import PeerReports
+from lagoontide.targets.rate_limits import LimitReport
 
 __all__ = ["Hub", "digest_of"]
 
@@ -23,7 +24,7 @@
 
 @dataclass(slots=True)
 class _Totals:
-    """Summed statuses of several entries."""
+    """Summed statuses of several entries, with the times of their rate limits."""
 
     loads: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
     streams: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
@@ -31,6 +32,7 @@
         default_factory=lambda: defaultdict(float)
     )
     leaving_targets: set[tuple[str, int]] = field(default_factory=set)
+    limits: dict[tuple[str, int], LimitReport] = field(default_factory=dict)
 
     def add(self, part: Status | GroupSum) -> None:
         """Add the status of an entry or the sums of a group."""
@@ -40,11 +42,21 @@
         for service, urgency, seconds in part.needs:
             self.needs[service, urgency] += seconds
         self.leaving_targets.update(part.leaving_targets)
+        for report in part.limits:
+            known = self.limits.get(report[:2])
+            if known is None or report[3] > known[3]:
+                self.limits[report[:2]] = report
 
     def excluding(
-        self, own: Status | None = None
-    ) -> tuple[dict[str, float], dict[str, float], Needs, tuple[tuple[str, int], ...]]:
-        """Return loads, streams, needs and leaving targets.
+        self, now: float, own: Status | None = None
+    ) -> tuple[
+        dict[str, float],
+        dict[str, float],
+        Needs,
+        tuple[tuple[str, int], ...],
+        list[LimitReport],
+    ]:
+        """Return loads, streams, needs, leaving targets and rate limits.
 
         The loads, streams and needs of ``own`` are subtracted.
         """
@@ -54,6 +66,7 @@
             _subtract(self.streams, own.streams if own else {}),
             [(*key, seconds) for key, seconds in _subtract(self.needs, needs).items()],
             tuple(self.leaving_targets),
+            _reverse_ages(self.limits.values(), now),
         )
 
 
@@ -83,11 +96,15 @@
 
     def record_status(self, status: Status) -> None:
         """Record the status of an entry of the group."""
-        self._statuses.update(status.name, status)
+        limits = _reverse_ages(status.limits, self._clock())
+        self._statuses.update(
+            status.name, msgspec.structs.replace(status, limits=limits)
+        )
 
     def record_group_sum(self, peer: str, message: GroupSum) -> None:
         """Record the sums of another group, received from one of its hubs."""
-        self._groups.update(peer, message)
+        limits = _reverse_ages(message.limits, self._clock())
+        self._groups.update(peer, msgspec.structs.replace(message, limits=limits))
 
     def serve(
         self, layout: Layout, own: Status, without: Collection[str]
@@ -108,7 +125,7 @@
         if now - self._hub_since < WARM_UP_S:
             return None
         group = _Totals()
-        group.add(own)
+        group.add(msgspec.structs.replace(own, limits=_reverse_ages(own.limits, now)))
         for status in members:
             group.add(status)
         listed = tuple(map(_member, [own, *members]))
@@ -123,7 +140,7 @@
             if name != layout.group
             for hub in layout.hubs(name, without)
         }
-        message = GroupSum(layout.group, listed, *group.excluding())
+        message = GroupSum(layout.group, listed, *group.excluding(now))
         for hub in recipients:
             self._send_message(hub, message)
         for part in _largest_per_group(others.values()):
@@ -140,13 +157,14 @@
     ) -> Sums:
         roster = tuple(sorted(listed, key=lambda member: member.name))
         digest = digest_of(roster)
+        now = self._clock()
         for status in members:
             if status.wants_sums:
                 new_roster = None if status.digest == digest else roster
                 self._send_message(
-                    status.name, Sums(digest, new_roster, *total.excluding(status))
+                    status.name, Sums(digest, new_roster, *total.excluding(now, status))
                 )
-        return Sums(digest, roster, *total.excluding(own))
+        return Sums(digest, roster, *total.excluding(now, own))
 
 
 def digest_of(roster: Iterable[Member]) -> int:
@@ -172,3 +190,8 @@
     """Return ``total`` minus ``own``, without values up to ``MIN_LOAD``."""
     rest = ((key, work - own.get(key, 0.0)) for key, work in total.items())
     return {key: round(work, 3) for key, work in rest if work > MIN_LOAD}
+
+
+def _reverse_ages(reports: Iterable[LimitReport], now: float) -> list[LimitReport]:
+    """Return reports with times in place of ages, or with ages in place of times."""
+    return [(name, born, rate, now - at) for name, born, rate, at in reports]
--- a/src/lagoontide/mesh/messages.py
+++ b/src/lagoontide/mesh/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from lagoontide.mesh.registration import EntryRecord
+from lagoontide.targets.rate_limits import LimitReport
 from lagoontide.targets.records import Target
 
 __all__ = [
@@ -51,6 +52,8 @@
         Digest of its roster; see ``Sums``.
     wants_sums : bool
         Whether the hub that receives this status should reply with ``Sums``.
+    limits : list
+        Rate limits of targets that this entry was the last to observe.
     """
 
     name: str
@@ -67,6 +70,7 @@
     group: str = ""
     digest: int = 0
     wants_sums: bool = False
+    limits: list[LimitReport] = []
 
 
 class StoreSnapshotRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -156,6 +160,8 @@
         As in ``Status``, summed over the members.
     leaving_targets : tuple
         As in ``Status``, the union over the members.
+    limits : list
+        As in ``Status``, the latest of the members.
     """
 
     group: str
@@ -164,6 +170,7 @@
     streams: dict[str, float] = {}
     needs: Needs = []
     leaving_targets: tuple[tuple[str, int], ...] = ()
+    limits: list[LimitReport] = []
 
 
 class Sums(msgspec.Struct, frozen=True, array_like=True, tag="sums"):
@@ -183,6 +190,7 @@
     streams: dict[str, float] = {}
     needs: Needs = []
     leaving_targets: tuple[tuple[str, int], ...] = ()
+    limits: list[LimitReport] = []
 
 
 MESSAGES = (
--- a/src/lagoontide/mesh/peers.py
+++ b/src/lagoontide/mesh/peers.py
@@ -13,6 +13,7 @@
 from lagoontide.mesh.hub_monitor import HubMonitor
 from lagoontide.mesh.layout import Layout, make_layout
 from lagoontide.mesh.messages import Follow, GroupSum, Status, Sums
+from lagoontide.mesh.partition import minority
 from lagoontide.mesh.registration import EntryRecord
 from lagoontide.mesh.roster import Roster
 from lagoontide.wire.conn import Conn
@@ -145,25 +146,23 @@
         return len(self._known_addresses) > 1 + len(self._peers)
 
     def minority_position(self) -> tuple[int, int] | None:
-        """Return this entry's index and the number of entries, if it is in a minority.
+        """Return this entry's index and the number of entries, if in a ``minority``."""
+        names = self._minority()
+        return None if names is None else (names.index(self.name), len(names))
 
-        An entry is in a minority if it hears fewer than half of the entries, itself
-        included, or in a full mesh exactly half without being the first by name. The
-        others do not hear it either, so it uses only its own share of what cannot be
-        divided without coordination.
+    def limit_sharers(self) -> tuple[str, ...]:
+        """Return the entries that divide the rate limits of targets; none at first.
+
+        In a minority these are all entries, so that it uses only its own part.
         """
+        return () if self.is_settling() else self._minority() or self.live()
+
+    def _minority(self) -> tuple[str, ...] | None:
         if self._is_large_fleet():
-            names = sorted({self.name, *self._registered})
             heard = len(self.roster) if self.roster.is_fresh else 1
-            if 2 * heard < len(names):
-                return names.index(self.name), len(names)
-            return None
-        names = sorted((self.name, *self._peers))
+            return minority(self.name, self._registered, heard)
         heard = 1 + sum(not peer.is_lost for peer in self._peers.values())
-        is_half = 2 * heard == len(names) and self.name != names[0]
-        if 2 * heard < len(names) or is_half:
-            return names.index(self.name), len(names)
-        return None
+        return minority(self.name, self._peers, heard, first_wins_half=True)
 
     def is_lost(self, name: str) -> bool:
         """Return whether another entry is lost; one that is draining is not."""
--- a/src/lagoontide/pieces/batch.py
+++ b/src/lagoontide/pieces/batch.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
+from lagoontide.pieces.records import Piece
 from lagoontide.routes.urgency import levels_below_highest
 
 __all__ = [
@@ -13,6 +14,7 @@
     "fill_batch",
     "rank_groups",
     "select_held_groups",
+    "to_piece",
 ]
 
 # In the ranking, each priority level below the highest postpones ``due_at`` by this
@@ -80,6 +82,19 @@
     number: int
 
 
+def to_piece(item: BatchItem, now: float) -> Piece:
+    """Return a selected piece as it is sent to a target."""
+    group = item.group
+    return Piece(
+        group.request_id,
+        group.stage,
+        item.number,
+        group.key,
+        group.inputs,
+        group.deadline - now,
+    )
+
+
 def rank_groups(
     groups: Iterable[PieceGroup], now: float, duration: float
 ) -> list[PieceGroup]:
--- a/src/lagoontide/pieces/demand.py
+++ b/src/lagoontide/pieces/demand.py
@@ -59,7 +59,7 @@
 
 
 def predict_wait(
-    demand: TotalDemand, service: str, urgency: int, targets: int
+    demand: TotalDemand, service: str, urgency: int, targets: float
 ) -> float:
     """Return the expected seconds that a request waits at a service.
 
@@ -84,7 +84,7 @@
     demand: TotalDemand,
     service: str,
     urgency: int,
-    targets: int,
+    targets: float,
     share: float,
 ) -> float:
     """Return the wait if an urgency had a fixed share of the targets for itself."""
--- a/src/lagoontide/pieces/dispatcher.py
+++ b/src/lagoontide/pieces/dispatcher.py
@@ -15,6 +15,7 @@
 from lagoontide.routes.records import Service
 from lagoontide.targets.choose import weighted_rendezvous_score
 from lagoontide.targets.directory import Directory
+from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target
 from lagoontide.tasks import TaskSet
 from lagoontide.wire.conn import Conn
@@ -67,6 +68,8 @@
     ----------
     service_of : callable
         Returns a service of the current configuration.
+    rate_shares : RateShares
+        Calls that the rate limits of stage targets admit.
     """
 
     def __init__(
@@ -75,7 +78,9 @@
         directory: Directory,
         client: PieceClient,
         service_of: Callable[[str], Service],
+        rate_shares: RateShares,
     ) -> None:
+        self._rate_shares = rate_shares
         self._peers = peers
         self._directory = directory
         self._client = client
@@ -112,6 +117,20 @@
         """Return the targets of a service that accept work."""
         return self._directory.ready(service)
 
+    def target_equivalents(self, service: str) -> float:
+        """Return how many targets without a rate limit would do as much work."""
+        settings = self._service_of(service).piece_settings
+        targets = self.targets(service)
+        if settings is None:
+            return len(targets)
+        call = settings.call_time + settings.batch * settings.piece_time
+        limits = self._rate_shares.limits
+        rates = (limits.rate_of(target) for target in targets)
+        return sum(
+            1.0 if rate is None else min(1.0, rate * call / max(1, settings.slots))
+            for rate in rates
+        )
+
     def domain_of(self, handle: str) -> str:
         """Return the failure domain of a result; empty if its target is unknown."""
         target = self._directory.at_address(self._client.address_of(handle))
@@ -203,6 +222,7 @@
                 self._client,
                 lambda: self._callable_targets(service, shard),
                 self._free_fetched,
+                self._rate_shares,
             )
             self._owners[service, shard] = owner
             logger.info(
--- a/src/lagoontide/pieces/forecast.py
+++ b/src/lagoontide/pieces/forecast.py
@@ -20,7 +20,7 @@
     call: Call,
     graph: StageGraph,
     total: TotalDemand,
-    count_targets: Callable[[str], int],
+    count_targets: Callable[[str], float],
     calibration: Calibration,
     now: float,
 ) -> Forecast:
@@ -31,7 +31,7 @@
     total : mapping
         Target seconds needed by admitted requests, by service and urgency.
     count_targets : callable
-        Returns the number of targets of a service.
+        Returns the number of targets of a service; one with a rate limit counts less.
     now : float
         Loop time.
     """
--- a/src/lagoontide/pieces/inputs.py
+++ b/src/lagoontide/pieces/inputs.py
@@ -76,7 +76,7 @@
             self._call,
             self._graph,
             self._demand.total(),
-            lambda service: len(self._dispatcher.targets(service)),
+            self._dispatcher.target_equivalents,
             self._calibration,
             self._loop.time(),
         )
--- a/src/lagoontide/pieces/owner.py
+++ b/src/lagoontide/pieces/owner.py
@@ -14,15 +14,17 @@
     fill_batch,
     rank_groups,
     select_held_groups,
+    to_piece,
 )
 from lagoontide.pieces.costs import CallCosts
 from lagoontide.pieces.hedging import HEDGE_RATIO, make_hedged
 from lagoontide.pieces.messages import Order, OrderDone
-from lagoontide.pieces.records import Failure, Piece, PieceClient, PieceResult
+from lagoontide.pieces.records import Failure, PieceClient, PieceResult
 from lagoontide.pieces.result_memory import ResultMemory
 from lagoontide.pieces.room import select_fitting_groups
 from lagoontide.pieces.target_tracker import StoredResult, TargetTracker, TrackedTarget
 from lagoontide.routes.records import PieceSettings
+from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target
 from lagoontide.tasks import TaskSet
 
@@ -56,6 +58,8 @@
         Returns the targets that accept work.
     on_fetched : callable
         Called with inputs that all of their pieces have fetched.
+    rate_shares : RateShares
+        Calls that the rate limits of targets admit.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         client: PieceClient,
         ready: Callable[[], tuple[Target, ...]],
         on_fetched: Callable[[tuple[str, ...]], None],
+        rate_shares: RateShares,
     ) -> None:
         self._on_fetched = on_fetched
         self.service = service
@@ -74,7 +79,7 @@
         self._client = client
         self._ready = ready
         self._loop = asyncio.get_running_loop()
-        self._tracker = TargetTracker(self._loop.time)
+        self._tracker = TargetTracker(self._loop.time, rate_shares)
         self._costs = CallCosts(settings)
         self._orders: dict[tuple[str, int], _PendingOrder] = {}
         self._last_call_at = 0.0
@@ -229,6 +234,7 @@
         for item in batch:
             item.group.waiting.remove(item.number)
             tracked.reserved_bytes += item.group.result_bytes
+        self._tracker.rate_shares.charge(tracked.target)
         tracked.calls += 1
         tracked.last_call_at = self._last_call_at = now
         self.calls_made += 1
@@ -248,7 +254,7 @@
             results = await make_hedged(
                 self._client,
                 tracked.target,
-                tuple(_to_piece(item, started_at) for item in batch),
+                tuple(to_piece(item, started_at) for item in batch),
                 expected,
                 lambda: self._requeue(batch),
             )
@@ -386,15 +392,3 @@
             ):
                 del self._orders[key]
                 self._close_order(pending, OrderDone(failure=Failure.DEADLINE_EXCEEDED))
-
-
-def _to_piece(item: BatchItem, now: float) -> Piece:
-    group = item.group
-    return Piece(
-        group.request_id,
-        group.stage,
-        item.number,
-        group.key,
-        group.inputs,
-        group.deadline - now,
-    )
--- a/src/lagoontide/pieces/records.py
+++ b/src/lagoontide/pieces/records.py
@@ -77,7 +77,8 @@
     async def is_busy(self, target: Target) -> bool:
         """Return whether a target reports work in progress, asked on a new connection.
 
-        A target that does not answer counts as idle.
+        A target that does not answer counts as idle, one whose rate limit does not
+        admit the question as busy.
         """
 
     async def query_free_bytes(self, target: Target) -> float:
--- a/src/lagoontide/pieces/result_memory.py
+++ b/src/lagoontide/pieces/result_memory.py
@@ -15,6 +15,8 @@
 
 # Results freed within this time share a call.
 FREE_BATCH_WINDOW_S = 0.004
+# The same at a target that names a rate limit, which counts these calls too.
+LIMITED_FREE_BATCH_WINDOW_S = 1.0
 
 
 class ResultMemory:
@@ -39,10 +41,11 @@
     def free(self, handles: tuple[str, ...]) -> None:
         """Free results, in one call for each target."""
         for handle in handles:
-            if not self._pending:
-                self._loop.call_later(FREE_BATCH_WINDOW_S, self._flush)
             address = self._client.address_of(handle)
-            self._pending.setdefault(address, []).append(handle)
+            if address not in self._pending:
+                self._pending[address] = []
+                self._loop.call_later(self._batch_window(address), self._flush, address)
+            self._pending[address].append(handle)
 
     def query_free_memory(
         self, tracked: TrackedTarget, settings: PieceSettings
@@ -55,15 +58,23 @@
         """Cancel all calls."""
         self._tasks.cancel()
 
-    def _flush(self) -> None:
-        pending, self._pending = self._pending, {}
-        for address, handles in pending.items():
-            tracked = self._tracker.by_address(address)
-            if tracked is None:
-                # The results are gone with the target.
-                logger.debug("{} results gone with target {}", len(handles), address)
-                continue
-            self._tasks.start(self._free_on(tracked, tuple(handles)))
+    def _batch_window(self, address: str) -> float:
+        tracked = self._tracker.by_address(address)
+        if (
+            tracked is None
+            or self._tracker.rate_shares.limits.get(tracked.target) is None
+        ):
+            return FREE_BATCH_WINDOW_S
+        return LIMITED_FREE_BATCH_WINDOW_S
+
+    def _flush(self, address: str) -> None:
+        handles = self._pending.pop(address)
+        tracked = self._tracker.by_address(address)
+        if tracked is None:
+            # The results are gone with the target.
+            logger.debug("{} results gone with target {}", len(handles), address)
+            return
+        self._tasks.start(self._free_on(tracked, tuple(handles)))
 
     async def _refresh_free_memory(
         self, tracked: TrackedTarget, settings: PieceSettings
--- a/src/lagoontide/pieces/target_tracker.py
+++ b/src/lagoontide/pieces/target_tracker.py
@@ -6,6 +6,7 @@
 
 from lagoontide.pieces.batch import DomainCapacity
 from lagoontide.routes.records import PieceSettings
+from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target
 
 __all__ = ["TargetTracker", "TrackedTarget"]
@@ -149,10 +150,16 @@
     ----------
     clock : callable
         Returns the seconds of a monotonic clock.
+
+    Attributes
+    ----------
+    rate_shares : RateShares
+        Calls that the rate limits of targets admit.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], rate_shares: RateShares) -> None:
         self._clock = clock
+        self.rate_shares = rate_shares
         self._tracked: dict[tuple[str, int], TrackedTarget] = {}
         self._ready: list[TrackedTarget] = []
 
@@ -186,6 +193,7 @@
                 for tracked in self._ready
                 if tracked.calls < slots
                 and tracked.backoff_until <= now
+                and self.rate_shares.wait(tracked.target) == 0.0
                 and (
                     tracked.slowness <= SLOW_RATIO * typical
                     or now - tracked.last_call_at > PROBE_INTERVAL_S
--- a/src/lagoontide/platform/daemon.py
+++ b/src/lagoontide/platform/daemon.py
@@ -38,8 +38,8 @@
         store=PlatformStore(*cfg.store),
         field_codec=PlatformFieldCodec(),
         decoders=Decoders(CONFIGURATION_KEY, decode_config, target_id, decode_target),
-        make_piece_client=lambda pools, rate_limits: PlatformPieceClient(
-            pools.pool_of, rate_limits
+        make_piece_client=lambda pools, shares: PlatformPieceClient(
+            pools.pool_of, shares
         ),
         ready_path=READY_PATH,
     )
--- a/src/lagoontide/platform/pieces.py
+++ b/src/lagoontide/platform/pieces.py
@@ -17,7 +17,7 @@
     decode_rate_limit,
 )
 from lagoontide.targets.pool import ConnPool
-from lagoontide.targets.rate_limits import RateLimits
+from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target
 
 __all__ = ["PlatformPieceClient"]
@@ -71,15 +71,15 @@
     ----------
     pool_of : callable
         Returns the connection pool of a target.
-    rate_limits : RateLimits
-        Takes the limits that targets name in their responses.
+    rate_shares : RateShares
+        What this entry may send within the rate limits that targets name.
     """
 
     def __init__(
-        self, pool_of: Callable[[Target], ConnPool], rate_limits: RateLimits
+        self, pool_of: Callable[[Target], ConnPool], rate_shares: RateShares
     ) -> None:
         self._pool_of = pool_of
-        self._rate_limits = rate_limits
+        self._rate_shares = rate_shares
 
     async def make(
         self, target: Target, pieces: tuple[Piece, ...], timeout: float
@@ -115,6 +115,7 @@
     async def free(self, target: Target, handles: tuple[str, ...]) -> None:
         """See PieceClient."""
         body = msgspec.json.encode({"handles": handles})
+        self._rate_shares.charge(target)
         answer = await self._call(target, b"POST", FREE_PATH, body, FREE_TIMEOUT_S)
         if answer.status != OK:
             raise TargetFailed(
@@ -123,6 +124,8 @@
 
     async def is_busy(self, target: Target) -> bool:
         """See PieceClient."""
+        if not self._rate_shares.take(target):
+            return True
         # All idle connections may be dead at once, so the probe opens a new one.
         self._pool_of(target).close_idle()
         try:
@@ -133,6 +136,7 @@
 
     async def query_free_bytes(self, target: Target) -> float:
         """See PieceClient."""
+        self._rate_shares.charge(target)
         report = await self._fetch_report(target, FREE_TIMEOUT_S)
         # free_mb is rounded down to whole megabytes: up to one more may be free.
         return (report.free_mb + 1.0) * BYTES_PER_MB
@@ -177,7 +181,7 @@
         finally:
             pool.release(conn, is_reusable)
         if answer.status != MISDIRECTED_STATUS:
-            self._rate_limits.observe(target, *decode_rate_limit(answer.fields))
+            self._rate_shares.limits.observe(target, *decode_rate_limit(answer.fields))
         return answer
 
 
--- a/src/lagoontide/targets/choose.py
+++ b/src/lagoontide/targets/choose.py
@@ -64,11 +64,14 @@
         ``choose_stream_target`` selected it.
     reason : str
         Reason for the selection, for the log.
+    has_turn : bool
+        Whether the request is already counted in the target's rate limit.
     """
 
     target: Target
     cost: float
     reason: str
+    has_turn: bool = False
 
 
 def usable(
--- a/src/lagoontide/targets/rate_limits.py
+++ b/src/lagoontide/targets/rate_limits.py
@@ -1,4 +1,4 @@
-"""Rate limits that targets name in their responses."""
+"""Rate limits that targets name in their responses, as known to all entries."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -7,10 +7,18 @@
 
 from lagoontide.targets.records import Target
 
-__all__ = ["RateLimit", "RateLimits"]
+__all__ = ["LimitReport", "RateLimit", "RateLimits"]
 
 # At most one line is logged in this time about the unreadable limits of a target.
 UNREADABLE_LOG_INTERVAL_S = 5.0
+# For this long peers are told that a target names a limit no more.
+ENDED_ADVERTISED_S = 3.0
+# A report replaces only what is older by more than its own time in transit.
+TRANSIT_S = 0.05
+
+# Id and start time of a target, its limit or None, and the age in seconds of the
+# response that named it.
+LimitReport = tuple[str, int, float | None, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,10 +32,13 @@
         named no limit.
     observed_at : float
         Clock time of the response.
+    is_own : bool
+        Whether this entry received the response, rather than a peer.
     """
 
     rate: float | None
     observed_at: float
+    is_own: bool = True
 
 
 class RateLimits:
@@ -61,18 +72,37 @@
         now = self._clock()
         if unreadable:
             self._log_unreadable(target, unreadable, now)
-            return
-        known = self._records.get(target.key)
-        if known is None and rate is None:
-            return
-        self._records[target.key] = RateLimit(rate, now)
-        before = None if known is None else known.rate
-        if before != rate:
-            logger.bind(target=target.id, service=target.service).info(
-                "target names rate limit: {}, before: {}",
-                _describe(rate),
-                _describe(before),
-            )
+        elif rate is not None or target.key in self._records:
+            self._record(target.key, RateLimit(rate, now), "its response")
+
+    def merge(self, peer: str, reports: Iterable[LimitReport]) -> None:
+        """Record the limits that a peer has observed, where they are the latest."""
+        now = self._clock()
+        for name, born, rate, age in reports:
+            known = self._records.get((name, born))
+            observed_at = now - max(0.0, age)
+            if known is None:
+                is_news = rate is not None
+            else:
+                is_news = observed_at > known.observed_at + TRANSIT_S
+            if is_news:
+                self._record(
+                    (name, born), RateLimit(rate, observed_at, is_own=False), peer
+                )
+
+    def own_reports(self) -> list[LimitReport]:
+        """Return the limits that no peer has observed later than this entry."""
+        now = self._clock()
+        return [
+            (*key, record.rate, round(now - record.observed_at, 3))
+            for key, record in self._records.items()
+            if record.is_own
+        ]
+
+    def get(self, target: Target) -> RateLimit | None:
+        """Return the limit of a target; None if it has none."""
+        record = self._records.get(target.key)
+        return None if record is None or record.rate is None else record
 
     def rate_of(self, target: Target) -> float | None:
         """Return the requests a second that a target takes; None for no limit."""
@@ -81,18 +111,34 @@
 
     def describe(self, target: Target) -> str:
         """Return the limit of a target and its age, for the log; empty if none."""
-        record = self._records.get(target.key)
-        if record is None or record.rate is None:
+        record = self.get(target)
+        if record is None:
             return ""
         age = self._clock() - record.observed_at
         return f"limit {_describe(record.rate)} named {age:.2f} s ago"
 
     def keep_only(self, keep: Iterable[tuple[str, int]]) -> None:
-        """Drop the limits of all targets but those with the given keys."""
+        """Drop limits that have ended, and those of targets without a given key."""
         kept = set(keep)
-        for records in (self._records, self._unreadable_logged_at):
-            for key in records.keys() - kept:
-                del records[key]
+        oldest = self._clock() - ENDED_ADVERTISED_S
+        for key, record in tuple(self._records.items()):
+            if key not in kept or (record.rate is None and record.observed_at < oldest):
+                del self._records[key]
+        for key in self._unreadable_logged_at.keys() - kept:
+            del self._unreadable_logged_at[key]
+
+    def _record(self, key: tuple[str, int], record: RateLimit, source: str) -> None:
+        known = self._records.get(key)
+        self._records[key] = record
+        before = None if known is None else known.rate
+        if before != record.rate:
+            logger.bind(target=key[0]).info(
+                "target names rate limit: {}, before: {}, from {}, {:.2f} s ago",
+                _describe(record.rate),
+                _describe(before),
+                source,
+                self._clock() - record.observed_at,
+            )
 
     def _log_unreadable(self, target: Target, text: str, now: float) -> None:
         logged_at = self._unreadable_logged_at.get(target.key)
--- /dev/null
+++ b/src/lagoontide/targets/rate_shares.py
@@ -0,0 +1,185 @@
+"""The share of this entry in the rate limits that targets name.
+
+A limit holds for all entries together. A few of them, its holders, divide it; the
+others send nothing to the target. All entries select the same holders by hash. Each
+holder has a token bucket for one request, which is empty when its share begins. A limit
+of N requests a second has at most N + 1 holders, so that a target gets at most 5 N + 1
+requests in 4 s, whatever the number of entries. Changes of the holders add nothing to
+that, as the next ones start with empty buckets.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from itertools import cycle, islice
+
+from loguru import logger
+
+from lagoontide.targets.choose import rendezvous_hash
+from lagoontide.targets.rate_limits import RateLimit, RateLimits
+from lagoontide.targets.records import Target
+
+__all__ = ["RateShares"]
+
+# A target with a lower limit still gets this many requests a second: its responses
+# show the end of the limit.
+MIN_RATE_PER_S = 0.25
+# The holders are selected anew in this interval, as entries come and go.
+SELECT_INTERVAL_S = 0.1
+# A limit that was not named again for this long is due for a request that would
+# otherwise go to another target.
+DUE_AFTER_S = 2.0
+# If nobody has heard of the target for this long, and for as long as a holder takes to
+# earn this many requests, its holders have no work for it: others take their place.
+MIN_TURN_S = 4.0
+TURN_REQUESTS = 2.0
+BUCKET_SIZE = 1.0
+# Absorbs rounding when a reserved request's time has come.
+EPSILON = 1e-9
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """Token bucket; a negative number of tokens is owed by requests already counted."""
+
+    updated_at: float
+    tokens: float = 0.0
+    rate: float = 0.0
+    limit: float | None = None
+    selected_at: float = float("-inf")
+
+    def refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self.updated_at)
+        self.tokens = min(BUCKET_SIZE, self.tokens + self.rate * elapsed)
+        self.updated_at = now
+
+    def wait(self) -> float:
+        missing = BUCKET_SIZE - self.tokens
+        if missing <= EPSILON:
+            return 0.0
+        return missing / self.rate if self.rate > 0 else float("inf")
+
+
+class RateShares:
+    """Decides which requests this entry may send to targets that name rate limits.
+
+    Parameters
+    ----------
+    name : str
+        Name of this entry.
+    members : callable
+        Returns the names of the entries that divide the limits.
+    clock : callable
+        Returns the seconds of a monotonic clock.
+    """
+
+    def __init__(
+        self,
+        limits: RateLimits,
+        name: str,
+        members: Callable[[], Sequence[str]],
+        clock: Callable[[], float],
+    ) -> None:
+        self.limits = limits
+        self._name = name
+        self._members = members
+        self._clock = clock
+        self._buckets: dict[tuple[str, int], _Bucket] = {}
+
+    def wait(self, target: Target) -> float:
+        """Return the seconds until this entry may send a request to a target.
+
+        0 if it may do so now; infinity if it has no share of the target's limit.
+        """
+        bucket = self._bucket(target)
+        return 0.0 if bucket is None else bucket.wait()
+
+    def shortest_wait(self, targets: Iterable[Target]) -> float:
+        """Return the shortest wait for one of some targets; 0 without targets."""
+        return min(map(self.wait, targets), default=0.0)
+
+    def admitting(self, targets: Iterable[Target]) -> list[Target]:
+        """Return the targets to which this entry may send a request now."""
+        return [target for target in targets if self.wait(target) == 0.0]
+
+    def is_due(self, target: Target) -> bool:
+        """Return whether a target's limit has not been confirmed for too long."""
+        limit = self.limits.get(target)
+        return limit is not None and self._age(limit) > DUE_AFTER_S
+
+    def take(self, target: Target) -> bool:
+        """Count a request and return True, or return False if it may not be sent."""
+        bucket = self._bucket(target)
+        if bucket is None:
+            return True
+        if bucket.wait() > 0.0:
+            return False
+        bucket.tokens -= 1.0
+        return True
+
+    def charge(self, target: Target) -> None:
+        """Count a request that is sent regardless; later ones wait for it."""
+        if (bucket := self._bucket(target)) is not None:
+            bucket.tokens -= 1.0
+
+    def refund(self, target: Target) -> None:
+        """Return the count of a request that was charged but not sent."""
+        if (bucket := self._buckets.get(target.key)) is not None:
+            bucket.tokens = min(BUCKET_SIZE, bucket.tokens + 1.0)
+
+    def keep_only(self, keep: Iterable[tuple[str, int]]) -> None:
+        """Drop the buckets of all targets but those with the given keys."""
+        for key in self._buckets.keys() - set(keep):
+            del self._buckets[key]
+
+    def _age(self, limit: RateLimit) -> float:
+        return max(0.0, self._clock() - limit.observed_at)
+
+    def _bucket(self, target: Target) -> _Bucket | None:
+        """Return the bucket of a target with its present share; None if unlimited."""
+        limit = self.limits.get(target)
+        if limit is None:
+            self._buckets.pop(target.key, None)
+            return None
+        now = self._clock()
+        bucket = self._buckets.get(target.key)
+        if bucket is None:
+            bucket = self._buckets[target.key] = _Bucket(now)
+        bucket.refill(now)
+        is_current = now - bucket.selected_at < SELECT_INTERVAL_S
+        if not is_current or bucket.limit != limit.rate:
+            bucket.selected_at, bucket.limit = now, limit.rate
+            self._set_share(bucket, target, limit)
+        return bucket
+
+    def _set_share(self, bucket: _Bucket, target: Target, limit: RateLimit) -> None:
+        members = self._members()
+        share = self._select_share(members, target, limit)
+        if share == bucket.rate:
+            return
+        if not bucket.rate:
+            bucket.tokens = min(bucket.tokens, 0.0)
+        bucket.rate = share
+        logger.bind(target=target.id, service=target.service).info(
+            "share of target's rate limit: {:.3g}/s of {:g}/s named {:.2f} s ago, "
+            "{} entries",
+            share,
+            limit.rate,
+            self._age(limit),
+            len(members),
+        )
+
+    def _select_share(
+        self, members: Sequence[str], target: Target, limit: RateLimit
+    ) -> float:
+        """Return the requests a second that this entry may send to a target."""
+        if self._name not in members or limit.rate is None:
+            return 0.0
+        number = len(members)
+        rate = max(limit.rate, MIN_RATE_PER_S)
+        holders = min(number, 1 + int(min(limit.rate, number)))
+        share = rate / holders
+        turn = int(self._age(limit) / max(MIN_TURN_S, TURN_REQUESTS / share))
+        first = turn * holders % number
+        ranked = sorted(members, key=lambda name: rendezvous_hash(target.id, name))
+        selected = islice(cycle(ranked), first, first + holders)
+        return share if self._name in selected else 0.0
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -14,6 +14,7 @@
 from lagoontide.forward.outcome import NotRun, SendTracker
 from lagoontide.platform.fields import PlatformFieldCodec
 from lagoontide.targets.directory import Directory
+from lagoontide.targets.rate_shares import RateShares
 
 SECONDS = 3.0
 # Of the calm requests at the end nearly all are served; a stop of the test's own
@@ -70,6 +71,11 @@
     patch.setattr(checker, "LEAVING_S", 0.5)
 
 
+def _ignore_rate_limits(patch):
+    patch.setattr(RateShares, "wait", lambda self, target: 0.0)
+    patch.setattr(RateShares, "take", lambda self, target: True)
+
+
 @pytest.mark.parametrize(
     ("take_out", "rule"),
     [
@@ -77,6 +83,7 @@
         (_believe_any_answer, "MIXED"),
         (_repeat_everything, "TWICE"),
         (_use_leaving_targets, "DRAIN"),
+        (_ignore_rate_limits, "LIMIT"),
     ],
 )
 def test_the_checker_finds_a_guard_that_is_taken_out(monkeypatch, take_out, rule):
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -229,6 +229,7 @@
             None,
             None,
             RateLimits(loop.time),
+            None,
         )
         self.store_view = StoreView(
             self.state,
--- a/tests/pieces/test_dispatcher.py
+++ b/tests/pieces/test_dispatcher.py
@@ -10,6 +10,7 @@
 from lagoontide.targets.records import Target, TargetState
 from lagoontide.wire.router import Router
 from tests.pieces.test_owner import WORK, FakeTargets
+from tests.support.limits import make_shares
 
 ORDER = Order("s", "r", "k/0", 0, 2, "key", (), 0, 1.0, 2.0, 10.0)
 
@@ -87,7 +88,11 @@
         )
     calls = FakeTargets()
     dispatcher = OrderDispatcher(
-        peers, directory, calls, lambda name: Service(name, piece_settings=work)
+        peers,
+        directory,
+        calls,
+        lambda name: Service(name, piece_settings=work),
+        make_shares(),
     )
     return dispatcher, calls
 
--- a/tests/pieces/test_inputs.py
+++ b/tests/pieces/test_inputs.py
@@ -15,7 +15,7 @@
 from lagoontide.routes.records import Account, Route, RouteKind, Service, Stage
 from tests.pieces.examples import WORK
 
-DISPATCHER = SimpleNamespace(targets=lambda service: ("a", "b"))
+DISPATCHER = SimpleNamespace(target_equivalents=lambda service: 2)
 
 
 def make_inputs(
@@ -119,7 +119,9 @@
         before = calibration.factor
         demand = Demand(loop.time)
         demand.add(Need("s", 0, 0.9))
-        dispatcher = SimpleNamespace(targets=DISPATCHER.targets, make=make)
+        dispatcher = SimpleNamespace(
+            target_equivalents=DISPATCHER.target_equivalents, make=make
+        )
         inputs = make_inputs(demand, 0, None, calibration, dispatcher)
         inputs.admit()
         assert inputs._call.choices[0].startswith("late")
--- a/tests/pieces/test_owner.py
+++ b/tests/pieces/test_owner.py
@@ -12,6 +12,7 @@
 from lagoontide.pieces.target_tracker import MAX_BACKOFF_S, MIN_BACKOFF_S, TrackedTarget
 from lagoontide.routes.records import PieceSettings
 from lagoontide.targets.records import Target, TargetState
+from tests.support.limits import make_shares
 from tests.support.waiting import wait_for
 
 WORK = PieceSettings(1, 4, 0.02, 0.002, 1e6, 4.0)
@@ -78,7 +79,9 @@
     async def main():
         calls = FakeTargets()
         fetched = []
-        owner = ShardOwner("s", WORK, calls, lambda: TARGETS, fetched.extend)
+        owner = ShardOwner(
+            "s", WORK, calls, lambda: TARGETS, fetched.extend, make_shares()
+        )
         try:
             await scenario(owner, calls, fetched)
         finally:
@@ -112,7 +115,9 @@
         calls.seconds = 0.1
         calls.silent = {"t0"}
         calls.at_work = at_work
-        owner = ShardOwner("s", settings, calls, lambda: TARGETS, lambda handles: None)
+        owner = ShardOwner(
+            "s", settings, calls, lambda: TARGETS, lambda handles: None, make_shares()
+        )
         orders = [owner.submit(make_order(f"r{n}", count=4), "me") for n in range(2)]
         done = await asyncio.wait_for(asyncio.gather(*orders), 2.0)
         assert all(len(item.handles) == 4 for item in done)
--- a/tests/targets/test_rate_limits.py
+++ b/tests/targets/test_rate_limits.py
@@ -65,9 +65,12 @@
         limits.observe(TARGET, rate)
         assert limits.rate_of(TARGET) == rate
     assert log == [
-        "target names rate limit: 2/s, before: none",
-        "target names rate limit: 1.5/s, before: 2/s",
-        "target names rate limit: none, before: 1.5/s",
+        f"target names rate limit: {change}, from its response, 0.00 s ago"
+        for change in (
+            "2/s, before: none",
+            "1.5/s, before: 2/s",
+            "none, before: 1.5/s",
+        )
     ]
 
 
