--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lagoontide.http1.messages import field_value
 from lagoontide.platform.standins.deployment import send, start_deployment
 from lagoontide.platform.standins.targets import TargetFault
 
@@ -95,3 +96,64 @@
             assert statuses.count(200) >= 0.95 * len(statuses)
 
     asyncio.run(main())
+
+
+def test_the_end_of_a_limit_is_seen_by_all_entries():
+    async def main():
+        async with start_deployment(4) as small:
+            limited = small.targets_of("plain")[0]
+            limited.rate_limit = "0"
+            await ask_for(small, 2.0, "/safe/a", [])
+            ready = small.gateways[0].state.directory.ready("plain")
+            target = next(item for item in ready if item.id == limited.id)
+            known = [item.state.rate_limits.rate_of(target) for item in small.gateways]
+            assert known == [0.0] * 4
+            limited.rate_limit = ""
+            # A limit of 0 still gets one request in 4 s.
+            await ask_for(small, 6.0, "/safe/a", [])
+            assert all(
+                item.state.rate_limits.get(target) is None for item in small.gateways
+            )
+            before = len(limited.arrived_at)
+            await ask_for(small, 1.0, "/safe/a", [])
+            assert len(limited.arrived_at) - before > 5
+
+    asyncio.run(main())
+
+
+# Guards against requests that wait for their deadline although no limit admits them.
+def test_requests_beyond_the_limits_of_all_targets_are_rejected_at_once():
+    async def main():
+        async with start_deployment(2) as small:
+            for target in small.targets_of("plain"):
+                target.rate_limit = "1"
+            await ask_for(small, 2.0, "/safe/a", [])
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            answers = await asyncio.gather(
+                *(send(small.ports[n % 2], "/safe/a", f"x{n}") for n in range(40))
+            )
+            rejected = [answer for answer in answers if answer.status == 503]
+            assert len(rejected) >= 30
+            assert len(rejected) + sum(item.status == 200 for item in answers) == 40
+            for answer in rejected:
+                assert 0.1 <= float(field_value(answer.fields, b"retry-after")) <= 0.7
+            # Those that were admitted waited for a turn, at most a fifth of their time.
+            assert loop.time() - started_at < 0.6
+
+    asyncio.run(main())
+
+
+def test_unreadable_limits_leave_answers_and_targets_as_they_are():
+    async def main():
+        async with start_deployment(1) as small:
+            for target, text in zip(
+                small.targets_of("plain"), ("nan", "-1", "9" * 400), strict=True
+            ):
+                target.rate_limit = text
+            statuses = await ask_for(small, 1.0, "/safe/a", [])
+            assert statuses.count(200) == len(statuses)
+            assert all(target.arrived_at for target in small.targets_of("plain"))
+            assert len(small.gateways[0].state.rate_limits) == 0
+
+    asyncio.run(main())
--- a/tests/mesh/test_hubs.py
+++ b/tests/mesh/test_hubs.py
@@ -15,6 +15,8 @@
 MEDIUM, LARGE = 28, 68
 # Time limits for a change to reach all entries, normally and after hubs are lost.
 PROPAGATION_LIMIT_S, FAILOVER_LIMIT_S = 0.5, 3.5
+# Statuses, groups' sums and sums of all take a round each.
+LIMIT_SPREAD_S = 1.0
 
 
 def run_scenario(number, scenario):
@@ -261,3 +263,18 @@
         run_scenario(number, measure)
     small, large = sizes.values()
     assert large < 1.5 * small
+
+
+@pytest.mark.parametrize("number", [MAX_ENTRIES_WITHOUT_HUBS, MEDIUM, LARGE])
+def test_a_rate_limit_and_its_end_reach_every_entry(number):
+    async def scenario(fleet):
+        target = Target("t", "s", "h", 1, "z1", TargetState.READY, born=7)
+        entries = list(fleet.entries.values())
+        for rate, others in ((2.5, entries[1:]), (None, entries[:-1])):
+            observer = next(entry for entry in entries if entry not in others)
+            observer.state.rate_limits.observe(target, rate)
+            await asyncio.sleep(LIMIT_SPREAD_S)
+            known = {entry.state.rate_limits.rate_of(target) for entry in others}
+            assert known == {rate}
+
+    run_scenario(number, scenario)
