--- a/src/lagoontide/gateway/peer_sync.py
+++ b/src/lagoontide/gateway/peer_sync.py
@@ -239,5 +239,6 @@
                 entries=self._store_view.entries,
                 kept=self._state.directory.seconds_until_expiry(),
                 kept_entries=self._store_view.kept_entries(),
+                evacuated=tuple(self._state.directory.evacuated),
             )
         )
--- a/src/lagoontide/gateway/store_view.py
+++ b/src/lagoontide/gateway/store_view.py
@@ -36,12 +36,15 @@
         Returns the target id that a key stands for, or None for other keys.
     target : callable
         Decodes a target from its id, value and revision; raises WireError.
+    evacuated_domain : callable
+        Returns the failure domain that a key evacuates, or None for other keys.
     """
 
     config_key: str
     config: Callable[[bytes], RoutingConfig]
     target_id: Callable[[str], str | None]
     target: Callable[[str, bytes, int], Target]
+    evacuated_domain: Callable[[str], str | None]
 
 
 class StoreView:
@@ -102,6 +105,8 @@
             self._remove_entry(name)
         up_since = self._store_up_since()
         self._state.directory.remove_unlisted(names, listing.as_of, up_since)
+        domains = (self._decoders.evacuated_domain(item.key) for item in listing.items)
+        self._state.directory.set_evacuated(filter(None, domains))
         self.is_synced = True
         logger.info(
             "store listed at revision {}: {} keys, {} targets",
@@ -122,6 +127,10 @@
                 self._remove_entry(entry_name(item.key))
             else:
                 self._apply_entry(item.key, item.value)
+        elif (domain := self._decoders.evacuated_domain(item.key)) is not None:
+            directory = self._state.directory
+            others = directory.evacuated - {domain}
+            directory.set_evacuated(others if item.value is None else others | {domain})
 
     def adopt_config(self, value: bytes, revision: int, source: str) -> None:
         """Put a configuration in force unless a newer one already is."""
@@ -173,6 +182,7 @@
         # The snapshot includes targets kept over a store outage, so any target that
         # it lacks is gone and needs no further grace period.
         self._state.directory.remove_unlisted(names, snapshot.as_of, 0.0)
+        self._state.directory.set_evacuated(snapshot.evacuated)
         self.is_synced = True
 
     def kept_entries(self) -> dict[str, float]:
--- a/src/lagoontide/mesh/messages.py
+++ b/src/lagoontide/mesh/messages.py
@@ -91,6 +91,8 @@
     kept, kept_entries : dict
         Targets and entries that have been missing from the store since an outage,
         with the seconds for which each is still retained.
+    evacuated : tuple of str
+        The evacuated failure domains.
     """
 
     as_of: int
@@ -100,6 +102,7 @@
     entries: dict[str, EntryRecord] = {}
     kept: dict[str, float] = {}
     kept_entries: dict[str, float] = {}
+    evacuated: tuple[str, ...] = ()
 
 
 class Follow(msgspec.Struct, frozen=True, array_like=True, tag="follow"):
--- a/src/lagoontide/platform/daemon.py
+++ b/src/lagoontide/platform/daemon.py
@@ -10,7 +10,11 @@
 from lagoontide.gateway.store_view import Decoders
 from lagoontide.lifecycle import run_daemon
 from lagoontide.platform.configuration import CONFIGURATION_KEY, decode_config
-from lagoontide.platform.directory import decode_target, target_id
+from lagoontide.platform.directory import (
+    decode_target,
+    evacuated_domain,
+    target_id,
+)
 from lagoontide.platform.fields import PlatformFieldCodec
 from lagoontide.platform.pieces import PlatformPieceClient
 from lagoontide.platform.settings import SETTINGS_ENV_VAR, load_platform_settings
@@ -37,7 +41,9 @@
     return Platform(
         store=PlatformStore(*cfg.store),
         field_codec=PlatformFieldCodec(),
-        decoders=Decoders(CONFIGURATION_KEY, decode_config, target_id, decode_target),
+        decoders=Decoders(
+            CONFIGURATION_KEY, decode_config, target_id, decode_target, evacuated_domain
+        ),
         make_piece_client=lambda pools, shares: PlatformPieceClient(
             pools.pool_of, shares
         ),
--- a/src/lagoontide/platform/directory.py
+++ b/src/lagoontide/platform/directory.py
@@ -5,9 +5,10 @@
 from lagoontide.errors import WireError
 from lagoontide.targets.records import Target, TargetState
 
-__all__ = ["TARGETS_PREFIX", "decode_target", "target_id"]
+__all__ = ["TARGETS_PREFIX", "decode_target", "evacuated_domain", "target_id"]
 
 TARGETS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 STATES = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 
 
@@ -32,6 +33,13 @@
     return key[len(TARGETS_PREFIX) :] or None
 
 
+def evacuated_domain(key: str) -> str | None:
+    """Return the failure domain that a key evacuates, or None for other keys."""
+    if not key.startswith(EVACUATIONS_PREFIX):
+        return None
+    return key[len(EVACUATIONS_PREFIX) :] or None
+
+
 def decode_target(name: str, value: bytes, revision: int) -> Target:
     """Decode a registration; raises WireError if it is malformed."""
     try:
--- a/src/lagoontide/targets/directory.py
+++ b/src/lagoontide/targets/directory.py
@@ -35,6 +35,7 @@
         self._clock = clock
         self._targets: dict[str, Target] = {}
         self._leaving_since: dict[tuple[str, int], float] = {}
+        self._evacuated: frozenset[str] = frozenset()
         # Targets whose registration is missing since a store outage, with the clock
         # time until which they are kept.
         self._expires_at: dict[str, float] = {}
@@ -147,6 +148,19 @@
             self._ready = None
             logger.bind(target=target.id).info("target gets no more work: {}", reason)
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains whose targets get no work."""
+        return self._evacuated
+
+    def set_evacuated(self, domains: Iterable[str]) -> None:
+        """Replace the failure domains whose targets get no work."""
+        domains = frozenset(domains)
+        if domains != self._evacuated:
+            logger.info("evacuated failure domains: {}", sorted(domains))
+            self._evacuated = domains
+            self._ready = None
+
     def recently_leaving(self) -> tuple[tuple[str, int], ...]:
         """Return id and start time of the targets that were seen leaving recently."""
         oldest = self._clock() - LEAVING_ADVERTISED_S
@@ -185,7 +199,9 @@
 
     def _is_accepting_work(self, target: Target) -> bool:
         return (
-            target.state is TargetState.READY and target.key not in self._leaving_since
+            target.state is TargetState.READY
+            and target.key not in self._leaving_since
+            and target.failure_domain not in self._evacuated
         )
 
     def _drop(self, name: str, reason: str) -> None:
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -233,7 +233,9 @@
         )
         self.store_view = StoreView(
             self.state,
-            Decoders(CONFIG_KEY, decode_config, target_id, decode_target),
+            Decoders(
+                CONFIG_KEY, decode_config, target_id, decode_target, lambda key: None
+            ),
             lambda: self.follower.up_since,
             loop.time,
         )
