Find out whether a target has ended, and log what ran on it

After a connection broke with a response incomplete, an entry now opens one new connection to the target, for all requests that broke off there together. A target that refuses it although its registration says that it takes work has ended; a reset link, a silent network and a target that was leaving are told apart. The parts of the prompts are logged with it.

Nothing is decided by it yet. Stand-in targets crash on requests that a test selects, and start again. The relay of events is a module of its own now.

--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -11,6 +11,7 @@
 from lagoontide.routes.route_table import RouteTable
 from lagoontide.routes.urgency import urgency_of
 from lagoontide.targets.directory import Directory
+from lagoontide.targets.endings import Endings
 from lagoontide.targets.health import Health
 from lagoontide.targets.load import Loads
 from lagoontide.targets.pools import Pools
@@ -30,6 +31,8 @@
         The configuration in force; None until one is known.
     loads, streams : Loads
         Work in progress at targets, and long streams at engines.
+    endings : Endings
+        Detection of targets that have ended unannounced.
     rate_limits : RateLimits
         Rate limits that targets name in their responses.
     rate_shares : RateShares
@@ -43,6 +46,7 @@
     loads: Loads
     streams: Loads
     pools: Pools
+    endings: Endings
     budget: RetryBudget
     rate_limits: RateLimits
     rate_shares: RateShares
--- /dev/null
+++ b/src/lagoontide/forward/event_relay.py
@@ -0,0 +1,154 @@
+"""Relaying of an event stream from a target to the caller."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lagoontide.errors import TargetFailed
+from lagoontide.forward.attempt import TargetResponse
+from lagoontide.forward.call import Call
+from lagoontide.forward.events import Event, EventSplitter
+from lagoontide.forward.inputs import Inputs
+from lagoontide.http1.messages import ResponseHead, end_to_end_fields
+from lagoontide.http1.server import ResponseWriter
+
+__all__ = ["EventRelay", "Progress", "StreamInterrupted"]
+
+# Comment bytes without an event in between, above which a stream counts as broken.
+MAX_COMMENT_BYTES = 16 << 10
+# A stream that may move to another target does so when no event arrives for this
+# multiple of its longest expected gap.
+IDLE_TIMEOUT_GAPS = 4.0
+MIN_IDLE_TIMEOUT_S = 0.8
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the caller has received of the stream so far."""
+
+    last_event_id: int | None
+    is_started: bool = False
+    first_event_at: float = 0.0
+
+
+class StreamInterrupted(TargetFailed):
+    """A stream broke off or stalled before its end."""
+
+
+class EventRelay:
+    """Relays the events of one target to the caller.
+
+    Parameters
+    ----------
+    wait : asyncio.Timeout
+        Limits the time to the next event.
+    on_content : callable
+        Called before events are relayed.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        response: TargetResponse,
+        reply: ResponseWriter,
+        progress: Progress,
+        inputs: Inputs,
+        wait: asyncio.Timeout,
+        on_content: Callable[[], None],
+    ) -> None:
+        self._on_content = on_content
+        self._call = call
+        self._response = response
+        self._reply = reply
+        self._progress = progress
+        self._inputs = inputs
+        self._timeout = wait
+        self._loop = asyncio.get_running_loop()
+        self._comment_bytes = 0
+
+    async def run(self) -> None:
+        """Relay all events; raises TargetFailed if the stream is interrupted."""
+        metadata = self._response.metadata
+        if not metadata.is_sealed or metadata.is_encoded:
+            raise self._interrupted("stream lacks a seal or has a content encoding")
+        splitter = EventSplitter()
+        async for data in self._response.body():
+            for begin in range(0, len(data), MAX_COMMENT_BYTES):
+                try:
+                    events = splitter.feed(data[begin : begin + MAX_COMMENT_BYTES])
+                except ValueError as exc:
+                    raise self._interrupted(str(exc)) from exc
+                await self._relay_events(
+                    [event for event in events if self._is_new(event)]
+                )
+        if splitter.has_partial_event:
+            raise self._interrupted("stream ended within an event", step="end")
+        if not self._progress.is_started:
+            await self._start()
+        await self._reply.finish()
+        self._response.close(is_complete=True)
+
+    async def _relay_events(self, new_events: list[Event]) -> None:
+        """Relay events that the caller does not have yet, in order."""
+        data = b"".join(event.data for event in new_events)
+        if any(event.has_content for event in new_events):
+            self._comment_bytes = 0
+            await self._relay_content(data)
+            self._progress.last_event_id = _last_event_id(
+                new_events, self._progress.last_event_id
+            )
+            return
+        # Comments show that the connection is alive, not that work progresses.
+        self._comment_bytes += len(data)
+        if self._comment_bytes > MAX_COMMENT_BYTES:
+            raise self._interrupted(
+                f"more than {MAX_COMMENT_BYTES} bytes of comments without an event"
+            )
+        if data and self._progress.is_started:
+            await self._reply.send_data(data)
+
+    def _is_new(self, event: Event) -> bool:
+        """Return whether the caller lacks an event; raises if some were skipped."""
+        last = self._progress.last_event_id
+        if event.id is None or last is None:
+            return True
+        if event.id > last + 1:
+            raise self._interrupted(
+                f"gap in event ids: received {event.id} after {last}"
+            )
+        return event.id > last
+
+    async def _relay_content(self, data: bytes) -> None:
+        if not self._progress.first_event_at:
+            self._progress.first_event_at = self._loop.time()
+            self._call.record_step("first_event")
+            taken = self._progress.first_event_at - self._response.sent_at
+            self._inputs.record_first_event_time(taken)
+        self._on_content()
+        if not self._progress.is_started:
+            await self._start()
+        self._inputs.release()
+        self._extend_timeout()
+        await self._reply.send_data(data)
+
+    async def _start(self) -> None:
+        head = self._response.head
+        self._progress.is_started = True
+        await self._reply.start(
+            ResponseHead(head.status, end_to_end_fields(head.fields))
+        )
+
+    def _extend_timeout(self) -> None:
+        if self._timeout.when() is None:
+            return
+        silence = max(
+            MIN_IDLE_TIMEOUT_S, IDLE_TIMEOUT_GAPS * self._call.route.max_event_gap
+        )
+        self._timeout.reschedule(self._loop.time() + silence)
+
+    def _interrupted(self, reason: str, step: str = "stream") -> StreamInterrupted:
+        return StreamInterrupted(reason, step=step, peer=self._response.target.id)
+
+
+def _last_event_id(events: list[Event], last: int | None) -> int | None:
+    return next((event.id for event in reversed(events) if event.id is not None), last)
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from loguru import logger
 
@@ -16,7 +15,8 @@
     start_attempt,
 )
 from lagoontide.forward.call import Call, ForwardingState
-from lagoontide.forward.events import Event, EventSplitter
+from lagoontide.forward.crashes import crash_keys, has_target_ended
+from lagoontide.forward.event_relay import EventRelay, Progress, StreamInterrupted
 from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
@@ -26,12 +26,7 @@
     describe_choice,
     is_server_error,
 )
-from lagoontide.http1.messages import (
-    Response,
-    ResponseHead,
-    end_to_end_fields,
-    is_success,
-)
+from lagoontide.http1.messages import Response, end_to_end_fields, is_success
 from lagoontide.http1.server import ResponseWriter
 from lagoontide.targets.choose import (
     TOKENS_PER_LOAD_UNIT,
@@ -47,14 +42,10 @@
 # A refusal after this many sends in total ends the request.
 MAX_SENDS_ON_REFUSAL = 4
 NO_INPUT_BYTES: Mapping[str, float] = {}
-# A resumable stream moves to another target when no event arrives for this multiple
-# of its longest expected gap; before its first event, for this share of its objective.
-IDLE_TIMEOUT_GAPS = 4.0
-MIN_IDLE_TIMEOUT_S = 0.8
+# A resumable stream moves to another target when no event arrives for this share of
+# its objective.
 FIRST_EVENT_TIMEOUT_SHARE = 1.0
 MIN_FIRST_EVENT_TIMEOUT_S = 1.2
-# Comment bytes without an event in between, above which a stream counts as broken.
-MAX_COMMENT_BYTES = 16 << 10
 # A target fetches its inputs before it reads the prompt (PROTOCOL, Stages). They are
 # released after this time, as they occupy memory that other requests wait for.
 INPUT_FETCH_S = 0.12
@@ -70,15 +61,6 @@
 URGENCY_STEPS_S = (0.4, 0.8, 1.5, 2.5)
 
 
-@dataclass(slots=True)
-class _Progress:
-    """What the caller has received of the stream so far."""
-
-    last_event_id: int | None
-    is_started: bool = False
-    first_event_at: float = 0.0
-
-
 class _LoadShare:
     """The load that one request adds to its target."""
 
@@ -103,10 +85,6 @@
             self._streams.end(self._target)
 
 
-class StreamInterrupted(TargetFailed):
-    """A stream broke off or stalled before its end."""
-
-
 async def forward_stream(
     state: ForwardingState,
     call: Call,
@@ -115,7 +93,7 @@
     rng: random.Random,
 ) -> Outcome:
     """Relay a stream, and resume it on another target where that is allowed."""
-    progress = _Progress(call.metadata.last_event_id)
+    progress = Progress(call.metadata.last_event_id)
     tried: set[str] = set()
     reason = "no target"
     while True:
@@ -154,6 +132,10 @@
             log.warning(
                 "stream interrupted after event {}: {}", progress.last_event_id, exc
             )
+            if await has_target_ended(state, target, exc):
+                log.bind(parts=sorted(crash_keys(call))).warning(
+                    "request broken off by the end of its target"
+                )
             if progress.is_started and progress.last_event_id is None:
                 # Without event ids the point to resume from is unknown.
                 break
@@ -220,7 +202,7 @@
     target: Target,
     options: SendOptions,
     reply: ResponseWriter,
-    progress: _Progress,
+    progress: Progress,
     inputs: Inputs,
 ) -> Outcome:
     loop = asyncio.get_running_loop()
@@ -234,7 +216,9 @@
                 response = await start_attempt(state, call, target, options)
                 if not is_success(response.head.status):
                     return await _read_error(call, response, progress.is_started)
-                relay = _Relay(call, response, reply, progress, inputs, wait, share)
+                relay = EventRelay(
+                    call, response, reply, progress, inputs, wait, share.remove_prompt
+                )
                 await relay.run()
             state.health.record_response(
                 target, progress.first_event_at - started_at, False
@@ -275,114 +259,3 @@
             f"error response with status {status}", step="head", peer=response.target.id
         )
     return Answered(Response(status, end_to_end_fields(response.head.fields), body))
-
-
-class _Relay:
-    """Relays the events of one target to the caller."""
-
-    def __init__(
-        self,
-        call: Call,
-        response: TargetResponse,
-        reply: ResponseWriter,
-        progress: _Progress,
-        inputs: Inputs,
-        wait: asyncio.Timeout,
-        share: "_LoadShare",
-    ) -> None:
-        self._share = share
-        self._call = call
-        self._response = response
-        self._reply = reply
-        self._progress = progress
-        self._inputs = inputs
-        self._timeout = wait
-        self._loop = asyncio.get_running_loop()
-        self._comment_bytes = 0
-
-    async def run(self) -> None:
-        """Relay all events; raises TargetFailed if the stream is interrupted."""
-        metadata = self._response.metadata
-        if not metadata.is_sealed or metadata.is_encoded:
-            raise self._interrupted("stream lacks a seal or has a content encoding")
-        splitter = EventSplitter()
-        async for data in self._response.body():
-            for begin in range(0, len(data), MAX_COMMENT_BYTES):
-                try:
-                    events = splitter.feed(data[begin : begin + MAX_COMMENT_BYTES])
-                except ValueError as exc:
-                    raise self._interrupted(str(exc)) from exc
-                await self._relay_events(
-                    [event for event in events if self._is_new(event)]
-                )
-        if splitter.has_partial_event:
-            raise self._interrupted("stream ended within an event")
-        if not self._progress.is_started:
-            await self._start()
-        await self._reply.finish()
-        self._response.close(is_complete=True)
-
-    async def _relay_events(self, new_events: list[Event]) -> None:
-        """Relay events that the caller does not have yet, in order."""
-        data = b"".join(event.data for event in new_events)
-        if any(event.has_content for event in new_events):
-            self._comment_bytes = 0
-            await self._relay_content(data)
-            self._progress.last_event_id = _last_event_id(
-                new_events, self._progress.last_event_id
-            )
-            return
-        # Comments show that the connection is alive, not that work progresses.
-        self._comment_bytes += len(data)
-        if self._comment_bytes > MAX_COMMENT_BYTES:
-            raise self._interrupted(
-                f"more than {MAX_COMMENT_BYTES} bytes of comments without an event"
-            )
-        if data and self._progress.is_started:
-            await self._reply.send_data(data)
-
-    def _is_new(self, event: Event) -> bool:
-        """Return whether the caller lacks an event; raises if some were skipped."""
-        last = self._progress.last_event_id
-        if event.id is None or last is None:
-            return True
-        if event.id > last + 1:
-            raise self._interrupted(
-                f"gap in event ids: received {event.id} after {last}"
-            )
-        return event.id > last
-
-    async def _relay_content(self, data: bytes) -> None:
-        if not self._progress.first_event_at:
-            self._progress.first_event_at = self._loop.time()
-            self._call.record_step("first_event")
-            taken = self._progress.first_event_at - self._response.sent_at
-            self._inputs.record_first_event_time(taken)
-        self._share.remove_prompt()
-        if not self._progress.is_started:
-            await self._start()
-        self._inputs.release()
-        self._extend_timeout()
-        await self._reply.send_data(data)
-
-    async def _start(self) -> None:
-        head = self._response.head
-        self._progress.is_started = True
-        await self._reply.start(
-            ResponseHead(head.status, end_to_end_fields(head.fields))
-        )
-
-    def _extend_timeout(self) -> None:
-        if self._timeout.when() is None:
-            return
-        silence = max(
-            MIN_IDLE_TIMEOUT_S, IDLE_TIMEOUT_GAPS * self._call.route.max_event_gap
-        )
-        self._timeout.reschedule(self._loop.time() + silence)
-
-    def _interrupted(self, reason: str) -> StreamInterrupted:
-        return StreamInterrupted(reason, step="stream", peer=self._response.target.id)
-
-
-def _last_event_id(events: list[Event], last: int | None) -> int | None:
-    return next((event.id for event in reversed(events) if event.id is not None), last)
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -13,6 +13,7 @@
     start_attempt,
 )
 from lagoontide.forward.call import Call, ForwardingState
+from lagoontide.forward.crashes import crash_keys, has_target_ended
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
 from lagoontide.forward.selection import candidates, wait_for_turn
@@ -110,6 +111,10 @@
             reason = str(exc)
             log.warning("request may have run at the target: {}", exc)
             call.attempts += 1
+            if await has_target_ended(state, target, exc):
+                log.bind(parts=sorted(crash_keys(call))).warning(
+                    "request broken off by the end of its target"
+                )
             if reply.is_started:
                 return Relayed(is_complete=False, reason=reason)
         else:
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -32,6 +32,7 @@
 from lagoontide.store.follower import Follower
 from lagoontide.store.revision_store import RevisionStore
 from lagoontide.targets.directory import Directory
+from lagoontide.targets.endings import Endings
 from lagoontide.targets.health import Health
 from lagoontide.targets.load import Loads
 from lagoontide.targets.pools import Pools
@@ -177,16 +178,19 @@
     def _make_state(self, clock: Callable[[], float]) -> ForwardingState:
         cfg, bounds = self.cfg, self.cfg.bounds
         limits = RateLimits(clock)
+        directory = Directory(clock)
+        pools = Pools(
+            lambda name: self._find_service(name).max_conns, self._count_entries
+        )
         return ForwardingState(
             failure_domain=cfg.failure_domain,
             field_codec=self._platform.field_codec,
-            directory=Directory(clock),
+            directory=directory,
             health=Health(clock),
             loads=Loads(clock),
             streams=Loads(clock),
-            pools=Pools(
-                lambda name: self._find_service(name).max_conns, self._count_entries
-            ),
+            pools=pools,
+            endings=Endings(directory, pools, clock),
             budget=RetryBudget(
                 bounds.retry_ratio,
                 bounds.retry_slack,
@@ -288,6 +292,7 @@
             keys = {target.key for target in directory.all()}
             self.state.pools.keep_only(keys)
             self.state.health.keep_only(keys)
+            self.state.endings.keep_only(keys)
             self.state.rate_limits.keep_only(keys)
             self.state.rate_shares.keep_only(keys)
             self._stage_shares.keep_only(keys)
--- a/src/lagoontide/platform/standins/deployment.py
+++ b/src/lagoontide/platform/standins/deployment.py
@@ -102,11 +102,13 @@
 
 
 @contextlib.asynccontextmanager
-async def start_deployment(entries: int = 1) -> AsyncIterator[StandinDeployment]:
+async def start_deployment(
+    entries: int = 1, scale: int = 1
+) -> AsyncIterator[StandinDeployment]:
     """Run a small deployment for the duration of the ``async with`` block."""
     store = StoreStandin()
     endpoints = [StoreEndpoint(store) for _ in range(entries)]
-    targets = make_targets()
+    targets = make_targets(scale)
     deployment = StandinDeployment(store, endpoints, targets)
     deployment.configure(1)
     for target in targets:
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from itertools import count
@@ -17,6 +18,7 @@
     LAST_EVENT,
     MISDIRECTED_STATUS,
     NOT_RUN,
+    PROMPT_PREFIX,
     RATE_LIMIT,
     REQUEST_ID,
     RESPONSE_SEAL,
@@ -27,6 +29,7 @@
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.responses import json_response
 from lagoontide.platform.standins.store import StoreStandin
+from lagoontide.tasks import TaskSet
 
 __all__ = ["Run", "TargetFault", "TargetStandin", "encode_registration"]
 
@@ -55,11 +58,14 @@
         Event loop time of the start.
     inputs : tuple of str
         Handles of the stage results passed with the request.
+    parts : tuple of str
+        Ids of the parts of its prompt.
     """
 
     request_id: str
     at: float
     inputs: tuple[str, ...]
+    parts: tuple[str, ...] = ()
 
 
 def encode_registration(
@@ -112,6 +118,16 @@
         Request id, stage and piece number of each result, by handle.
     fault : TargetFault
         TargetFault of the next ``faults_left`` requests.
+    crashes_on : callable
+        Returns whether a run makes the target crash as it begins to respond.
+    restart_after : float
+        Seconds from a crash to the start of the next incarnation.
+    keeps_id : bool
+        Whether the next incarnation has the same id.
+    crashed_at : list of float
+        Event loop time of each crash.
+    on_crash, on_restart : callable
+        Called once the target has stopped, and before it listens again.
     """
 
     id: str
@@ -126,6 +142,12 @@
     faults_left: int = 0
     events_before_fault: int = 2
     rate_limit: str = ""
+    crashes_on: Callable[[Run], bool] = lambda run: False
+    restart_after: float = 1.0
+    keeps_id: bool = False
+    crashed_at: list[float] = field(default_factory=list)
+    on_crash: Callable[[], None] = lambda: None
+    on_restart: Callable[[], None] = lambda: None
     arrived_at: list[float] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     log: list[Run] = field(default_factory=list)
@@ -138,6 +160,11 @@
     _handle_ids: Any = field(default_factory=lambda: count(1))
     _listener: Listener | None = None
     _active_calls: int = 0
+    _store: StoreStandin | None = None
+    _zone: str = ""
+    _born: int = 0
+    _state: str = "ready"
+    _restarts: TaskSet = field(default_factory=TaskSet)
 
     async def start(self, store: StoreStandin, zone: str = "z1", born: int = 1) -> None:
         """Start listening and register in the store."""
@@ -164,6 +191,7 @@
         self, store: StoreStandin, zone: str = "z1", born: int = 1, state: str = "ready"
     ) -> None:
         """Write this target's registration to the store."""
+        self._store, self._zone, self._born, self._state = store, zone, born, state
         store.put(TARGETS_PREFIX + self.id, self.entry(zone, born, state))
 
     def entry(self, zone: str, born: int = 1, state: str = "ready") -> bytes:
@@ -171,8 +199,32 @@
         address = self.advertised_address or self.address
         return encode_registration(self.service, address, zone, SLOTS, born, state)
 
+    def crash(self) -> None:
+        """End abruptly and start again later, as another incarnation."""
+        self.crashed_at.append(asyncio.get_running_loop().time())
+        self._restarts.start(self._crash_and_restart())
+
+    async def _crash_and_restart(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        if self._listener is not None:
+            await self._listener.close()
+        self.on_crash()
+        await asyncio.sleep(self.restart_after)
+        self.result_handles.clear()
+        self.on_restart()
+        await self.listen(host, int(port))
+        if self._store is None or self._state != "ready":
+            return
+        if not self.keeps_id:
+            # The lease of the registration has run out.
+            self._store.delete(TARGETS_PREFIX + self.id)
+            name = self.id.partition("~")[0]
+            self.id = f"{name}~{len(self.crashed_at)}"
+        self.register(self._store, self._zone, self._born + 1)
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
+        self._restarts.cancel()
         if self._listener is not None:
             await self._listener.close()
 
@@ -215,8 +267,12 @@
             await reply.send(Response(503, [*response_fields, (NOT_RUN, b"1")]))
             return
         self.runs[request_id] += 1
-        self.log.append(_make_run(request_id, fields))
+        run = _make_run(request_id, fields)
+        self.log.append(run)
         self.received_requests.append(req)
+        if self.crashes_on(run):
+            await self._begin_and_crash(reply, response_fields)
+            return
         if fault is not TargetFault.NO_SEAL:
             response_fields.append((RESPONSE_SEAL, f"seal-{self.id}".encode()))
         try:
@@ -270,6 +326,16 @@
             await reply.send_data(b"%sdata: token %d\n\n" % (name, number))
         await reply.finish()
 
+    async def _begin_and_crash(
+        self, reply: ResponseWriter, response_fields: Fields
+    ) -> None:
+        await asyncio.sleep(self.work)
+        seal = (RESPONSE_SEAL, f"seal-{self.id}".encode())
+        await reply.start(ResponseHead(200, [*response_fields, seal]))
+        await asyncio.sleep(self.work)
+        self.crash()
+        await asyncio.sleep(self.restart_after)
+
     async def _run_pieces(self, req: Request, reply: ResponseWriter) -> None:
         items = msgspec.json.decode(req.body)["items"]
         self.calls.append(len(items))
@@ -311,4 +377,10 @@
 def _make_run(request_id: str, fields: Fields) -> Run:
     inputs = field_value(fields, INPUTS.lower())
     handles = tuple(inputs.decode().split(",")) if inputs else ()
-    return Run(request_id, asyncio.get_running_loop().time(), handles)
+    prefix = field_value(fields, PROMPT_PREFIX.lower())
+    parts = (
+        tuple(part.rpartition(":")[0].strip() for part in prefix.decode().split(","))
+        if prefix
+        else ()
+    )
+    return Run(request_id, asyncio.get_running_loop().time(), handles, parts)
--- a/src/lagoontide/targets/pool.py
+++ b/src/lagoontide/targets/pool.py
@@ -97,6 +97,22 @@
         self.opened += 1
         return TargetConn(tcp)
 
+    async def check_listening(self, timeout: float) -> bool | None:
+        """Return whether the target accepts connections; None if that is unknown.
+
+        A connection that is established is kept for the next request.
+        """
+        try:
+            tcp = await connect_tcp(self._host, self._port, timeout)
+        except ConnectionRefusedError:
+            return False
+        except (OSError, TimeoutError):
+            return None
+        self.opened += 1
+        self._in_use += 1
+        self.release(TargetConn(tcp), is_reusable=True)
+        return True
+
     def release(self, conn: TargetConn, is_reusable: bool) -> None:
         """Put a connection back into the pool, or close it if it is not reusable."""
         self._in_use -= 1
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -228,6 +228,7 @@
             Loads(loop.time),
             None,
             None,
+            None,
             RateLimits(loop.time),
             None,
         )
