Failing tests: requests that crash targets are sent to one after the other

The soak crashes targets at random and on prompts with one part, whose other parts sound prompts share, from random numbers of its own.

--- a/src/lagoontide/bench/soak/callers.py
+++ b/src/lagoontide/bench/soak/callers.py
@@ -2,17 +2,18 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from itertools import count
 
-from lagoontide.bench.soak.records import KINDS, Asked
+from lagoontide.bench.soak.records import KINDS, Asked, Kind
 from lagoontide.http1.client import InvalidResponse, TargetConn
 from lagoontide.http1.messages import RequestHead, field_value
 from lagoontide.http1.tcp import connect_tcp
 from lagoontide.platform.fields import (
     AUTHORIZATION,
     DEADLINE,
+    PROMPT_PREFIX,
     REQUEST_ID,
     RESPONSE_SEAL,
 )
@@ -40,6 +41,8 @@
         Keys that callers use.
     rate : float
         Requests a second.
+    kinds : sequence of Kind
+        The kinds of requests that it sends.
     """
 
     addresses: Callable[[], list[Address]]
@@ -47,6 +50,7 @@
     rate: float
     rng: random.Random
     name: str = "r"
+    kinds: Sequence[Kind] = KINDS
     asked: list[Asked] = field(default_factory=list)
     _kept: list[TargetConn] = field(default_factory=list)
     _tasks: TaskSet = field(default_factory=TaskSet)
@@ -69,7 +73,7 @@
     async def _ask(self) -> None:
         item = Asked(
             id=f"{self.name}{next(self._numbers)}",
-            kind=self.rng.choice(KINDS),
+            kind=self.rng.choice(self.kinds),
             key=self.rng.choice(self.keys),
             sent_at=asyncio.get_running_loop().time(),
         )
@@ -106,6 +110,11 @@
             (AUTHORIZATION, b"Bearer " + item.key.encode()),
             *item.kind.fields,
         ]
+        if item.kind.shared_parts:
+            parts = ",".join(
+                f"{part}:100" for part in (*item.kind.shared_parts, item.id)
+            )
+            fields.append((PROMPT_PREFIX, parts.encode()))
         head = RequestHead(b"POST", item.kind.path.encode(), fields)
         await conn.send(head, item.id.encode())
         answer = await conn.read_head()
--- /dev/null
+++ b/src/lagoontide/bench/soak/crashes.py
@@ -0,0 +1,99 @@
+"""Targets that crash, at random or on some requests, and what entries send them."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from lagoontide.bench.soak.callers import Address, Callers
+from lagoontide.bench.soak.records import CRASHING_PART, PROMPT_KINDS, Asked
+from lagoontide.platform.standins.targets import Run, TargetStandin
+
+__all__ = ["Crashes", "check_crashes", "is_crashing_run"]
+
+RATE = 12.0
+PAUSE_S = (0.7, 2.5)
+RESTART_S = (0.3, 2.0)
+# After this many crashes under one part, and the time in which entries learn of them,
+# at most MOST_LATER more requests with it may reach targets (issue 34).
+CRASHES = 5
+CONTACT_S = 3.0
+MOST_LATER = 3
+
+
+def is_crashing_run(run: Run) -> bool:
+    """Return whether a run makes its target crash."""
+    return CRASHING_PART in run.parts[:-1]
+
+
+@dataclass(slots=True)
+class Crashes:
+    """Crashes targets, and sends requests that do so beside others like them.
+
+    It draws from numbers of its own, so that the other faults of a seed stay the same.
+    """
+
+    addresses: Callable[[], list[Address]]
+    targets: Sequence[TargetStandin]
+    keys: Callable[[], list[str]]
+    rng: random.Random
+    asked: list[Asked] = field(default_factory=list)
+    crashed: int = 0
+
+    async def run(self, seconds: float) -> None:
+        """Send requests and crash targets for some time."""
+        for target in self.targets:
+            target.crashes_on = is_crashing_run
+        callers = self._callers("p")
+        await asyncio.gather(callers.run(seconds), self._crash_at_random(seconds))
+        callers.close()
+
+    async def run_calm(self, seconds: float) -> None:
+        """Send the same requests, but crash nothing else."""
+        callers = self._callers("q")
+        await callers.run(seconds)
+        callers.close()
+
+    def crashing_runs(self) -> int:
+        """Return how many runs made targets crash."""
+        return sum(
+            is_crashing_run(run) for target in self.targets for run in target.log
+        )
+
+    def _callers(self, name: str) -> Callers:
+        rng = random.Random(self.rng.random())
+        return Callers(
+            self.addresses, self.keys(), RATE, rng, name, PROMPT_KINDS, self.asked
+        )
+
+    async def _crash_at_random(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        while loop.time() < ends_at:
+            await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+            target = self.rng.choice(self.targets)
+            if target.is_up:
+                target.restart_after = self.rng.uniform(*RESTART_S)
+                target.keeps_id = self.rng.random() < 0.3
+                target.crash()
+                self.crashed += 1
+
+
+def check_crashes(targets: Iterable[TargetStandin], since: float) -> list[str]:
+    """Return the broken bound on runs that crash targets, if it is.
+
+    Parameters
+    ----------
+    since : float
+        Loop time from which all entries were undisturbed.
+    """
+    runs = sorted(
+        run.at for target in targets for run in target.log if is_crashing_run(run)
+    )
+    if len(runs) < CRASHES:
+        return []
+    known_at = max(runs[CRASHES - 1] + CONTACT_S, since)
+    later = sum(at > known_at for at in runs)
+    if later <= MOST_LATER:
+        return []
+    return [f"BUDGET: {later} runs crashed targets after {CRASHES}, {len(runs)} in all"]
--- a/src/lagoontide/bench/soak/records.py
+++ b/src/lagoontide/bench/soak/records.py
@@ -6,7 +6,7 @@
 from lagoontide.http1.messages import Fields
 from lagoontide.platform.fields import PIECE_KEY, PIECES, TOKEN_COUNTS
 
-__all__ = ["EVENTS", "KINDS", "Asked", "Kind", "Work"]
+__all__ = ["CRASHING_PART", "EVENTS", "KINDS", "PROMPT_KINDS", "Asked", "Kind", "Work"]
 
 EVENTS = 6
 
@@ -28,6 +28,8 @@
         Whether it may run no more than once.
     inputs : int
         Results of stages that its engine is given.
+    shared_parts : tuple of str
+        Parts of its prompt besides the last, which is each request's own.
     """
 
     path: str
@@ -35,6 +37,7 @@
     is_once: bool
     fields: Fields = field(default_factory=list)
     inputs: int = 0
+    shared_parts: tuple[str, ...] = ()
 
 
 STREAM: Fields = [(TOKEN_COUNTS, b"1200,%d" % EVENTS)]
@@ -45,6 +48,18 @@
     Kind("/events/a", Work.STREAM, is_once=False, fields=STREAM),
     Kind("/staged/a", Work.STREAM, is_once=True, fields=STAGED, inputs=3),
 )
+# Targets crash as they begin to respond to a prompt with this part.
+CRASHING_PART = "bad"
+PROMPT_KINDS = tuple(
+    Kind(
+        "/events/a",
+        Work.STREAM,
+        is_once=False,
+        fields=STREAM,
+        shared_parts=("aa", part),
+    )
+    for part in ("bb", "cc", "dd", CRASHING_PART)
+)
 
 
 @dataclass(slots=True)
@@ -72,3 +87,8 @@
     is_sealed: bool = False
     is_whole: bool = False
     has_left: bool = False
+
+    @property
+    def is_crashing(self) -> bool:
+        """Whether targets crash on it, so that it cannot be served."""
+        return CRASHING_PART in self.kind.shared_parts
--- a/src/lagoontide/bench/soak/result.py
+++ b/src/lagoontide/bench/soak/result.py
@@ -13,6 +13,8 @@
     served, served_after : float
         Share of requests answered with success, under faults and once they were
         healed; then the lower of those of the first second and of all.
+    crashing_runs : int
+        Runs of requests that crash targets.
     violations : list of str
         What broke a promise.
     """
@@ -22,4 +24,5 @@
     served: float
     served_after: float
     faults: int
+    crashing_runs: int
     violations: list[str]
--- a/src/lagoontide/bench/soak/run.py
+++ b/src/lagoontide/bench/soak/run.py
@@ -100,6 +100,7 @@
         link = Proxy(host, int(port))
         target.advertised_address = f"{HOST}:{await link.start()}"
         target.register(store)
+        target.on_crash, target.on_restart = link.refuse, link.resume
         stack.push_async_callback(target.close)
         stack.push_async_callback(link.close)
         links.append(link)
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -164,6 +164,7 @@
     _zone: str = ""
     _born: int = 0
     _state: str = "ready"
+    _is_down: bool = False
     _restarts: TaskSet = field(default_factory=TaskSet)
 
     async def start(self, store: StoreStandin, zone: str = "z1", born: int = 1) -> None:
@@ -177,6 +178,16 @@
         bound_port = await self._listener.start(host, port)
         self.address = f"{host}:{bound_port}"
 
+    @property
+    def name(self) -> str:
+        """Its first id, which later incarnations extend."""
+        return self.id.partition("~")[0]
+
+    @property
+    def is_up(self) -> bool:
+        """Whether it is running, not crashed."""
+        return self.address != "" and not self._is_down
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in flight."""
@@ -201,6 +212,9 @@
 
     def crash(self) -> None:
         """End abruptly and start again later, as another incarnation."""
+        if self._is_down:
+            return
+        self._is_down = True
         self.crashed_at.append(asyncio.get_running_loop().time())
         self._restarts.start(self._crash_and_restart())
 
@@ -213,13 +227,13 @@
         self.result_handles.clear()
         self.on_restart()
         await self.listen(host, int(port))
+        self._is_down = False
         if self._store is None or self._state != "ready":
             return
         if not self.keeps_id:
             # The lease of the registration has run out.
             self._store.delete(TARGETS_PREFIX + self.id)
-            name = self.id.partition("~")[0]
-            self.id = f"{name}~{len(self.crashed_at)}"
+            self.id = f"{self.name}~{len(self.crashed_at)}"
         self.register(self._store, self._zone, self._born + 1)
 
     async def close(self) -> None:
