Quarantine requests that make the targets that run them crash

Callers saw targets end one after the other: requests with one part in their prompts were sent to servers 14 times more after five had ended under them, 20 ended in all, and sound requests that ran beside them or came meanwhile failed (17 of 42 in two seconds).

Cause: nothing remembered what ran on a target when it ended. Each entry sent the next request with that part, and repeats of the same one, like any other. The class is a request that ends each process that runs it; stream, plain and repeated requests had it alike.

A request broken off by the crash of its target leaves its keys (the parts of its prompt but the last; without a prompt, the request itself) as suspects, unless a request with the key was completed since 10 s before, at any entry. Statuses and hubs' sums carry all reports; merging them is idempotent and independent of their order. A suspect request, a repeat too, runs only as a trial that one entry grants: one in the fleet for each key and target. A crash in a trial blocks the keys that it shares with an earlier crash: all entries answer 503 at once, before stages run, with the time to the next probe as Retry-After (60 s, doubled by each crash, 30 min at most). A completed probe ends it.

Requests with keys that others complete are resumed at once, as before, so popular parts stay served. A leaving target, a reset link, a silent one, several targets that end at one moment are no evidence that blocks. A response with neither length nor chunks counts as complete only if its target is still there.

--- a/src/lagoontide/forward/attempt.py
+++ b/src/lagoontide/forward/attempt.py
@@ -11,6 +11,7 @@
 from lagoontide.forward.fields import ForwardMetadata, InvalidField, ResponseMetadata
 from lagoontide.http1.client import InvalidResponse, TargetConn
 from lagoontide.http1.messages import ResponseHead
+from lagoontide.targets.endings import Endings
 from lagoontide.targets.health import Health
 from lagoontide.targets.pool import ConnPool
 from lagoontide.targets.records import Target
@@ -51,7 +52,12 @@
     """A response from a target, with its head read and its body still to come."""
 
     def __init__(
-        self, target: Target, pool: ConnPool, conn: TargetConn, sent_at: float
+        self,
+        target: Target,
+        pool: ConnPool,
+        conn: TargetConn,
+        sent_at: float,
+        endings: Endings,
     ) -> None:
         self.target = target
         self.sent_at = sent_at
@@ -59,6 +65,7 @@
         self.metadata = ResponseMetadata(None, has_not_run=False, is_sealed=False)
         self._pool = pool
         self._conn = conn
+        self._endings = endings
         self._is_closed = False
 
     async def read_head(
@@ -95,6 +102,13 @@
             raise TargetFailed(
                 f"response body interrupted: {exc!r}", step="body", peer=self.target.id
             ) from exc
+        if self.head.ends_with_connection and await self._endings.has_ended(
+            self.target
+        ):
+            # Nothing else tells the end of such a body from the end of its target.
+            raise TargetFailed(
+                "target ended with its response", step="body", peer=self.target.id
+            )
 
     def close(self, is_complete: bool = False) -> None:
         """Release the connection; it is reused only after a complete response."""
@@ -145,7 +159,7 @@
     conn = await pool.acquire(
         CONNECT_TIMEOUT_S, is_at_most_once=not call.route.may_repeat
     )
-    response = TargetResponse(target, pool, conn, loop.time())
+    response = TargetResponse(target, pool, conn, loop.time(), state.endings)
     if not state.directory.is_accepting_work(target):
         response.close()
         raise TargetUnreachable(
--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from lagoontide.forward.fields import FieldCodec, RequestMetadata
 from lagoontide.forward.outcome import SendTracker
@@ -18,6 +19,9 @@
 from lagoontide.targets.rate_limits import RateLimits
 from lagoontide.targets.rate_shares import RateShares
 
+if TYPE_CHECKING:
+    from lagoontide.forward.guard import Guard
+
 __all__ = ["Call", "ForwardingState"]
 
 
@@ -33,6 +37,8 @@
         Work in progress at targets, and long streams at engines.
     endings : Endings
         Detection of targets that have ended unannounced.
+    guard : Guard
+        Withholds requests that make targets crash.
     rate_limits : RateLimits
         Rate limits that targets name in their responses.
     rate_shares : RateShares
@@ -47,6 +53,7 @@
     streams: Loads
     pools: Pools
     endings: Endings
+    guard: "Guard"
     budget: RetryBudget
     rate_limits: RateLimits
     rate_shares: RateShares
--- a/src/lagoontide/forward/crashes.py
+++ b/src/lagoontide/forward/crashes.py
@@ -1,15 +1,14 @@
-"""What requests have in common with others that a target's end broke off."""
+"""What requests have in common with others that a target's crash broke off."""
 
 import xxhash
 
 from lagoontide.errors import TargetFailed
-from lagoontide.forward.call import Call, ForwardingState
-from lagoontide.targets.records import Target
+from lagoontide.forward.call import Call
 
-__all__ = ["BODY_STEPS", "crash_keys", "has_target_ended"]
+__all__ = ["crash_keys", "may_show_crash"]
 
-# Steps of an attempt in which a connection's end shows: before the response's head,
-# and after it.
+# Steps of an attempt in which the end of a connection shows: before the head of the
+# response, and after it.
 HEAD_STEP = "send"
 BODY_STEPS = ("body", "end")
 MAX_KEYS = 256
@@ -31,16 +30,18 @@
     return frozenset((f"request:{digest.hexdigest()}",))
 
 
+def may_show_crash(call: Call, exc: TargetFailed) -> bool:
+    """Return whether a failed attempt may be the cause of its target's crash.
+
+    A prompt makes a target crash when its response begins; before its head the request
+    was still waiting. The single response to other requests comes at their end.
+    """
+    if exc.step in BODY_STEPS:
+        return True
+    return exc.step == HEAD_STEP and not call.metadata.prompt_parts
+
+
 def _part_key(part: str) -> str:
     if len(part) <= MAX_KEY_CHARS:
         return part
     return f"part:{xxhash.xxh64_hexdigest(part.encode())}"
-
-
-async def has_target_ended(
-    state: ForwardingState, target: Target, exc: TargetFailed
-) -> bool:
-    """Return whether an attempt failed because its target has ended unannounced."""
-    if exc.step not in (HEAD_STEP, *BODY_STEPS):
-        return False
-    return await state.endings.has_ended(target)
--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -134,6 +134,9 @@
 
     async def _forward(self, call: Call, reply: ResponseWriter) -> Outcome:
         self._state.budget.record_request(call.service)
+        refusal = self._state.guard.refusal(call)
+        if refusal is not None:
+            return refusal
         if is_beyond_limits(self._state, call):
             after = pick_limited_retry_after(self._state, call, self._rng)
             return NotRun("all targets at their rate limits", after)
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -15,8 +15,8 @@
     start_attempt,
 )
 from lagoontide.forward.call import Call, ForwardingState
-from lagoontide.forward.crashes import crash_keys, has_target_ended
 from lagoontide.forward.event_relay import EventRelay, Progress, StreamInterrupted
+from lagoontide.forward.guard import RequestWithheld
 from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
@@ -96,6 +96,7 @@
     progress = Progress(call.metadata.last_event_id)
     tried: set[str] = set()
     reason = "no target"
+    withheld: RequestWithheld | None = None
     while True:
         handles = await inputs.ready()
         call.record_step("inputs")
@@ -114,9 +115,16 @@
         )
         log = logger.bind(request=call.metadata.request_id, target=target.id)
         try:
-            outcome = await _relay_from_target(
-                state, call, target, options, reply, progress, inputs
-            )
+            async with state.guard.watch(call, target) as run:
+                outcome = await _relay_from_target(
+                    state, call, target, options, reply, progress, inputs
+                )
+                run.is_complete = outcome == Relayed(is_complete=True)
+        except RequestWithheld as exc:
+            reason, withheld = str(exc), exc
+            if choice.has_turn:
+                state.rate_shares.refund(target)
+            break
         except TargetUnreachable as exc:
             reason = str(exc)
             log.info("request did not run at the target: {}", exc)
@@ -132,10 +140,6 @@
             log.warning(
                 "stream interrupted after event {}: {}", progress.last_event_id, exc
             )
-            if await has_target_ended(state, target, exc):
-                log.bind(parts=sorted(crash_keys(call))).warning(
-                    "request broken off by the end of its target"
-                )
             if progress.is_started and progress.last_event_id is None:
                 # Without event ids the point to resume from is unknown.
                 break
@@ -145,7 +149,10 @@
             break
     if progress.is_started:
         return Relayed(is_complete=False, reason=reason)
-    after = pick_limited_retry_after(state, call, rng)
+    if withheld is not None:
+        after = withheld.retry_after
+    else:
+        after = pick_limited_retry_after(state, call, rng)
     return call.send_tracker.failure_outcome(reason, after)
 
 
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -13,7 +13,7 @@
     start_attempt,
 )
 from lagoontide.forward.call import Call, ForwardingState
-from lagoontide.forward.crashes import crash_keys, has_target_ended
+from lagoontide.forward.guard import RequestWithheld
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
 from lagoontide.forward.selection import candidates, wait_for_turn
@@ -80,6 +80,7 @@
     tried: set[str] = set()
     failure: Answered | None = None
     reason = "no target"
+    withheld: RequestWithheld | None = None
     while True:
         choice = choose_lowest_cost(
             candidates(state, call.service, tried),
@@ -100,7 +101,14 @@
         options = SendOptions(has_turn=choice.has_turn)
         log = logger.bind(request=call.metadata.request_id, target=target.id)
         try:
-            answer = await _try_target(state, call, target, options, reply)
+            async with state.guard.watch(call, target) as run:
+                answer = await _try_target(state, call, target, options, reply)
+                run.is_complete = _is_complete_success(answer)
+        except RequestWithheld as exc:
+            reason, withheld = str(exc), exc
+            if choice.has_turn:
+                state.rate_shares.refund(target)
+            break
         except TargetUnreachable as exc:
             reason = str(exc)
             log.info("request did not run at the target: {}", exc)
@@ -111,10 +119,6 @@
             reason = str(exc)
             log.warning("request may have run at the target: {}", exc)
             call.attempts += 1
-            if await has_target_ended(state, target, exc):
-                log.bind(parts=sorted(crash_keys(call))).warning(
-                    "request broken off by the end of its target"
-                )
             if reply.is_started:
                 return Relayed(is_complete=False, reason=reason)
         else:
@@ -128,10 +132,21 @@
             log.info("target responded with status {}", answer.response.status)
         if not call.can_retry():
             break
-    after = pick_limited_retry_after(state, call, rng)
+    if withheld is not None:
+        after = withheld.retry_after
+    else:
+        after = pick_limited_retry_after(state, call, rng)
     return failure or call.send_tracker.failure_outcome(reason, after)
 
 
+def _is_complete_success(answer: Answered | Relayed) -> bool:
+    match answer:
+        case Answered(response):
+            return is_success(response.status)
+        case Relayed(is_complete):
+            return is_complete
+
+
 async def _try_target(
     state: ForwardingState,
     call: Call,
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -11,6 +11,7 @@
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.fields import FieldCodec
 from lagoontide.forward.forwarder import Forwarder
+from lagoontide.forward.guard import Guard
 from lagoontide.forward.retries import RetryBudget
 from lagoontide.forward.stream import choose_engine
 from lagoontide.gateway.metrics import GatewayMetrics
@@ -28,6 +29,9 @@
 from lagoontide.pieces.inputs import StageInputs
 from lagoontide.pieces.messages import MESSAGES as PIECE_MESSAGES
 from lagoontide.pieces.records import PieceClient
+from lagoontide.quarantine.ledger import Ledger
+from lagoontide.quarantine.messages import MESSAGES as QUARANTINE_MESSAGES
+from lagoontide.quarantine.trials import TrialDesk
 from lagoontide.routes.records import Service
 from lagoontide.store.follower import Follower
 from lagoontide.store.revision_store import RevisionStore
@@ -182,6 +186,7 @@
         pools = Pools(
             lambda name: self._find_service(name).max_conns, self._count_entries
         )
+        endings = Endings(directory, pools, clock)
         return ForwardingState(
             failure_domain=cfg.failure_domain,
             field_codec=self._platform.field_codec,
@@ -190,7 +195,15 @@
             loads=Loads(clock),
             streams=Loads(clock),
             pools=pools,
-            endings=Endings(directory, pools, clock),
+            endings=endings,
+            guard=Guard(
+                Ledger(clock),
+                directory,
+                endings,
+                clock,
+                lambda keys, target, left: self.trials.request(keys, target, left),
+                lambda trial: self.trials.end(trial),
+            ),
             budget=RetryBudget(
                 bounds.retry_ratio,
                 bounds.retry_slack,
@@ -208,7 +221,7 @@
         """Create the components that communicate with other entries."""
         cfg = self.cfg
         address = f"{cfg.peers[0]}:{cfg.peers[1]}"
-        codec = make_codec(MESH_MESSAGES, PIECE_MESSAGES)
+        codec = make_codec(MESH_MESSAGES, PIECE_MESSAGES, QUARANTINE_MESSAGES)
         identity = Identity(cfg.name)
         own = EntryRecord(address, cfg.cpu_share, cfg.failure_domain)
         self.peer_sync = PeerSync(
@@ -225,6 +238,7 @@
             self.peer_sync.record_status,
             lambda name: self.dispatcher.forget_peer(name),
             self.peer_sync.record_sums,
+            self.peer_sync.record_crashes,
             self.store_view.entries,
             self.peer_sync.is_cut_off,
         )
@@ -240,8 +254,11 @@
             self._find_service,
             self._stage_shares,
         )
+        self.trials = TrialDesk(
+            self.state.guard.ledger, self.mesh, self.mesh.sees_fleet, self._clock
+        )
         router = Router()
-        for part in (self.mesh, self.peer_sync, self.dispatcher):
+        for part in (self.mesh, self.peer_sync, self.dispatcher, self.trials):
             part.register(router)
         self._mesh_server: Server = bind(
             ctx,
@@ -293,6 +310,7 @@
             self.state.pools.keep_only(keys)
             self.state.health.keep_only(keys)
             self.state.endings.keep_only(keys)
+            self.state.guard.sweep()
             self.state.rate_limits.keep_only(keys)
             self.state.rate_shares.keep_only(keys)
             self._stage_shares.keep_only(keys)
--- a/src/lagoontide/gateway/peer_sync.py
+++ b/src/lagoontide/gateway/peer_sync.py
@@ -20,6 +20,7 @@
 from lagoontide.mesh.peers import Mesh
 from lagoontide.mesh.relay import Relay, RelayReceiver, boot_time
 from lagoontide.pieces.demand import Demand
+from lagoontide.quarantine.records import CrashReport
 from lagoontide.store.follower import Follower
 from lagoontide.tasks import TaskSet
 from lagoontide.wire.router import Router
@@ -128,6 +129,7 @@
             peers=self.mesh.addresses(),
             needs=self._demand.own(),
             limits=self._state.rate_limits.own_reports(),
+            crashes=self._state.guard.ledger.reports(),
         )
 
     def record_status(self, status: Status, counts_work: bool) -> None:
@@ -142,6 +144,7 @@
             self._record_work(status.name, status)
         self._state.directory.mark_reported_leaving(status.leaving_targets, status.name)
         self._state.rate_limits.merge(status.name, status.limits)
+        self.record_crashes(status.name, status.crashes)
         must_catch_up = self._is_store_down() or self._is_configuration_behind(status)
         self._catch_up_if(
             must_catch_up and status.as_of > self._follower.as_of, status.name
@@ -155,6 +158,11 @@
             sums.leaving_targets, AGGREGATE_PEER
         )
         self._state.rate_limits.merge(AGGREGATE_PEER, sums.limits)
+        self.record_crashes(AGGREGATE_PEER, sums.crashes)
+
+    def record_crashes(self, peer: str, crashes: list[CrashReport]) -> None:
+        """Record the crashes of targets that a peer knows of."""
+        self._state.guard.ledger.merge(peer, crashes)
 
     def _record_work(self, name: str, report: Status | Sums) -> None:
         self._state.loads.update_peer(name, report.loads)
--- a/src/lagoontide/http1/messages.py
+++ b/src/lagoontide/http1/messages.py
@@ -17,6 +17,7 @@
 Fields = list[tuple[bytes, bytes]]
 
 SUCCESS_STATUSES = range(200, 300)
+BODILESS_STATUSES = frozenset((204, 304))
 # Not forwarded: fields that apply to one connection only (RFC 9110, 7.6.1).
 HOP_BY_HOP_FIELDS = frozenset(
     (
@@ -57,6 +58,15 @@
     reason: bytes = b""
     length: int | None = None
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the body (RFC 9112, 6.3)."""
+        return (
+            self.length is None
+            and self.status not in BODILESS_STATUSES
+            and not any(field_values(self.fields, b"transfer-encoding"))
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Response:
--- a/src/lagoontide/mesh/hub.py
+++ b/src/lagoontide/mesh/hub.py
@@ -140,7 +140,7 @@
             if name != layout.group
             for hub in layout.hubs(name, without)
         }
-        message = GroupSum(layout.group, listed, *group.excluding(now))
+        message = GroupSum(layout.group, listed, *group.excluding(now), own.crashes)
         for hub in recipients:
             self._send_message(hub, message)
         for part in _largest_per_group(others.values()):
@@ -161,9 +161,10 @@
         for status in members:
             if status.wants_sums:
                 new_roster = None if status.digest == digest else roster
-                self._send_message(
-                    status.name, Sums(digest, new_roster, *total.excluding(now, status))
+                message = Sums(
+                    digest, new_roster, *total.excluding(now, status), own.crashes
                 )
+                self._send_message(status.name, message)
         return Sums(digest, roster, *total.excluding(now, own))
 
 
--- a/src/lagoontide/mesh/messages.py
+++ b/src/lagoontide/mesh/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from lagoontide.mesh.registration import EntryRecord
+from lagoontide.quarantine.records import CrashReport
 from lagoontide.targets.rate_limits import LimitReport
 from lagoontide.targets.records import Target
 
@@ -54,6 +55,8 @@
         Whether the hub that receives this status should reply with ``Sums``.
     limits : list
         Rate limits of targets that this entry was the last to observe.
+    crashes : list
+        All crashes of targets that the sender knows of.
     """
 
     name: str
@@ -71,6 +74,7 @@
     digest: int = 0
     wants_sums: bool = False
     limits: list[LimitReport] = []
+    crashes: list[CrashReport] = []
 
 
 class StoreSnapshotRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -165,6 +169,8 @@
         As in ``Status``, the union over the members.
     limits : list
         As in ``Status``, the latest of the members.
+    crashes : list
+        As in ``Status``.
     """
 
     group: str
@@ -174,6 +180,7 @@
     needs: Needs = []
     leaving_targets: tuple[tuple[str, int], ...] = ()
     limits: list[LimitReport] = []
+    crashes: list[CrashReport] = []
 
 
 class Sums(msgspec.Struct, frozen=True, array_like=True, tag="sums"):
@@ -194,6 +201,7 @@
     needs: Needs = []
     leaving_targets: tuple[tuple[str, int], ...] = ()
     limits: list[LimitReport] = []
+    crashes: list[CrashReport] = []
 
 
 MESSAGES = (
--- a/src/lagoontide/mesh/peers.py
+++ b/src/lagoontide/mesh/peers.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from lagoontide.errors import PeerError
+from lagoontide.mesh.addresses import AddressBook
 from lagoontide.mesh.hub import Hub
 from lagoontide.mesh.hub_monitor import HubMonitor
 from lagoontide.mesh.layout import Layout, make_layout
@@ -16,6 +17,7 @@
 from lagoontide.mesh.partition import minority
 from lagoontide.mesh.registration import EntryRecord
 from lagoontide.mesh.roster import Roster
+from lagoontide.quarantine.records import CrashReport
 from lagoontide.wire.conn import Conn
 from lagoontide.wire.pool import ConnPool
 from lagoontide.wire.router import Router
@@ -37,10 +39,10 @@
 # Entries that start together receive each other's statuses within this time.
 SETTLE_S = 0.4
 LARGE_FLEET_SETTLE_S = 1.0
-# Statuses sent in one round; other peers get theirs in later rounds. In a fleet of more
-# than MAX_FULL_MESH_ENTRIES they go to hubs, so that their cost does not grow.
-MAX_STATUS_RECIPIENTS = 12
+# Above this size, statuses go to hubs, so that their cost does not grow.
 MAX_FULL_MESH_ENTRIES = 36
+# Peers named in a status, for entries that have just started.
+MAX_NAMED_PEERS = 12
 # An entry that did not answer is not live, and gets no orders, for this long.
 SUSPECT_S = 2.0
 # Assumed for an entry whose capacity is unknown.
@@ -70,6 +72,8 @@
         large fleet the sums include it.
     on_lost : callable
         Called with the name of a peer that is lost.
+    on_crashes : callable
+        Called with the name of a hub of another group, and the crashes that it reports.
     on_sums : callable
         Called with the summed statuses of all other entries, in a large fleet.
     registered : mapping
@@ -87,6 +91,7 @@
         on_status: Callable[[Status, bool], None],
         on_lost: Callable[[str], None],
         on_sums: Callable[[Sums], None],
+        on_crashes: Callable[[str, list[CrashReport]], None],
         registered: Mapping[str, EntryRecord],
         is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -98,10 +103,10 @@
         self._make_status = make_status
         self._on_status = on_status
         self._on_sums = on_sums
+        self._on_crashes = on_crashes
         self._loop = asyncio.get_running_loop()
         self._peers: dict[str, _Peer] = {}
-        self._known_addresses: dict[str, float] = {}
-        self._recipient_offset = 0
+        self._addresses = AddressBook(self._loop.time)
         self._registered = registered
         self._is_cut_off = is_cut_off
         self._suspected_until: dict[str, float] = {}
@@ -120,9 +125,7 @@
 
     def add_addresses(self, addresses: Iterable[str]) -> None:
         """Add addresses at which there may be entries."""
-        now = self._loop.time()
-        for address in addresses:
-            self._known_addresses[address] = now
+        self._addresses.add(addresses)
 
     def live(self) -> tuple[str, ...]:
         """Return the names of entries that accept work, including this one."""
@@ -143,7 +146,7 @@
             return age < LARGE_FLEET_SETTLE_S and not self.roster.is_fresh
         if age > SETTLE_S:
             return False
-        return len(self._known_addresses) > 1 + len(self._peers)
+        return len(self._addresses) > 1 + len(self._peers)
 
     def minority_position(self) -> tuple[int, int] | None:
         """Return this entry's index and the number of entries, if in a ``minority``."""
@@ -157,6 +160,10 @@
         """
         return () if self.is_settling() else self._minority() or self.live()
 
+    def sees_fleet(self) -> bool:
+        """Return whether this entry has settled and hears most of the others."""
+        return not self.is_settling() and self._minority() is None
+
     def _minority(self) -> tuple[str, ...] | None:
         if self._is_large_fleet():
             heard = len(self.roster) if self.roster.is_fresh else 1
@@ -213,9 +220,7 @@
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses of some of the peers that are not lost."""
         heard = (peer for peer in self._peers.values() if not peer.is_lost)
-        return tuple(
-            peer.status.address for peer in islice(heard, MAX_STATUS_RECIPIENTS)
-        )
+        return tuple(peer.status.address for peer in islice(heard, MAX_NAMED_PEERS))
 
     async def run(self) -> None:
         """Send this entry's status to peers, and detect lost ones, until cancelled."""
@@ -237,7 +242,7 @@
         if self._is_large_fleet():
             self._send_status_to_hubs(status)
             return
-        for address in self._status_recipients(status.address):
+        for address in self._addresses.next_recipients(status.address):
             self._send_over(self._pool.get(f"tcp://{address}"), status)
 
     def send(self, name: str, message: msgspec.Struct) -> None:
@@ -341,21 +346,12 @@
         peer = self._peers.get(name)
         return peer is None or not (peer.is_lost or peer.status.is_draining)
 
-    def _status_recipients(self, own: str) -> list[str]:
-        """Return the addresses that get this entry's status in this round."""
-        addresses = sorted(self._known_addresses.keys() - {own})
-        if len(addresses) <= MAX_STATUS_RECIPIENTS:
-            return addresses
-        self._recipient_offset += MAX_STATUS_RECIPIENTS
-        begin = self._recipient_offset % len(addresses)
-        return (addresses + addresses)[begin : begin + MAX_STATUS_RECIPIENTS]
-
     def _silence_limit(self) -> float:
         """Return the seconds without a status after which a peer is lost."""
         if self._is_large_fleet():
             return LOST_AFTER_ROUNDS * HUB_STATUS_INTERVAL_S
-        turns = -(-len(self._known_addresses) // MAX_STATUS_RECIPIENTS)
-        return max(MIN_LOST_AFTER_S, LOST_AFTER_ROUNDS * turns * STATUS_INTERVAL_S)
+        rounds = self._addresses.rounds
+        return max(MIN_LOST_AFTER_S, LOST_AFTER_ROUNDS * rounds * STATUS_INTERVAL_S)
 
     def _expire_peers(self) -> None:
         now = self._loop.time()
@@ -372,10 +368,8 @@
                 peer.is_lost = True
                 self._on_lost(name)
                 logger.bind(peer=name).warning("peer lost: silent for {:.2f} s", silent)
-        for address, learned_at in tuple(self._known_addresses.items()):
-            if now - learned_at > FORGET_AFTER_S:
-                del self._known_addresses[address]
-        self._pool.keep(f"tcp://{address}" for address in self._known_addresses)
+        self._addresses.expire()
+        self._pool.keep(f"tcp://{address}" for address in self._addresses)
 
     async def _handle_status(self, peer: str, status: Status, send: Send) -> None:
         now = self._loop.time()
@@ -384,8 +378,7 @@
             logger.bind(peer=status.name).info("peer found at {}", status.address)
         self._peers[status.name] = _Peer(status, now)
         self.add_addresses((status.address,))
-        for address in status.peers:
-            self._known_addresses.setdefault(address, now)
+        self._addresses.add_unconfirmed(status.peers)
         is_large = self._is_large_fleet()
         self._on_status(status, not is_large)
         if is_large and status.group == self.layout().group:
@@ -393,6 +386,7 @@
 
     async def _handle_group_sum(self, peer: str, message: GroupSum, send: Send) -> None:
         self._hub.record_group_sum(peer, message)
+        self._on_crashes(peer, message.crashes)
 
     async def _handle_sums(self, peer: str, sums: Sums, send: Send) -> None:
         self.hub_monitor.record_message(peer)
--- /dev/null
+++ b/src/lagoontide/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that make targets crash: evidence, trials and quarantine."""
--- /dev/null
+++ b/src/lagoontide/quarantine/ledger.py
@@ -0,0 +1,255 @@
+"""Evidence on requests that make targets crash, merged from all entries.
+
+A request that was running when its target crashed may have caused it. Its keys are
+suspects until a request with them is completed, at any entry. A request with a suspect
+key runs as a trial: one in the whole fleet, alone among suspects at its target. If that
+target crashes as well, the keys that both requests have in common are blocked.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+from itertools import combinations
+
+from loguru import logger
+
+from lagoontide.quarantine.records import (
+    MAX_REPORT_KEYS,
+    Block,
+    Clear,
+    CrashReport,
+    Quarantined,
+    Suspect,
+    Verdict,
+)
+from lagoontide.targets.records import Target
+
+__all__ = ["Ledger"]
+
+MAX_RECORDS = 48
+RECORD_TTL_S = 3600.0
+# Keys that were completed this shortly before a crash did not cause it.
+COMPLETED_BEFORE_S = 10.0
+MAX_COMPLETED_KEYS = 4096
+# Without trials, as between entries that cannot reach each other, a key is blocked
+# after this many crashes that lie at least this far apart.
+MIN_SEPARATE_CRASHES = 3
+SEPARATION_S = 2.0
+
+
+@dataclass(slots=True)
+class _Record:
+    target: tuple[str, int]
+    keys: tuple[str, ...]
+    at: float
+    is_trial: bool
+    cleared: set[str] = field(default_factory=set)
+
+    @property
+    def open(self) -> frozenset[str]:
+        """The keys that may have caused the crash."""
+        return frozenset(self.keys) - self.cleared
+
+
+class Ledger:
+    """The crashes that this entry knows of, and the verdicts that follow.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the seconds of a monotonic clock.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._records: dict[tuple[tuple[str, int], tuple[str, ...]], _Record] = {}
+        self._completed: dict[str, float] = {}
+        # Derived from the records when they change.
+        self._suspects: frozenset[str] = frozenset()
+        self._blocks: tuple[Block, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no crash is on record."""
+        return not self._records
+
+    @property
+    def suspects(self) -> frozenset[str]:
+        """All keys that may have caused a crash."""
+        return self._suspects
+
+    @property
+    def blocks(self) -> tuple[Block, ...]:
+        """The combinations of keys that are blocked, those due for a probe included."""
+        return self._blocks
+
+    def verdict(self, keys: Collection[str]) -> Verdict:
+        """Return whether a request with these keys may run."""
+        suspects = self._suspects.intersection(keys)
+        if not suspects:
+            return Clear()
+        now = self._clock()
+        for block in self._blocks:
+            if block.keys <= suspects and now < block.probe_at:
+                return Quarantined(block, block.probe_at - now)
+        return Suspect(suspects)
+
+    def record_completion(self, keys: Iterable[str]) -> None:
+        """Record a completed request, which clears its keys."""
+        now = self._clock()
+        keys = tuple(keys)
+        for key in keys:
+            self._completed.pop(key, None)
+            self._completed[key] = now
+        while len(self._completed) > MAX_COMPLETED_KEYS:
+            del self._completed[next(iter(self._completed))]
+        if not self._suspects.isdisjoint(keys):
+            for record in self._records.values():
+                record.cleared.update(record.open.intersection(keys))
+            self._derive("a completed request")
+
+    def record_crash(
+        self, target: Target, keys: Collection[str], is_trial: bool
+    ) -> frozenset[str]:
+        """Record a request that a target's crash broke off; return its suspect keys."""
+        now = self._clock()
+        keys = sorted(keys, key=lambda key: (self._was_completed(key, now), key))
+        # Keys that were completed lately come last, so that they are left out first.
+        report = CrashReport(
+            target.id,
+            target.born,
+            tuple(sorted(keys[:MAX_REPORT_KEYS])),
+            is_trial=is_trial,
+        )
+        self._add(report)
+        self._derive("this entry")
+        record = self._records.get((target.key, report.keys))
+        return record.open if record else frozenset()
+
+    def merge(self, peer: str, reports: Iterable[CrashReport]) -> None:
+        """Record what a peer knows."""
+        changed = [self._add(report) for report in reports]
+        if any(changed):
+            self._derive(peer)
+
+    def reports(self) -> list[CrashReport]:
+        """Return all records, for peers."""
+        now = self._clock()
+        return [
+            CrashReport(
+                *record.target,
+                record.keys,
+                tuple(sorted(record.cleared)),
+                record.is_trial,
+                round(now - record.at, 3),
+            )
+            for record in self._records.values()
+        ]
+
+    def sweep(self) -> None:
+        """Drop records that are too old, or too many."""
+        now = self._clock()
+        old = [
+            key
+            for key, record in self._records.items()
+            if now - record.at > RECORD_TTL_S
+            or (not record.open and now - record.at > COMPLETED_BEFORE_S)
+        ]
+        blocked = {target for block in self._blocks for target in block.targets}
+        rest = sorted(
+            (key for key in self._records if key not in old),
+            key=lambda key: (key[0] in blocked, self._records[key].at),
+        )
+        old += rest[: max(0, len(rest) - MAX_RECORDS)]
+        for key in old:
+            del self._records[key]
+        if old:
+            self._derive("expiry")
+
+    def _was_completed(self, key: str, at: float) -> bool:
+        """Return whether a request with a key was completed after or just before."""
+        completed_at = self._completed.get(key)
+        return completed_at is not None and completed_at > at - COMPLETED_BEFORE_S
+
+    def _add(self, report: CrashReport) -> bool:
+        """Add a record or what is new of it; return whether anything was."""
+        age = max(0.0, report.age)
+        target = (report.target, report.born)
+        record = self._records.get((target, report.keys))
+        if record is None:
+            is_open = set(report.keys) - set(report.cleared)
+            if age > RECORD_TTL_S or not is_open or len(report.keys) > MAX_REPORT_KEYS:
+                return False
+            record = _Record(target, report.keys, self._clock() - age, report.is_trial)
+            self._records[target, report.keys] = record
+            is_new = True
+        else:
+            is_new = report.is_trial and not record.is_trial
+            record.is_trial |= report.is_trial
+        cleared = {
+            key
+            for key in record.keys
+            if key in report.cleared or self._was_completed(key, record.at)
+        }
+        is_new = is_new or not cleared <= record.cleared
+        record.cleared |= cleared
+        return is_new
+
+    def _derive(self, source: str) -> None:
+        """Derive suspects and blocks from the records, and log what has changed."""
+        records = [record for record in self._records.values() if record.open]
+        self._suspects = frozenset().union(*(record.open for record in records))
+        combined = {
+            common
+            for first, second in combinations(records, 2)
+            if (first.is_trial or second.is_trial) and first.target != second.target
+            if (common := first.open & second.open)
+        }
+        combined |= {
+            frozenset((key,))
+            for key in self._suspects
+            if _separate_crashes(
+                sorted(record.at for record in records if key in record.open)
+            )
+            >= MIN_SEPARATE_CRASHES
+        }
+        before = {block.keys: block for block in self._blocks}
+        # Of combinations that contain each other, the smallest is the cause.
+        self._blocks = tuple(
+            _make_block(keys, records)
+            for keys in combined
+            if not any(other < keys for other in combined)
+        )
+        self._log_changes(before, source)
+
+    def _log_changes(self, before: dict[frozenset[str], Block], source: str) -> None:
+        now = self._clock()
+        for block in self._blocks:
+            known = before.pop(block.keys, None)
+            if known is None or known.targets != block.targets:
+                logger.bind(
+                    keys=sorted(block.keys), targets=[name for name, _ in block.targets]
+                ).warning(
+                    "requests quarantined: {} targets crashed, last {:.2f} s ago, "
+                    "next probe in {:.1f} s, from {}",
+                    len(block.targets),
+                    now - block.last_crash_at,
+                    block.probe_at - now,
+                    source,
+                )
+        for keys in before:
+            logger.bind(keys=sorted(keys)).info("quarantine ended by {}", source)
+
+
+def _separate_crashes(times: list[float]) -> int:
+    """Return how many of some ascending times lie at least SEPARATION_S apart."""
+    count, last = 0, float("-inf")
+    for at in times:
+        if at - last >= SEPARATION_S:
+            count, last = count + 1, at
+    return count
+
+
+def _make_block(keys: frozenset[str], records: list[_Record]) -> Block:
+    crashed = [record for record in records if keys <= record.open]
+    targets = tuple(dict.fromkeys(record.target for record in crashed))
+    return Block(keys, targets, max(record.at for record in crashed))
--- a/tests/gateway/test_target_endings.py
+++ b/tests/gateway/test_target_endings.py
@@ -1,16 +1,27 @@
-"""What entries log when a target ends while it serves requests."""
+"""What entries log, and decide, when a target ends while it serves requests."""
 
 import asyncio
+import contextlib
 
+import pytest
 from loguru import logger
 
+from lagoontide.http1.client import InvalidResponse
+from lagoontide.http1.messages import field_value
 from lagoontide.platform.standins.deployment import send, start_deployment
 from lagoontide.platform.standins.targets import TargetFault
 
-FIELDS = [
-    (b"X-Lagoontide-Token-Counts", b"1200,6"),
-    (b"X-Lagoontide-Prompt-Prefix", b"aa:800,bad:100,own:300"),
-]
+
+def prompt(*parts):
+    text = ",".join(f"{part}:200" for part in parts)
+    return [
+        (b"X-Lagoontide-Token-Counts", b"1200,6"),
+        (b"X-Lagoontide-Prompt-Prefix", text.encode()),
+    ]
+
+
+def crash_on_bad(target):
+    target.crashes_on = lambda run: "bad" in run.parts
 
 
 def lines_of(spoil):
@@ -21,35 +32,105 @@
         async with start_deployment(1) as small:
             for target in small.targets_of("engine"):
                 spoil(target)
-            await send(small.ports[0], "/events/a", "r1", extra=FIELDS)
+            with contextlib.suppress(OSError, InvalidResponse):
+                extra = prompt("aa", "bad", "own")
+                await send(small.ports[0], "/events/a", "r1", extra=extra)
 
     sink = logger.add(lambda message: lines.append(message.record), level="INFO")
     try:
         asyncio.run(main())
-    except OSError:
-        pass  # The response was cut.
     finally:
         logger.remove(sink)
-    return [
-        (line["message"], line["extra"].get("parts"))
-        for line in lines
-        if "broke" in line["message"]
-    ]
-
+    return [(line["message"], line["extra"]) for line in lines]
 
-def test_the_parts_of_requests_that_a_target_s_end_breaks_off_are_logged():
-    def crash(target):
-        target.crashes_on = lambda run: "bad" in run.parts
 
-    ends = [parts for text, parts in lines_of(crash) if "end of its target" in text]
-    assert ends
-    assert all(parts == ["aa", "bad"] for parts in ends)
+def test_a_crash_a_trial_and_the_quarantine_are_logged_with_their_inputs():
+    lines = lines_of(crash_on_bad)
+    ends = [extra for text, extra in lines if "end of its target" in text]
+    assert [extra["keys"] for extra in ends] == [["aa", "bad"]] * 2
+    assert ends[0]["suspects"] == ["aa", "bad"]
+    trials = [extra for text, extra in lines if text.endswith("request: granted")]
+    assert [extra["keys"] for extra in trials] == [["aa", "bad"]]
+    (block,) = [extra for text, extra in lines if "quarantined" in text]
+    assert block["keys"] == ["aa", "bad"]
+    assert sorted(block["targets"]) == ["eng-0", "eng-1"]
 
 
-def test_a_stream_that_breaks_off_at_a_target_that_goes_on_is_no_end():
+def test_a_stream_that_breaks_off_at_a_target_that_goes_on_is_no_crash():
     def cut(target):
         target.fault, target.faults_left = TargetFault.RUNS_AND_CUTS, 1
 
-    lines = lines_of(cut)
-    assert any("still accepts connections" in text for text, _ in lines)
-    assert not any("end of its target" in text for text, _ in lines)
+    texts = [text for text, _ in lines_of(cut)]
+    assert any("still accepts connections" in text for text in texts)
+    assert not any("end of its target" in text for text in texts)
+
+
+def test_a_quarantined_request_is_rejected_at_once_by_all_entries():
+    async def main():
+        async with start_deployment(4) as small:
+            engines = small.targets_of("engine")
+            for target in engines:
+                crash_on_bad(target)
+            loop = asyncio.get_running_loop()
+            with contextlib.suppress(OSError, InvalidResponse):
+                extra = prompt("bad", "own")
+                await send(small.ports[0], "/events/a", "r0", extra=extra)
+            await asyncio.sleep(0.5)
+            runs = sum(len(target.log) for target in engines)
+            for number, port in enumerate(small.ports):
+                started_at = loop.time()
+                extra = prompt("aa", "bad", f"own{number}")
+                answer = await send(port, "/events/a", f"q{number}", extra=extra)
+                assert answer.status == 503
+                # No sooner than the next probe; it has no seal, as no target ran it.
+                after = float(field_value(answer.fields, b"retry-after"))
+                assert 50.0 < after <= 60.0
+                assert loop.time() - started_at < 0.1
+            assert sum(len(target.log) for target in engines) == runs
+
+    asyncio.run(main())
+
+
+# Guards against missing a crash whose target is back before it can be asked.
+@pytest.mark.parametrize("restart_after", [0.0, 0.05])
+def test_a_target_that_starts_again_at_once_under_its_id_has_crashed(restart_after):
+    async def main():
+        async with start_deployment(1) as small:
+            for target in small.targets_of("engine"):
+                crash_on_bad(target)
+                target.restart_after, target.keeps_id = restart_after, True
+            for number in range(12):
+                with contextlib.suppress(OSError, InvalidResponse):
+                    extra = prompt("bad", f"own{number}")
+                    await send(small.ports[0], "/events/a", f"r{number}", extra=extra)
+                await asyncio.sleep(0.6)
+            runs = sum(len(target.log) for target in small.targets_of("engine"))
+            assert runs <= 8
+
+    asyncio.run(main())
+
+
+def test_a_drained_target_that_ends_with_requests_is_no_crash():
+    async def main():
+        async with start_deployment(1) as small:
+            engines = small.targets_of("engine")
+            for target in engines:
+                target.work = 0.2
+            sent = [
+                asyncio.ensure_future(
+                    send(
+                        small.ports[0], "/events/a", f"r{n}", extra=prompt("a", f"{n}")
+                    )
+                )
+                for n in range(6)
+            ]
+            await asyncio.sleep(0.5)
+            for target in engines:
+                target.register(small.store, state="draining")
+            await asyncio.sleep(0.5)
+            for target in engines:
+                target.crash()
+            await asyncio.gather(*sent, return_exceptions=True)
+            assert small.gateways[0].state.guard.ledger.is_empty
+
+    asyncio.run(main())
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -9,6 +9,7 @@
 import contextlib
 import random
 from itertools import count
+from types import SimpleNamespace
 
 import msgspec
 
@@ -19,6 +20,7 @@
 from lagoontide.mesh.peers import Mesh
 from lagoontide.mesh.registration import EntryRecord, Registration
 from lagoontide.pieces.demand import Demand
+from lagoontide.quarantine.ledger import Ledger
 from lagoontide.routes.records import RoutingConfig
 from lagoontide.store.follower import Follower
 from lagoontide.store.revision_store import (
@@ -226,9 +228,7 @@
             None,
             Loads(loop.time),
             Loads(loop.time),
-            None,
-            None,
-            None,
+            *(None, None, SimpleNamespace(ledger=Ledger(loop.time)), None),
             RateLimits(loop.time),
             None,
         )
@@ -261,6 +261,7 @@
             self.peer_sync.record_status,
             self.lost.append,
             self.peer_sync.record_sums,
+            self.peer_sync.record_crashes,
             self.store_view.entries,
             self.peer_sync.is_cut_off,
         )
@@ -384,11 +385,8 @@
 
     def watchers(self):
         """Return the entries that have watched the store since ``clear_calls``."""
-        return [
-            entry.name
-            for entry in self.entries.values()
-            if "watch" in entry.store_client.calls
-        ]
+        entries = self.entries.values()
+        return [item.name for item in entries if "watch" in item.store_client.calls]
 
     def clear_calls(self):
         for entry in self.all():
--- a/tests/mesh/test_hubs.py
+++ b/tests/mesh/test_hubs.py
@@ -8,6 +8,7 @@
 from lagoontide.mesh.layout import HUBS_PER_GROUP, MAX_ENTRIES_WITHOUT_HUBS
 from lagoontide.mesh.peers import MAX_FULL_MESH_ENTRIES
 from lagoontide.pieces.demand import Need
+from lagoontide.quarantine.records import Clear, Quarantined
 from lagoontide.targets.records import Target, TargetState
 from tests.mesh.fleet import CONFIG_KEY, DOMAINS, TARGET_PREFIX, Fleet
 from tests.support.virtual import run_virtual
@@ -17,6 +18,8 @@
 PROPAGATION_LIMIT_S, FAILOVER_LIMIT_S = 0.5, 3.5
 # Statuses, groups' sums and sums of all take a round each.
 LIMIT_SPREAD_S = 1.0
+# A third of the bound that the users set, contact_ms.
+CRASH_SPREAD_S = 1.0
 
 
 def run_scenario(number, scenario):
@@ -278,3 +281,28 @@
             assert known == {rate}
 
     run_scenario(number, scenario)
+
+
+# Guards against entries of a large fleet that do not learn of crashes in time (BUDGET).
+@pytest.mark.parametrize("number", [MAX_ENTRIES_WITHOUT_HUBS, MEDIUM, LARGE])
+def test_crashes_and_what_clears_them_reach_every_entry(number):
+    async def scenario(fleet):
+        targets = [
+            Target(f"t{n}", "s", "h", n, "z1", TargetState.READY, born=7)
+            for n in range(2)
+        ]
+        entries = list(fleet.entries.values())
+        ledgers = [entry.state.guard.ledger for entry in entries]
+        # Two crashes, each seen by another entry, and the second one in a trial.
+        ledgers[0].record_crash(targets[0], {"bad", "rare"}, is_trial=False)
+        await asyncio.sleep(CRASH_SPREAD_S)
+        assert {ledger.suspects for ledger in ledgers} == {frozenset(("bad", "rare"))}
+        ledgers[-1].record_crash(targets[1], {"bad", "other"}, is_trial=True)
+        ledgers[number // 2].record_completion({"rare"})
+        await asyncio.sleep(CRASH_SPREAD_S)
+        for ledger in ledgers:
+            assert [block.keys for block in ledger.blocks] == [{"bad"}]
+            assert isinstance(ledger.verdict({"bad", "x"}), Quarantined)
+            assert ledger.verdict({"rare"}) == Clear()
+
+    run_scenario(number, scenario)
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -2,14 +2,10 @@
 
 import asyncio
 
+from lagoontide.mesh.addresses import MAX_RECIPIENTS
 from lagoontide.mesh.hub import digest_of
 from lagoontide.mesh.messages import Member, Status, Sums
-from lagoontide.mesh.peers import (
-    MAX_FULL_MESH_ENTRIES,
-    MAX_STATUS_RECIPIENTS,
-    MIN_LOST_AFTER_S,
-    Mesh,
-)
+from lagoontide.mesh.peers import MAX_FULL_MESH_ENTRIES, MIN_LOST_AFTER_S, Mesh
 from lagoontide.mesh.registration import EntryRecord
 
 
@@ -40,6 +36,7 @@
         lambda status, counts: None,
         lost.append,
         lambda sums: None,
+        lambda peer, crashes: None,
         {},
     )
     return mesh, recipients, lost
@@ -93,7 +90,7 @@
     async def main():
         mesh, recipients, _ = make_mesh()
         register(mesh, MAX_FULL_MESH_ENTRIES)
-        for _ in range(MAX_FULL_MESH_ENTRIES // MAX_STATUS_RECIPIENTS + 1):
+        for _ in range(MAX_FULL_MESH_ENTRIES // MAX_RECIPIENTS + 1):
             mesh.broadcast_status()
         assert len(set(recipients)) == MAX_FULL_MESH_ENTRIES - 1
 
