Keep quarantines in the store across the end of all entries

Callers saw targets crash again after all entries had been killed at the same moment: what they knew of requests that crash targets was in their memory alone.

Entries read it with their first listing, before they are ready.

--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -29,6 +29,7 @@
 from lagoontide.pieces.inputs import StageInputs
 from lagoontide.pieces.messages import MESSAGES as PIECE_MESSAGES
 from lagoontide.pieces.records import PieceClient
+from lagoontide.quarantine.keeper import Keeper
 from lagoontide.quarantine.ledger import Ledger
 from lagoontide.quarantine.messages import MESSAGES as QUARANTINE_MESSAGES
 from lagoontide.quarantine.trials import TrialDesk
@@ -141,6 +142,7 @@
             self.follower.run(),
             self.mesh.run(),
             self.registration.run(),
+            self.keeper.run(),
             self._sweep(),
         ]
 
@@ -257,6 +259,16 @@
         self.trials = TrialDesk(
             self.state.guard.ledger, self.mesh, self.mesh.sees_fleet, self._clock
         )
+        self.keeper = Keeper(
+            self._platform.store,
+            self.state.guard.ledger,
+            self.store_view.quarantines,
+            lambda: (
+                self.trials.is_coordinator
+                and self.store_view.is_synced
+                and self.follower.is_up
+            ),
+        )
         router = Router()
         for part in (self.mesh, self.peer_sync, self.dispatcher, self.trials):
             part.register(router)
--- a/src/lagoontide/gateway/store_view.py
+++ b/src/lagoontide/gateway/store_view.py
@@ -10,6 +10,7 @@
 from lagoontide.forward.call import ForwardingState
 from lagoontide.mesh.messages import StoreSnapshot
 from lagoontide.mesh.registration import ENTRIES_PREFIX, EntryRecord, entry_name
+from lagoontide.quarantine.keeper import QUARANTINE_PREFIX, StoredQuarantines
 from lagoontide.routes.records import RoutingConfig
 from lagoontide.routes.route_table import RouteTable
 from lagoontide.store.revision_store import KeyRevision, Listing
@@ -69,6 +70,8 @@
         Whether a full listing of the store, or a peer's snapshot, has been applied.
     entries : dict
         Registered entries by name; shared with the mesh.
+    quarantines : StoredQuarantines
+        The quarantines that the store holds.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         self.config_value = b""
         self.is_synced = False
         self.entries: dict[str, EntryRecord] = {}
+        self.quarantines = StoredQuarantines(state.guard.ledger)
         # Entries whose keys disappeared during a store outage, and the loop time
         # until which each is kept.
         self._kept_until: dict[str, float] = {}
@@ -103,6 +107,7 @@
             self.apply(item)
         for name in self.entries.keys() - entries:
             self._remove_entry(name)
+        self.quarantines.keep_only(item.key for item in listing.items)
         up_since = self._store_up_since()
         self._state.directory.remove_unlisted(names, listing.as_of, up_since)
         domains = (self._decoders.evacuated_domain(item.key) for item in listing.items)
@@ -127,6 +132,8 @@
                 self._remove_entry(entry_name(item.key))
             else:
                 self._apply_entry(item.key, item.value)
+        elif item.key.startswith(QUARANTINE_PREFIX):
+            self.quarantines.apply(item.key, item.value)
         elif (domain := self._decoders.evacuated_domain(item.key)) is not None:
             directory = self._state.directory
             others = directory.evacuated - {domain}
--- a/src/lagoontide/platform/standins/deployment.py
+++ b/src/lagoontide/platform/standins/deployment.py
@@ -44,11 +44,50 @@
     targets: list[TargetStandin]
     gateways: list[Gateway] = field(default_factory=list)
     ports: list[int] = field(default_factory=list)
+    _running: contextlib.AsyncExitStack = field(
+        default_factory=contextlib.AsyncExitStack
+    )
 
     def targets_of(self, service: str) -> list[TargetStandin]:
         """Return the targets of a service."""
         return [target for target in self.targets if target.service == service]
 
+    async def start_entries(self) -> None:
+        """Start an entry for each endpoint of the store; wait until all are ready."""
+        stack = self._running
+        number = len(self.store_endpoints)
+        ports = reserve_ports(stack.enter_context(contextlib.ExitStack()), 3 * number)
+        seeds = tuple((HOST, ports[3 * place]) for place in range(number))
+        ctx = stack.enter_context(zmq.Context())
+        for place, endpoint in enumerate(self.store_endpoints):
+            peers, callers, ready = ports[3 * place : 3 * place + 3]
+            cfg = GatewaySettings(
+                name=f"entry-{place}",
+                host=HOST,
+                failure_domain="z1",
+                callers=(HOST, callers),
+                ready=(HOST, ready),
+                peers=(HOST, peers),
+                metrics_port=0,
+                store=(HOST, endpoint.port),
+                seeds=seeds,
+                bounds=Bounds(grace_period=3.0, retry_slack=20.0),
+            )
+            gateway = Gateway(cfg, ctx, make_platform(cfg))
+            await gateway.start()
+            stack.push_async_callback(gateway.close)
+            running = [asyncio.ensure_future(task) for task in gateway.tasks()]
+            stack.push_async_callback(_cancel_tasks, running)
+            self.gateways.append(gateway)
+            self.ports.append(callers)
+        await _wait_until_ready(self)
+
+    async def kill_entries(self) -> None:
+        """End all entries at once, without a word to the store or to callers."""
+        await self._running.aclose()
+        self.gateways.clear()
+        self.ports.clear()
+
     def configure(self, version: int, **changes: Any) -> None:
         """Write a configuration to the store."""
         self.store.put(CONFIGURATION_KEY, make_configuration(version, **changes))
@@ -113,39 +152,17 @@
     deployment.configure(1)
     for target in targets:
         await target.start(store)
-    async with contextlib.AsyncExitStack() as stack:
-        ports = reserve_ports(stack.enter_context(contextlib.ExitStack()), 3 * entries)
-        seeds = tuple((HOST, ports[3 * number]) for number in range(entries))
-        ctx = stack.enter_context(zmq.Context())
-        for number in range(entries):
-            peers, callers, ready = ports[3 * number : 3 * number + 3]
-            cfg = GatewaySettings(
-                name=f"entry-{number}",
-                host=HOST,
-                failure_domain="z1",
-                callers=(HOST, callers),
-                ready=(HOST, ready),
-                peers=(HOST, peers),
-                metrics_port=0,
-                store=(HOST, await endpoints[number].start()),
-                seeds=seeds,
-                bounds=Bounds(grace_period=3.0, retry_slack=20.0),
-            )
-            gateway = Gateway(cfg, ctx, make_platform(cfg))
-            await gateway.start()
-            stack.push_async_callback(gateway.close)
-            running = [asyncio.ensure_future(task) for task in gateway.tasks()]
-            stack.push_async_callback(_cancel_tasks, running)
-            deployment.gateways.append(gateway)
-            deployment.ports.append(callers)
-        await _wait_until_ready(deployment)
-        try:
-            yield deployment
-        finally:
-            for target in targets:
-                await target.close()
-            for endpoint in endpoints:
-                await endpoint.close()
+    for endpoint in endpoints:
+        await endpoint.start()
+    try:
+        await deployment.start_entries()
+        yield deployment
+    finally:
+        for target in targets:
+            await target.close()
+        for endpoint in endpoints:
+            await endpoint.close()
+        await deployment.kill_entries()
 
 
 async def send(
--- a/src/lagoontide/platform/standins/store.py
+++ b/src/lagoontide/platform/standins/store.py
@@ -197,12 +197,14 @@
 
     store: StoreStandin
     trouble: StoreFault = StoreFault.NONE
+    port: int = 0
     _listener: Listener | None = None
 
     async def start(self, host: str = HOST, port: int = 0) -> int:
         """Start listening; return the port."""
         self._listener = Listener(self._handle, HttpLimits)
-        return await self._listener.start(host, port)
+        self.port = await self._listener.start(host, port)
+        return self.port
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
--- a/src/lagoontide/platform/store.py
+++ b/src/lagoontide/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Sequence
 from typing import TypeVar
 from urllib.parse import urlencode
 
@@ -35,6 +36,7 @@
 MAX_LISTING_BYTES = 64 << 20
 MAX_PAGES = 1000
 MS_PER_S = 1000.0
+NO_LEASE = 0
 
 RANGE_PATH = "/lagoontide/kv-range"
 WATCH_PATH = "/lagoontide/kv-watch"
@@ -145,21 +147,30 @@
         """See RevisionStore."""
         await self._call("DELETE", LEASE_END_PATH + lease)
 
-    async def put(self, key: str, value: bytes, lease: str) -> None:
+    async def put(self, key: str, value: bytes, lease: str = "") -> None:
         """See RevisionStore."""
         text = base64.b64encode(value).decode()
-        put = {"key": key, "value": text, "lease": int(lease)}
-        await self._call(
-            "POST",
-            TRANSACTION_PATH,
-            {"expected_rev": [], "puts": [put], "delete_keys": []},
-        )
+        put = {"key": key, "value": text, "lease": int(lease or NO_LEASE)}
+        await self._commit(puts=[put])
+
+    async def delete(self, key: str) -> None:
+        """See RevisionStore."""
+        await self._commit(delete_keys=[key])
 
     def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
             self._idle.pop().close()
 
+    async def _commit(
+        self, puts: Sequence[object] = (), delete_keys: Sequence[str] = ()
+    ) -> None:
+        await self._call(
+            "POST",
+            TRANSACTION_PATH,
+            {"expected_rev": [], "puts": puts, "delete_keys": delete_keys},
+        )
+
     async def _call(
         self, method: str, path: str, body: object = None, wait: float = 0.0
     ) -> bytes:
--- a/src/lagoontide/store/revision_store.py
+++ b/src/lagoontide/store/revision_store.py
@@ -100,11 +100,14 @@
     async def revoke(self, lease: str) -> None:
         """Revoke a lease, which deletes its keys."""
 
-    async def put(self, key: str, value: bytes, lease: str) -> None:
-        """Write a key that is deleted when its lease ends.
+    async def put(self, key: str, value: bytes, lease: str = "") -> None:
+        """Write a key that is deleted when its lease ends; without one it stays.
 
         Raises
         ------
         LeaseNotFound
             If the lease has already ended.
         """
+
+    async def delete(self, key: str) -> None:
+        """Delete a key, if it exists."""
--- a/tests/gateway/test_target_endings.py
+++ b/tests/gateway/test_target_endings.py
@@ -10,6 +10,7 @@
 from lagoontide.http1.messages import field_value
 from lagoontide.platform.standins.deployment import send, start_deployment
 from lagoontide.platform.standins.targets import TargetFault
+from lagoontide.quarantine.keeper import QUARANTINE_PREFIX
 
 
 def prompt(*parts):
@@ -134,3 +135,46 @@
             assert small.gateways[0].state.guard.ledger.is_empty
 
     asyncio.run(main())
+
+
+# Guards against entries that forget what crashed targets when all of them end.
+@pytest.mark.parametrize("stays_away", [0.0, 1.0])
+def test_a_quarantine_outlasts_the_end_of_all_entries(stays_away):
+    async def main():
+        async with start_deployment(2) as small:
+            engines = small.targets_of("engine")
+            for target in engines:
+                crash_on_bad(target)
+            with contextlib.suppress(OSError, InvalidResponse):
+                extra = prompt("bad", "own")
+                await send(small.ports[0], "/events/a", "r0", extra=extra)
+            await asyncio.sleep(2.5)
+            await small.kill_entries()
+            await asyncio.sleep(stays_away)
+            runs = sum(len(target.log) for target in engines)
+            await small.start_entries()
+            for number, port in enumerate(small.ports):
+                extra = prompt("aa", "bad", f"own{number}")
+                answer = await send(port, "/events/a", f"q{number}", extra=extra)
+                assert answer.status == 503
+            assert sum(len(target.log) for target in engines) == runs
+
+    asyncio.run(main())
+
+
+def test_the_store_forgets_a_quarantine_that_has_ended():
+    async def main():
+        async with start_deployment(2) as small:
+            engines = small.targets_of("engine")
+            for target in engines:
+                crash_on_bad(target)
+            with contextlib.suppress(OSError, InvalidResponse):
+                extra = prompt("bad", "own")
+                await send(small.ports[0], "/events/a", "r0", extra=extra)
+            await asyncio.sleep(2.5)
+            assert len(small.store.keys(QUARANTINE_PREFIX)) == 1
+            small.gateways[0].state.guard.ledger.record_completion({"bad"})
+            await asyncio.sleep(2.5)
+            assert small.store.keys(QUARANTINE_PREFIX) == []
+
+    asyncio.run(main())
