Isolate pieces that make stage targets crash

Callers whose requests went through the same stage lost them one after the other: a piece that made its target crash was made again at the next target, together with the pieces of other requests, until its deadline.

The owner of stage targets is their only caller, so it decides alone. After a call that a crash broke off, the pieces of each request of the call are made alone; a key that crashes a target alone is rejected for 60 s, doubled by each further crash, with Retry-After. The pieces that were beside it are made at once.

--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -6,8 +6,8 @@
 
 from lagoontide.platform.fields import PIECE_KEY, PIECES
 from lagoontide.platform.standins.deployment import send, start_deployment
+from lagoontide.platform.standins.runs import TargetFault
 from lagoontide.platform.standins.store import StoreFault
-from lagoontide.platform.standins.targets import TargetFault
 from tests.support.waiting import wait_for
 
 
--- a/src/lagoontide/bench/soak/crashes.py
+++ b/src/lagoontide/bench/soak/crashes.py
@@ -7,7 +7,8 @@
 
 from lagoontide.bench.soak.callers import Address, Callers
 from lagoontide.bench.soak.records import CRASHING_PART, PROMPT_KINDS, Asked
-from lagoontide.platform.standins.targets import Run, TargetStandin
+from lagoontide.platform.standins.runs import Run
+from lagoontide.platform.standins.targets import TargetStandin
 
 __all__ = ["Crashes", "check_crashes", "is_crashing_run"]
 
--- a/src/lagoontide/bench/soak/faults.py
+++ b/src/lagoontide/bench/soak/faults.py
@@ -8,8 +8,9 @@
 from lagoontide.bench.soak.checker import Changes, NamedLimit
 from lagoontide.bench.soak.proxy import Harm, Proxy
 from lagoontide.platform.standins.deployment import write_configuration
+from lagoontide.platform.standins.runs import TargetFault
 from lagoontide.platform.standins.store import StoreEndpoint, StoreFault, StoreStandin
-from lagoontide.platform.standins.targets import TargetFault, TargetStandin
+from lagoontide.platform.standins.targets import TargetStandin
 
 __all__ = ["Faults", "Hurt"]
 
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -70,8 +70,8 @@
     field_codec : FieldCodec
         The platform's header fields.
     make_piece_client : callable
-        Returns a client for stage targets that uses the given connection pools and
-        rate limits.
+        Returns a client for stage targets that uses the given connection pools, rate
+        limits and detection of ended targets.
     ready_path : bytes
         Path of the balancer's readiness probe.
     """
@@ -79,7 +79,7 @@
     store: RevisionStore
     field_codec: FieldCodec
     decoders: Decoders
-    make_piece_client: Callable[[Pools, RateShares], PieceClient]
+    make_piece_client: Callable[[Pools, RateShares, Endings], PieceClient]
     ready_path: bytes
 
 
@@ -252,7 +252,9 @@
         self.dispatcher = OrderDispatcher(
             self.mesh,
             self.state.directory,
-            self._platform.make_piece_client(self.state.pools, self._stage_shares),
+            self._platform.make_piece_client(
+                self.state.pools, self._stage_shares, self.state.endings
+            ),
             self._find_service,
             self._stage_shares,
         )
--- a/src/lagoontide/pieces/batch.py
+++ b/src/lagoontide/pieces/batch.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
+from lagoontide.pieces.messages import Order
 from lagoontide.pieces.records import Piece
 from lagoontide.routes.urgency import levels_below_highest
 
@@ -12,6 +13,7 @@
     "PieceGroup",
     "batching_delay",
     "fill_batch",
+    "make_group",
     "rank_groups",
     "select_held_groups",
     "to_piece",
@@ -68,6 +70,11 @@
     peer: str = ""
     is_closed: bool = False
 
+    @property
+    def crash_key(self) -> str:
+        """What pieces of other requests have in common with these."""
+        return f"{self.kind}/{self.key or self.request_id}"
+
     @property
     def is_started(self) -> bool:
         """Whether at least one of its pieces is made, or in a call that is not late."""
@@ -82,6 +89,26 @@
     number: int
 
 
+def make_group(order: Order, peer: str, now: float) -> PieceGroup:
+    """Return the progress of an order that an entry submits now."""
+    return PieceGroup(
+        request_id=order.request_id,
+        kind=order.kind,
+        stage=order.stage,
+        key=order.key,
+        inputs=order.inputs,
+        urgency=order.urgency,
+        due_at=now + order.due,
+        deadline=now + order.left,
+        result_bytes=order.result_bytes,
+        waiting=list(range(order.count)),
+        near=order.near,
+        frees_inputs=order.frees_inputs,
+        peer=peer,
+        count=order.count,
+    )
+
+
 def to_piece(item: BatchItem, now: float) -> Piece:
     """Return a selected piece as it is sent to a target."""
     group = item.group
--- a/src/lagoontide/pieces/inputs.py
+++ b/src/lagoontide/pieces/inputs.py
@@ -179,7 +179,9 @@
                     for before in stage.after:
                         self._discard(before)
                 case failure:
-                    raise InputsFailed(f"stage {index}: {failure}")
+                    raise InputsFailed(
+                        f"stage {index}: {failure}", done.retry_after or None
+                    )
 
     async def _submit_order(self, index: int, inputs: tuple[str, ...]) -> OrderDone:
         stage, call = self._graph.stages[index], self._call
--- a/src/lagoontide/pieces/messages.py
+++ b/src/lagoontide/pieces/messages.py
@@ -48,10 +48,17 @@
 
 
 class OrderDone(msgspec.Struct, frozen=True, array_like=True, tag="order_done"):
-    """The results of an order, or the reason for its failure."""
+    """The results of an order, or the reason for its failure.
+
+    Attributes
+    ----------
+    retry_after : float
+        Seconds after which the order may succeed; 0 if unknown.
+    """
 
     handles: tuple[str, ...] = ()
     failure: Failure | None = None
+    retry_after: float = 0.0
 
 
 class WithdrawOrder(msgspec.Struct, frozen=True, array_like=True, tag="withdraw"):
--- a/src/lagoontide/pieces/owner.py
+++ b/src/lagoontide/pieces/owner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import ceil
 
 from loguru import logger
 
@@ -12,11 +13,14 @@
     PieceGroup,
     batching_delay,
     fill_batch,
+    make_group,
     rank_groups,
     select_held_groups,
     to_piece,
 )
+from lagoontide.pieces.call_log import log_call
 from lagoontide.pieces.costs import CallCosts
+from lagoontide.pieces.crash_isolation import CrashIsolation
 from lagoontide.pieces.hedging import HEDGE_RATIO, make_hedged
 from lagoontide.pieces.messages import Order, OrderDone
 from lagoontide.pieces.records import Failure, PieceClient, PieceResult
@@ -81,6 +85,7 @@
         self._loop = asyncio.get_running_loop()
         self._tracker = TargetTracker(self._loop.time, rate_shares)
         self._costs = CallCosts(settings)
+        self._isolation = CrashIsolation(self._loop.time)
         self._orders: dict[tuple[str, int], _PendingOrder] = {}
         self._last_call_at = 0.0
         self._last_full_at = -RECENTLY_FULL_S
@@ -97,23 +102,7 @@
         """Add or replace an order; the future completes when it is made or fails."""
         key = order.request_id, order.stage
         self.withdraw(*key)
-        now = self._loop.time()
-        group = PieceGroup(
-            request_id=order.request_id,
-            kind=order.kind,
-            stage=order.stage,
-            key=order.key,
-            inputs=order.inputs,
-            urgency=order.urgency,
-            due_at=now + order.due,
-            deadline=now + order.left,
-            result_bytes=order.result_bytes,
-            waiting=list(range(order.count)),
-            near=order.near,
-            frees_inputs=order.frees_inputs,
-            peer=peer,
-            count=order.count,
-        )
+        group = make_group(order, peer, self._loop.time())
         done: asyncio.Future[OrderDone] = self._loop.create_future()
         self._orders[key] = _PendingOrder(group, done)
         self._wake_scheduler()
@@ -171,6 +160,7 @@
     def _schedule_calls(self) -> None:
         self._timer = None
         now = self._loop.time()
+        self._reject_quarantined()
         self._expire_orders(now)
         self._tracker.update(self._ready())
         for tracked in self._tracker.ready():
@@ -228,7 +218,11 @@
         ]
         if only_near and not any(group.near for group in eligible):
             return False
-        batch = fill_batch(eligible, self.cfg.batch, tracked.free_bytes(self.cfg, now))
+        batch = fill_batch(
+            self._isolation.select(eligible),
+            self.cfg.batch,
+            tracked.free_bytes(self.cfg, now),
+        )
         if not batch:
             return False
         for item in batch:
@@ -244,6 +238,8 @@
 
     async def _run_call(self, tracked: TrackedTarget, batch: list[BatchItem]) -> None:
         kinds = [item.group.kind for item in batch]
+        groups = list({id(item.group): item.group for item in batch}.values())
+        self._isolation.begin(groups)
         expected = self._costs.predict(kinds) * max(
             1.0, self._tracker.median_slowness()
         )
@@ -262,33 +258,24 @@
             logger.bind(target=tracked.target.id).info(
                 "call with {} pieces failed: {}", len(batch), exc
             )
+            is_broken = isinstance(exc, TargetFailed)
             # A target that is merely full is retried soon.
-            has_failed = isinstance(exc, TargetFailed) or exc.step == "connect"
-            tracked.back_off(self._loop.time(), has_failed)
+            tracked.back_off(self._loop.time(), is_broken or exc.step == "connect")
+            if is_broken and await self._client.has_ended(tracked.target):
+                self._isolation.record_crash(tracked.target.id, groups)
             self._requeue(batch)
         else:
             seconds = self._loop.time() - started_at
-            logger.bind(
-                target=tracked.target.id,
-                service=self.service,
-                pieces=len(batch),
-                requests=len({item.group.request_id for item in batch}),
-                near=sum(
-                    item.group.near == tracked.target.failure_domain for item in batch
-                ),
-                far=sum(
-                    item.group.near not in ("", tracked.target.failure_domain)
-                    for item in batch
-                ),
-                waiting=self.waiting,
-                ms=round(seconds * 1000),
-                expected_ms=round(expected * 1000),
-            ).info("pieces made")
+            log_call(
+                tracked.target, self.service, batch, self.waiting, seconds, expected
+            )
+            self._isolation.record_success(groups)
             tracked.observe_duration_ratio(seconds / expected)
             if seconds < HEDGE_RATIO * expected:
                 self._costs.observe(kinds, seconds)
             self._record_results(tracked, batch, results)
         finally:
+            self._isolation.end(groups)
             tracked.calls -= 1
             tracked.reserved_bytes -= sum(item.group.result_bytes for item in batch)
             self._wake_scheduler()
@@ -383,6 +370,13 @@
         if not pending.done.done():
             pending.done.set_result(done)
 
+    def _reject_quarantined(self) -> None:
+        for key, pending in tuple(self._orders.items()):
+            if wait := self._isolation.wait(pending.group.crash_key):
+                del self._orders[key]
+                done = OrderDone(failure=Failure.QUARANTINED, retry_after=ceil(wait))
+                self._close_order(pending, done)
+
     def _expire_orders(self, now: float) -> None:
         needed = self.cfg.call_time
         for key, pending in tuple(self._orders.items()):
--- a/src/lagoontide/pieces/records.py
+++ b/src/lagoontide/pieces/records.py
@@ -17,6 +17,7 @@
     NO_ROOM = "no room"
     ERROR = "error"
     NOT_OWNER = "another owner"
+    QUARANTINED = "targets crashed on pieces like this"
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +82,9 @@
         admit the question as busy.
         """
 
+    async def has_ended(self, target: Target) -> bool:
+        """Return whether a target, whose connection broke, has ended unannounced."""
+
     async def query_free_bytes(self, target: Target) -> float:
         """Return an upper bound of the bytes that a target has left for results.
 
--- a/src/lagoontide/platform/daemon.py
+++ b/src/lagoontide/platform/daemon.py
@@ -44,8 +44,8 @@
         decoders=Decoders(
             CONFIGURATION_KEY, decode_config, target_id, decode_target, evacuated_domain
         ),
-        make_piece_client=lambda pools, shares: PlatformPieceClient(
-            pools.pool_of, shares
+        make_piece_client=lambda pools, shares, endings: PlatformPieceClient(
+            pools.pool_of, shares, endings
         ),
         ready_path=READY_PATH,
     )
--- a/src/lagoontide/platform/pieces.py
+++ b/src/lagoontide/platform/pieces.py
@@ -16,6 +16,7 @@
     TARGET,
     decode_rate_limit,
 )
+from lagoontide.targets.endings import Endings
 from lagoontide.targets.pool import ConnPool
 from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target
@@ -76,10 +77,14 @@
     """
 
     def __init__(
-        self, pool_of: Callable[[Target], ConnPool], rate_shares: RateShares
+        self,
+        pool_of: Callable[[Target], ConnPool],
+        rate_shares: RateShares,
+        endings: Endings,
     ) -> None:
         self._pool_of = pool_of
         self._rate_shares = rate_shares
+        self._endings = endings
 
     async def make(
         self, target: Target, pieces: tuple[Piece, ...], timeout: float
@@ -134,6 +139,10 @@
             return False
         return report.busy or report.queued > 0
 
+    async def has_ended(self, target: Target) -> bool:
+        """See PieceClient."""
+        return await self._endings.has_ended(target)
+
     async def query_free_bytes(self, target: Target) -> float:
         """See PieceClient."""
         self._rate_shares.charge(target)
--- a/src/lagoontide/platform/standins/process.py
+++ b/src/lagoontide/platform/standins/process.py
@@ -27,8 +27,9 @@
 from lagoontide.platform.configuration import CONFIGURATION_KEY, decode_config
 from lagoontide.platform.directory import TARGETS_PREFIX
 from lagoontide.platform.standins.responses import json_response
+from lagoontide.platform.standins.runs import TargetFault
 from lagoontide.platform.standins.store import StoreEndpoint, StoreFault, StoreStandin
-from lagoontide.platform.standins.targets import TargetFault, TargetStandin
+from lagoontide.platform.standins.targets import TargetStandin
 from lagoontide.platform.store import PlatformStore
 
 __all__ = ["run_store", "run_target"]
--- a/src/lagoontide/platform/standins/rogue.py
+++ b/src/lagoontide/platform/standins/rogue.py
@@ -8,8 +8,8 @@
 from lagoontide.platform.directory import TARGETS_PREFIX
 from lagoontide.platform.fields import NOT_RUN, REQUEST_ID, RESPONSE_SEAL
 from lagoontide.platform.standins.ports import HOST
+from lagoontide.platform.standins.runs import encode_registration
 from lagoontide.platform.standins.store import StoreStandin
-from lagoontide.platform.standins.targets import encode_registration
 
 __all__ = ["RogueResponse", "RogueTarget"]
 
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -4,7 +4,6 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import StrEnum
 from itertools import count
 from typing import Any
 
@@ -18,7 +17,6 @@
     LAST_EVENT,
     MISDIRECTED_STATUS,
     NOT_RUN,
-    PROMPT_PREFIX,
     RATE_LIMIT,
     REQUEST_ID,
     RESPONSE_SEAL,
@@ -28,68 +26,20 @@
 from lagoontide.platform.pieces import FREE_PATH, REPORT_PATH, RUN_PATH
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.responses import json_response
+from lagoontide.platform.standins.runs import (
+    Run,
+    TargetFault,
+    encode_registration,
+    make_run,
+)
 from lagoontide.platform.standins.store import StoreStandin
 from lagoontide.tasks import TaskSet
 
-__all__ = ["Run", "TargetFault", "TargetStandin", "encode_registration"]
+__all__ = ["TargetStandin"]
 
 SLOTS = 8
 
 
-class TargetFault(StrEnum):
-    """How a target mishandles its next requests."""
-
-    NONE = "none"
-    FULL = "full"
-    RUNS_AND_CUTS = "runs and cuts"
-    FAILS = "fails"
-    NO_SEAL = "no seal"
-    STALLS = "stalls"
-    EXTRA_ANSWER = "extra answer"
-
-
-@dataclass(frozen=True, slots=True)
-class Run:
-    """A request that a target started to execute.
-
-    Attributes
-    ----------
-    at : float
-        Event loop time of the start.
-    inputs : tuple of str
-        Handles of the stage results passed with the request.
-    parts : tuple of str
-        Ids of the parts of its prompt.
-    """
-
-    request_id: str
-    at: float
-    inputs: tuple[str, ...]
-    parts: tuple[str, ...] = ()
-
-
-def encode_registration(
-    service: str,
-    address: str,
-    zone: str,
-    slots: int,
-    born: int = 1,
-    state: str = "ready",
-) -> bytes:
-    """Return the value of a target's key in the store."""
-    entry = {
-        "service": service,
-        "address": address,
-        "zone": zone,
-        "version": "v1",
-        "slots": slots,
-        "state": state,
-        "seq": 1,
-        "born": born,
-    }
-    return msgspec.json.encode(entry)
-
-
 @dataclass(slots=True)
 class TargetStandin:
     """A target of one service.
@@ -120,6 +70,8 @@
         TargetFault of the next ``faults_left`` requests.
     crashes_on : callable
         Returns whether a run makes the target crash as it begins to respond.
+    crashes_on_piece : callable
+        The same for a piece, given as in the call.
     restart_after : float
         Seconds from a crash to the start of the next incarnation.
     keeps_id : bool
@@ -143,6 +95,7 @@
     events_before_fault: int = 2
     rate_limit: str = ""
     crashes_on: Callable[[Run], bool] = lambda run: False
+    crashes_on_piece: Callable[[dict[str, Any]], bool] = lambda item: False
     restart_after: float = 1.0
     keeps_id: bool = False
     crashed_at: list[float] = field(default_factory=list)
@@ -281,7 +234,7 @@
             await reply.send(Response(503, [*response_fields, (NOT_RUN, b"1")]))
             return
         self.runs[request_id] += 1
-        run = _make_run(request_id, fields)
+        run = make_run(request_id, fields)
         self.log.append(run)
         self.received_requests.append(req)
         if self.crashes_on(run):
@@ -361,6 +314,10 @@
             await asyncio.sleep(self.work)
         finally:
             self._active_calls -= 1
+        if any(map(self.crashes_on_piece, items)):
+            self.crash()
+            await asyncio.sleep(self.restart_after)
+            return
         results = [self._run_piece(item) for item in items]
         await reply.send(self._json_response({"items": results}))
 
@@ -386,15 +343,3 @@
             return TargetFault.NONE
         self.faults_left -= 1
         return self.fault
-
-
-def _make_run(request_id: str, fields: Fields) -> Run:
-    inputs = field_value(fields, INPUTS.lower())
-    handles = tuple(inputs.decode().split(",")) if inputs else ()
-    prefix = field_value(fields, PROMPT_PREFIX.lower())
-    parts = (
-        tuple(part.rpartition(":")[0].strip() for part in prefix.decode().split(","))
-        if prefix
-        else ()
-    )
-    return Run(request_id, asyncio.get_running_loop().time(), handles, parts)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -148,6 +148,44 @@
     asyncio.run(main())
 
 
+# Guards against a stage whose pieces end each target that makes them: the owner of the
+# targets must not go on making them.
+def test_a_piece_key_that_crashes_stage_targets_is_not_made_on_and_on():
+    async def main():
+        async with start_deployment(4, scale=3) as small:
+            targets = small.targets_of("stage")
+
+            def staged(key):
+                fields = [(b"X-Lagoontide-Pieces", b"2,3")]
+                fields.append((b"X-Lagoontide-Piece-Key", key.encode()))
+                return b"x", [*prompt("aa", "own"), *fields]
+
+            sound = Traffic(
+                small,
+                "s",
+                SOUND_PER_S,
+                "/staged/a",
+                lambda number: staged(f"key{number}"),
+            )
+            crashing = Traffic(
+                small, "c", CRASHING_PER_S, "/staged/a", lambda number: staged("bad")
+            )
+            running = asyncio.ensure_future(sound.run(BEFORE_S + SECONDS))
+            await asyncio.sleep(BEFORE_S)
+            began_at = asyncio.get_running_loop().time()
+            for target in targets:
+                target.crashes_on_piece = lambda item: item.get("key") == "bad"
+            await crashing.run(SECONDS)
+            await running
+            crashes = sorted(at for target in targets for at in target.crashed_at)
+            assert len(crashes) <= CRASHES + MOST_LATER
+            before = sound.share_served(began_at - BEFORE_S, began_at)
+            after = sound.share_served(crashes[-1] + CONTACT_S)
+            assert after >= 0.5 * before
+
+    asyncio.run(main())
+
+
 # Guards against refusing popular parts when targets end for other reasons.
 def test_popular_parts_are_served_while_targets_crash_at_random():
     rng = random.Random(2)
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -10,8 +10,8 @@
 from lagoontide.http1.tcp import connect_tcp
 from lagoontide.mesh.registration import ENTRIES_PREFIX
 from lagoontide.platform.standins.deployment import send, start_deployment
+from lagoontide.platform.standins.runs import TargetFault
 from lagoontide.platform.standins.store import StoreFault
-from lagoontide.platform.standins.targets import TargetFault
 from tests.support.waiting import wait_for
 
 GRACE_PERIOD_S = 3.0
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -6,7 +6,7 @@
 
 from lagoontide.http1.messages import field_value
 from lagoontide.platform.standins.deployment import send, start_deployment
-from lagoontide.platform.standins.targets import TargetFault
+from lagoontide.platform.standins.runs import TargetFault
 
 CONTACT_S = 1.0
 WINDOW_S = 4.0
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -10,7 +10,7 @@
 from lagoontide.platform.directory import TARGETS_PREFIX
 from lagoontide.platform.fields import REQUEST_ID, RESPONSE_SEAL
 from lagoontide.platform.standins.deployment import send, start_deployment
-from lagoontide.platform.standins.targets import encode_registration
+from lagoontide.platform.standins.runs import encode_registration
 from lagoontide.routes.records import RouteKind
 
 PLAIN_BODY = b"done"
--- a/tests/gateway/test_target_endings.py
+++ b/tests/gateway/test_target_endings.py
@@ -9,7 +9,7 @@
 from lagoontide.http1.client import InvalidResponse
 from lagoontide.http1.messages import field_value
 from lagoontide.platform.standins.deployment import send, start_deployment
-from lagoontide.platform.standins.targets import TargetFault
+from lagoontide.platform.standins.runs import TargetFault
 from lagoontide.quarantine.keeper import QUARANTINE_PREFIX
 
 
--- a/tests/pieces/test_owner.py
+++ b/tests/pieces/test_owner.py
@@ -37,6 +37,8 @@
         self.silent = set()
         self.at_work = set()
         self.asked = Counter()
+        # Ids of targets that are found ended after a call without an answer.
+        self.ended = set()
 
     async def make(self, target, pieces, timeout):
         self.batches.append([(piece.request_id, piece.number) for piece in pieces])
@@ -64,6 +66,9 @@
         self.asked[target.id] += 1
         return target.id in self.at_work or target.id not in self.silent
 
+    async def has_ended(self, target):
+        return target.id in self.ended
+
     async def query_free_bytes(self, target):
         return self.free_bytes
 
