Read and log the store's era

The store's client reads Store-Era from answers of every status and logs its changes; absent, unreadable, repeated and lower values change nothing. The stand-in store can be restored from a copy: revisions and lease ids are given out again, and watches from unknown revisions get 410.

Nothing is decided by it yet.

--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -129,6 +129,11 @@
             and self.store_view.is_synced
         )
 
+    @property
+    def store_era(self) -> int:
+        """The latest era of the store that this entry has seen."""
+        return self._platform.store.era
+
     async def start(self) -> None:
         """Start all HTTP listeners."""
         await self.callers.start(*self.cfg.callers)
--- a/src/lagoontide/platform/standins/store.py
+++ b/src/lagoontide/platform/standins/store.py
@@ -2,20 +2,21 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
-from itertools import count
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
-from lagoontide.http1.messages import Response
+from lagoontide.http1.messages import Fields, Response
 from lagoontide.http1.server import HttpLimits, Listener, Request, ResponseWriter
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.responses import json_response
+from lagoontide.platform.store import ERA
 
-__all__ = ["StoreEndpoint", "StoreFault", "StoreStandin"]
+__all__ = ["StoreCopy", "StoreEndpoint", "StoreFault", "StoreStandin"]
 
 ITEMS_PER_PAGE = 500
 WATCH_POLL_S = 0.01
@@ -38,6 +39,18 @@
     lease: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of a store, from which it can be restored."""
+
+    revision: int
+    keys: dict[str, _StoredValue]
+    leases: dict[int, tuple[float, float]]
+    history: list[dict[str, Any]]
+    compacted_revision: int
+    last_lease: int
+
+
 @dataclass(slots=True)
 class StoreStandin:
     """An in-memory key-value store with revisions, watches and leases.
@@ -46,14 +59,17 @@
     ----------
     revision : int
         Revision of the latest change.
+    era : int
+        Rises by one each time that the store is restored from a copy.
     """
 
     revision: int = 0
+    era: int = 1
     _keys: dict[str, _StoredValue] = field(default_factory=dict)
     _leases: dict[int, tuple[float, float]] = field(default_factory=dict)
     _history: list[dict[str, Any]] = field(default_factory=list)
     _compacted_revision: int = 0
-    _lease_ids: Any = field(default_factory=lambda: count(1))
+    _last_lease: int = 0
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key as an operator or a target would; return the new revision."""
@@ -75,6 +91,31 @@
         self._compacted_revision = self.revision
         self._history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store holds now."""
+        self._expire()
+        return StoreCopy(
+            self.revision,
+            dict(self._keys),
+            dict(self._leases),
+            list(self._history),
+            self._compacted_revision,
+            self._last_lease,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; revisions and lease ids are given out again."""
+        self.era += 1
+        self.revision = copy.revision
+        self._keys = dict(copy.keys)
+        now = asyncio.get_running_loop().time()
+        self._leases = {
+            lease: (ttl, now + ttl) for lease, (ttl, _) in copy.leases.items()
+        }
+        self._history = list(copy.history)
+        self._compacted_revision = copy.compacted_revision
+        self._last_lease = copy.last_lease
+
     def keys(self, prefix: str = "") -> list[str]:
         """Return the keys with a prefix, sorted."""
         self._expire()
@@ -126,8 +167,10 @@
         after = int(query["after"])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(query["wait_ms"]) / 1000
+        era = self.era
         while True:
-            if after < self._compacted_revision:
+            is_known = self._compacted_revision <= after <= self.revision
+            if not is_known or era != self.era:
                 return 410, {}
             prefix = query.get("prefix", "")
             events = [
@@ -141,7 +184,8 @@
             self._expire()
 
     def _grant_lease(self, ttl_ms: int) -> tuple[int, dict[str, Any]]:
-        lease = next(self._lease_ids)
+        self._last_lease += 1
+        lease = self._last_lease
         ttl = ttl_ms / 1000
         self._leases[lease] = ttl, asyncio.get_running_loop().time() + ttl
         return 200, {"lease": lease, "ttl_ms": ttl_ms}
@@ -193,11 +237,14 @@
     ----------
     trouble : StoreFault
         How the endpoint fails from now on.
+    era_fields : callable
+        Returns the fields that tell the store's era.
     """
 
     store: StoreStandin
     trouble: StoreFault = StoreFault.NONE
     port: int = 0
+    era_fields: Callable[[int], Fields] = lambda era: [(ERA, b"%d" % era)]
     _listener: Listener | None = None
 
     async def start(self, host: str = HOST, port: int = 0) -> int:
@@ -214,7 +261,7 @@
     async def _handle(self, req: Request, reply: ResponseWriter) -> None:
         match self.trouble:
             case StoreFault.BUSY:
-                await reply.send(Response(503))
+                await reply.send(Response(503, self.era_fields(self.store.era)))
                 return
             case StoreFault.SILENT:
                 await asyncio.sleep(3600)
@@ -226,4 +273,6 @@
             status, body = 400, {"error": f"{exc!r}: {req.head.path!r}"}
         if self.trouble is StoreFault.LOSES_ANSWERS:
             return
-        await reply.send(json_response(body, status))
+        response = json_response(body, status)
+        response.fields.extend(self.era_fields(self.store.era))
+        await reply.send(response)
--- a/src/lagoontide/platform/store.py
+++ b/src/lagoontide/platform/store.py
@@ -7,10 +7,11 @@
 from urllib.parse import urlencode
 
 import msgspec
+from loguru import logger
 
 from lagoontide.errors import StoreUnavailable
 from lagoontide.http1.client import InvalidResponse, ResponseTooLarge, TargetConn
-from lagoontide.http1.messages import RequestHead, Response
+from lagoontide.http1.messages import RequestHead, Response, field_values
 from lagoontide.http1.tcp import connect_tcp
 from lagoontide.store.revision_store import (
     Changes,
@@ -20,7 +21,7 @@
     Listing,
 )
 
-__all__ = ["PlatformStore"]
+__all__ = ["ERA", "PlatformStore"]
 
 CONNECT_TIMEOUT_S = 1.0
 # A slow store takes dozens of times its usual few milliseconds.
@@ -44,6 +45,8 @@
 KEEP_PATH = "/lagoontide/kv-keep/"
 LEASE_END_PATH = "/lagoontide/kv-lease-end/"
 TRANSACTION_PATH = "/lagoontide/kv-txn"
+ERA = b"Store-Era"
+MAX_ERA_DIGITS = 15
 
 
 Decoded = TypeVar("Decoded")
@@ -85,11 +88,18 @@
     ----------
     host, port : str, int
         Address of the store.
+
+    Attributes
+    ----------
+    era : int
+        The store's latest known era, which rises when it is restored from a copy; 0
+        until an answer names one.
     """
 
     def __init__(self, host: str, port: int) -> None:
         self._host = host
         self._port = port
+        self.era = 0
         self._idle: list[TargetConn] = []
 
     def set_address(self, host: str, port: int) -> None:
@@ -188,6 +198,7 @@
             raise StoreUnavailable(str(exc), step=step) from exc
         except (OSError, InvalidResponse, TimeoutError) as exc:
             raise StoreUnavailable(f"no usable response: {exc!r}", step=step) from exc
+        self._observe_era(answer, step)
         match answer.status:
             case 200:
                 return answer.body
@@ -200,6 +211,21 @@
             case status:
                 raise StoreUnavailable(f"unexpected status {status}", step=step)
 
+    def _observe_era(self, answer: Response, step: str) -> None:
+        """Take the era from an answer of any status."""
+        texts = list(field_values(answer.fields, ERA.lower()))
+        if not texts:
+            return
+        text = b", ".join(texts).strip()
+        if not (text.isdigit() and len(text) <= MAX_ERA_DIGITS):
+            logger.warning("unreadable era of the store ignored: {!r:.80}", text)
+            return
+        if (era := int(text)) > self.era:
+            logger.info("store is in era {}, before: {}", era, self.era)
+            self.era = era
+        elif era < self.era:
+            logger.info("late answer of the store's era {}: {}", era, step)
+
     async def _exchange(
         self, method: str, path: str, body: object, max_bytes: int
     ) -> Response:
--- a/src/lagoontide/store/follower.py
+++ b/src/lagoontide/store/follower.py
@@ -161,6 +161,12 @@
             if listing.as_of >= self.as_of:
                 self._sink.replace(listing)
                 self.as_of = listing.as_of
+            else:
+                logger.warning(
+                    "listing at revision {} ignored, as {} is known",
+                    listing.as_of,
+                    self.as_of,
+                )
         if self.relay is not None:
             self.relay.reset_to(self.as_of)
         while not self._is_relayed():
--- a/src/lagoontide/store/revision_store.py
+++ b/src/lagoontide/store/revision_store.py
@@ -72,10 +72,17 @@
 class RevisionStore(Protocol):
     """A store that assigns a revision to every change.
 
+    Attributes
+    ----------
+    era : int
+        Rises when the store is restored from a copy; revisions may then go back.
+
     Every coroutine raises StoreUnavailable if no usable response arrived. A write may
     nevertheless have taken effect, or may still do so.
     """
 
+    era: int
+
     def set_address(self, host: str, port: int) -> None:
         """Set the address for all further calls."""
 
