--- a/src/lagoontide/bench/soak/checker.py
+++ b/src/lagoontide/bench/soak/checker.py
@@ -7,10 +7,11 @@
 from lagoontide.bench.soak.records import EVENTS, Asked, Work
 from lagoontide.platform.standins.targets import TargetStandin
 
-__all__ = ["Changes", "NamedLimit", "check", "share_served"]
+__all__ = ["Changes", "NamedLimit", "check", "check_new_route", "share_served"]
 
 NOT_RUN = frozenset((408, 421, 429, 503))
 SUCCESS = 200
+NO_ROUTE = 404
 # Bounds of the users' settings, with the stretch for an entry whose store is in
 # trouble (RULES, In touch).
 LEAVING_S = 2.0 + 5.0
@@ -68,6 +69,12 @@
     return found
 
 
+def check_new_route(asked: Iterable[Asked]) -> list[str]:
+    """Return what shows that an added route was not in force in time."""
+    missed = sum(item.status == NO_ROUTE for item in asked)
+    return [f"CONFIG: {missed} requests found no added route"] if missed else []
+
+
 def share_served(asked: Iterable[Asked]) -> float:
     """Return the share of requests, but for crashing ones, that succeeded."""
     kept = [item for item in asked if not item.has_left and not item.is_crashing]
--- a/src/lagoontide/bench/soak/faults.py
+++ b/src/lagoontide/bench/soak/faults.py
@@ -152,6 +152,13 @@
                 target.rate_limit = CALM_LIMIT
                 self._record_limit(target, float(CALM_LIMIT))
 
+    def add_route(self) -> None:
+        """Write a configuration that also takes requests at ``/new/``."""
+        self._version += 1
+        write_configuration(
+            self.store, self._version, self.valid_keys(), has_new_route=True
+        )
+
     def _record_limit(self, target: TargetStandin, rate: float) -> None:
         now = asyncio.get_running_loop().time()
         self.changes.limits.append(NamedLimit(target.name, rate, now))
--- a/src/lagoontide/bench/soak/play.py
+++ b/src/lagoontide/bench/soak/play.py
@@ -5,22 +5,26 @@
 from collections.abc import Callable
 
 from lagoontide.bench.soak.callers import Address, Callers
-from lagoontide.bench.soak.checker import check, share_served
+from lagoontide.bench.soak.checker import check, check_new_route, share_served
 from lagoontide.bench.soak.crashes import Crashes, check_crashes
 from lagoontide.bench.soak.faults import Faults
+from lagoontide.bench.soak.records import NEW_ROUTE_KINDS
+from lagoontide.bench.soak.restores import Restores
 from lagoontide.bench.soak.result import SoakResult
 
 __all__ = ["KEYS", "play"]
 
 KEYS = ["key-one", "key-two", "key-three"]
 RATE = 60.0
+NEW_ROUTE_RATE = 10.0
 CALM_S = 1.0
 # Limits that are named in the calm time are broken, if at all, after they are known.
 LIMITED_CALM_S = 3.0
 # After the last fault a target that rested, or a peer that was lost, is back.
 HEALED_S = 3.0
-# Sets the numbers drawn for crashes apart from those of the other faults.
+# Set the numbers drawn for crashes and restores apart from those of the other faults.
 CRASHES_SEED_OFFSET = 1_000_000
+RESTORES_SEED_OFFSET = 2_000_000
 
 
 async def play(
@@ -47,31 +51,51 @@
         faults.valid_keys,
         random.Random(seed + CRASHES_SEED_OFFSET),
     )
+    restores = Restores(faults, random.Random(seed + RESTORES_SEED_OFFSET))
     healed_at = asyncio.get_running_loop().time()
     await asyncio.gather(
-        callers.run(seconds), faults.run(seconds), crashes.run(seconds)
+        callers.run(seconds),
+        faults.run(seconds),
+        crashes.run(seconds),
+        restores.run(seconds),
     )
     if faults.disturbs_entries:
         healed_at = asyncio.get_running_loop().time() + settle
     heal()
+    faults.add_route()
     await asyncio.sleep(HEALED_S + settle)
     faults.limit_for_calm()
     calm = Callers(addresses, faults.valid_keys(), RATE, callers.rng, name="c")
     calm_at = asyncio.get_running_loop().time()
-    await asyncio.gather(calm.run(LIMITED_CALM_S), crashes.run_calm(LIMITED_CALM_S))
+    # The route was added HEALED_S before, and all entries are undisturbed.
+    added = Callers(
+        addresses,
+        faults.valid_keys(),
+        NEW_ROUTE_RATE,
+        random.Random(seed),
+        "n",
+        NEW_ROUTE_KINDS,
+    )
+    await asyncio.gather(
+        calm.run(LIMITED_CALM_S),
+        crashes.run_calm(LIMITED_CALM_S),
+        added.run(LIMITED_CALM_S),
+    )
     first = [item for item in calm.asked if item.sent_at < calm_at + CALM_S]
     callers.close()
     calm.close()
-    asked = [*callers.asked, *calm.asked, *crashes.asked]
+    added.close()
+    asked = [*callers.asked, *calm.asked, *crashes.asked, *added.asked]
     return SoakResult(
         seed=seed,
         requests=len(asked),
         served=share_served(callers.asked),
         served_after=min(share_served(first), share_served(calm.asked)),
-        faults=len(faults.done) + crashes.crashed,
+        faults=len(faults.done) + crashes.crashed + restores.done,
         crashing_runs=crashes.crashing_runs(),
         violations=[
             *check(asked, faults.targets, faults.changes),
             *check_crashes(faults.targets, healed_at),
+            *check_new_route(added.asked),
         ],
     )
--- a/src/lagoontide/bench/soak/records.py
+++ b/src/lagoontide/bench/soak/records.py
@@ -6,7 +6,16 @@
 from lagoontide.http1.messages import Fields
 from lagoontide.platform.fields import PIECE_KEY, PIECES, TOKEN_COUNTS
 
-__all__ = ["CRASHING_PART", "EVENTS", "KINDS", "PROMPT_KINDS", "Asked", "Kind", "Work"]
+__all__ = [
+    "CRASHING_PART",
+    "EVENTS",
+    "KINDS",
+    "NEW_ROUTE_KINDS",
+    "PROMPT_KINDS",
+    "Asked",
+    "Kind",
+    "Work",
+]
 
 EVENTS = 6
 
@@ -48,6 +57,7 @@
     Kind("/events/a", Work.STREAM, is_once=False, fields=STREAM),
     Kind("/staged/a", Work.STREAM, is_once=True, fields=STAGED, inputs=3),
 )
+NEW_ROUTE_KINDS = (Kind("/new/a", Work.PLAIN, is_once=False),)
 # Targets crash as they begin to respond to a prompt with this part.
 CRASHING_PART = "bad"
 PROMPT_KINDS = tuple(
--- a/src/lagoontide/platform/directory.py
+++ b/src/lagoontide/platform/directory.py
@@ -5,7 +5,13 @@
 from lagoontide.errors import WireError
 from lagoontide.targets.records import Target, TargetState
 
-__all__ = ["TARGETS_PREFIX", "decode_target", "evacuated_domain", "target_id"]
+__all__ = [
+    "EVACUATIONS_PREFIX",
+    "TARGETS_PREFIX",
+    "decode_target",
+    "evacuated_domain",
+    "target_id",
+]
 
 TARGETS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
--- a/src/lagoontide/platform/standins/deployment.py
+++ b/src/lagoontide/platform/standins/deployment.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -44,6 +44,7 @@
     targets: list[TargetStandin]
     gateways: list[Gateway] = field(default_factory=list)
     ports: list[int] = field(default_factory=list)
+    _entries: list["_RunningEntry"] = field(default_factory=list)
     _running: contextlib.AsyncExitStack = field(
         default_factory=contextlib.AsyncExitStack
     )
@@ -54,8 +55,8 @@
 
     async def start_entries(self) -> None:
         """Start an entry for each endpoint of the store; wait until all are ready."""
-        stack = self._running
         number = len(self.store_endpoints)
+        stack = self._running = contextlib.AsyncExitStack()
         ports = reserve_ports(stack.enter_context(contextlib.ExitStack()), 3 * number)
         seeds = tuple((HOST, ports[3 * place]) for place in range(number))
         ctx = stack.enter_context(zmq.Context())
@@ -73,18 +74,24 @@
                 seeds=seeds,
                 bounds=Bounds(grace_period=3.0, retry_slack=20.0),
             )
-            gateway = Gateway(cfg, ctx, make_platform(cfg))
-            await gateway.start()
-            stack.push_async_callback(gateway.close)
-            running = [asyncio.ensure_future(task) for task in gateway.tasks()]
-            stack.push_async_callback(_cancel_tasks, running)
-            self.gateways.append(gateway)
+            entry = _RunningEntry(cfg, ctx)
+            stack.push_async_callback(entry.kill)
+            self._entries.append(entry)
+            self.gateways.append(await entry.start())
             self.ports.append(callers)
         await _wait_until_ready(self)
 
+    async def restart_entry(self, place: int) -> None:
+        """End an entry without a word and start it again; wait until it is ready."""
+        entry = self._entries[place]
+        await entry.kill()
+        self.gateways[place] = await entry.start()
+        await _wait_until_ready(self)
+
     async def kill_entries(self) -> None:
         """End all entries at once, without a word to the store or to callers."""
         await self._running.aclose()
+        self._entries.clear()
         self.gateways.clear()
         self.ports.clear()
 
@@ -93,6 +100,32 @@
         self.store.put(CONFIGURATION_KEY, make_configuration(version, **changes))
 
 
+@dataclass(slots=True)
+class _RunningEntry:
+    """An entry with its background tasks."""
+
+    cfg: GatewaySettings
+    ctx: zmq.Context
+    gateway: Gateway | None = None
+    tasks: list[asyncio.Future[None]] = field(default_factory=list)
+
+    async def start(self) -> Gateway:
+        """Start it, listening."""
+        self.gateway = Gateway(self.cfg, self.ctx, make_platform(self.cfg))
+        await self.gateway.start()
+        self.tasks = [asyncio.ensure_future(task) for task in self.gateway.tasks()]
+        return self.gateway
+
+    async def kill(self) -> None:
+        """End it without a word to the store or to callers."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.gateway is not None:
+            await self.gateway.close()
+            self.gateway = None
+
+
 def make_configuration(version: int, **changes: Any) -> bytes:
     """Return an encoded configuration with plain, streaming and staged routes."""
     plain = {"host": "a.example", "timeout_ms": 2000, "target_latency_ms": 300}
@@ -126,10 +159,22 @@
     return msgspec.json.encode(body | changes)
 
 
-def write_configuration(store: StoreStandin, version: int, keys: list[str]) -> None:
-    """Write a configuration whose one client account has these API keys."""
+def write_configuration(
+    store: StoreStandin, version: int, keys: list[str], has_new_route: bool = False
+) -> None:
+    """Write a configuration whose one client account has these API keys.
+
+    Parameters
+    ----------
+    has_new_route : bool
+        Whether plain requests are also taken at ``/new/``.
+    """
     tenants = [{"name": "first", "api_keys": keys}]
-    store.put(CONFIGURATION_KEY, make_configuration(version, tenants=tenants))
+    value = msgspec.json.decode(make_configuration(version, tenants=tenants))
+    if has_new_route:
+        route = value["routes"][0] | {"name": "new", "prefix": "/new/"}
+        value["routes"].append(route)
+    store.put(CONFIGURATION_KEY, msgspec.json.encode(value))
 
 
 def make_targets(scale: int = 1) -> list[TargetStandin]:
@@ -200,9 +245,3 @@
             for gateway in deployment.gateways
         ):
             await asyncio.sleep(READY_POLL_S)
-
-
-async def _cancel_tasks(tasks: Sequence[asyncio.Future[None]]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/lagoontide/platform/standins/store.py
+++ b/src/lagoontide/platform/standins/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -50,6 +51,11 @@
     compacted_revision: int
     last_lease: int
 
+    def value_of(self, key: str) -> bytes:
+        """Return the value of a key; empty if it does not exist."""
+        item = self.keys.get(key)
+        return item.value if item else b""
+
 
 @dataclass(slots=True)
 class StoreStandin:
@@ -61,6 +67,8 @@
         Revision of the latest change.
     era : int
         Rises by one each time that the store is restored from a copy.
+    calls : Counter
+        Calls so far, by their name.
     """
 
     revision: int = 0
@@ -69,6 +77,7 @@
     _leases: dict[int, tuple[float, float]] = field(default_factory=dict)
     _history: list[dict[str, Any]] = field(default_factory=list)
     _compacted_revision: int = 0
+    calls: Counter[str] = field(default_factory=Counter)
     _last_lease: int = 0
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
@@ -121,6 +130,27 @@
         self._expire()
         return sorted(key for key in self._keys if key.startswith(prefix))
 
+    def value_of(self, key: str) -> bytes:
+        """Return the value of a key; empty if it does not exist."""
+        item = self._keys.get(key)
+        return item.value if item else b""
+
+    def lease_of(self, key: str) -> int:
+        """Return the lease of a key; 0 if it has none."""
+        return self._keys[key].lease
+
+    def has_lease(self, lease: int) -> bool:
+        """Return whether a lease has not ended."""
+        self._expire()
+        return lease in self._leases
+
+    def grant_lease(self, ttl: float) -> int:
+        """Return a new lease, as another client of the store would get it."""
+        self._last_lease += 1
+        ends_at = asyncio.get_running_loop().time() + ttl
+        self._leases[self._last_lease] = ttl, ends_at
+        return self._last_lease
+
     async def answer(self, req: Request) -> tuple[int, dict[str, Any]]:
         """Handle a call; return the status and body of the response."""
         self._expire()
@@ -128,6 +158,7 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         step, _, name = url.path.removeprefix("/lagoontide/kv-").partition("/")
         body = msgspec.json.decode(req.body) if req.body else {}
+        self.calls[step] += 1
         match step:
             case "range":
                 return self._list_page(query.get("prefix", ""), query.get("after", ""))
@@ -184,11 +215,7 @@
             self._expire()
 
     def _grant_lease(self, ttl_ms: int) -> tuple[int, dict[str, Any]]:
-        self._last_lease += 1
-        lease = self._last_lease
-        ttl = ttl_ms / 1000
-        self._leases[lease] = ttl, asyncio.get_running_loop().time() + ttl
-        return 200, {"lease": lease, "ttl_ms": ttl_ms}
+        return 200, {"lease": self.grant_lease(ttl_ms / 1000), "ttl_ms": ttl_ms}
 
     def _renew_lease(self, lease: int) -> tuple[int, dict[str, Any]]:
         if lease not in self._leases:
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -158,6 +158,11 @@
         self._store, self._zone, self._born, self._state = store, zone, born, state
         store.put(TARGETS_PREFIX + self.id, self.entry(zone, born, state))
 
+    def write_again(self) -> None:
+        """Repeat the registration, after the store was restored from a copy."""
+        if self._store is not None and self.is_up:
+            self.register(self._store, self._zone, self._born, self._state)
+
     def entry(self, zone: str, born: int = 1, state: str = "ready") -> bytes:
         """Return the value of this target's key in the store."""
         address = self.advertised_address or self.address
