--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -101,7 +101,11 @@
         self._rng = random.Random(cfg.name)
         self.state = self._make_state(self._clock)
         self.store_view = StoreView(
-            self.state, platform.decoders, lambda: self.follower.up_since, loop.time
+            self.state,
+            platform.decoders,
+            lambda: self.follower.up_since,
+            loop.time,
+            lambda: self.peer_sync.holds_first_config(),
         )
         self.follower = Follower(
             platform.store,
--- a/src/lagoontide/gateway/metrics.py
+++ b/src/lagoontide/gateway/metrics.py
@@ -172,7 +172,7 @@
             "store_up": follower.is_up,
             "store_silent_seconds": now - follower.last_response_at,
             "store_era": gateway.store_era,
-            "store_revision": follower.as_of,
+            "store_revision": follower.as_of.number,
             "store_fed": gateway.peer_sync.is_relayed(),
             "store_followers": gateway.peer_sync.relay.followers,
             "peers_live": len(gateway.mesh.live()),
--- a/src/lagoontide/gateway/peer_sync.py
+++ b/src/lagoontide/gateway/peer_sync.py
@@ -35,6 +35,9 @@
 CONFIGURATION_LAG_LIMIT_S = 0.5
 CATCH_UP_INTERVAL_S = 0.3
 CATCH_UP_TIMEOUT_S = 1.0
+# An entry that starts waits this long at most for a status of another one before it
+# puts the store's configuration in force.
+FIRST_CONFIG_WAIT_S = 0.5
 # Stands for all other entries as the source of the sums that hubs send.
 AGGREGATE_PEER = "fleet"
 # Weight of the loads in hubs' sums. Engines read a prompt within 0.2 s and sums are
@@ -88,6 +91,9 @@
         )
         self._catch_up_started_at = 0.0
         self._behind_since: float | None = None
+        self._started_at = self._loop.time()
+        self._newest_peer_version: int | None = None
+        self._loop.call_later(FIRST_CONFIG_WAIT_S, store_view.release_config)
         self._tasks = TaskSet()
 
     def register(self, router: Router) -> None:
@@ -111,6 +117,15 @@
             self._loop.time() - self._follower.last_response_at > STORE_SILENCE_LIMIT_S
         )
 
+    def holds_first_config(self) -> bool:
+        """Return whether the store's configuration may be older than that of peers."""
+        if self._loop.time() - self._started_at >= FIRST_CONFIG_WAIT_S:
+            return False
+        if self._newest_peer_version is not None:
+            return self._newest_peer_version > self._store_view.config_version
+        assert self.mesh is not None
+        return bool(self._store_view.entries.keys() - {self.mesh.name})
+
     def make_status(self) -> Status:
         """Return this entry's status."""
         assert self.mesh is not None
@@ -121,7 +136,7 @@
             # Without a configuration it cannot own stage targets either, so it is
             # reported as draining.
             is_draining=self.mesh.is_draining or self._state.route_table is None,
-            config_revision=self._store_view.config_revision,
+            config_version=self._store_view.config_version,
             as_of=self._follower.as_of,
             loads=self._state.loads.own_by_target(),
             streams=self._state.streams.own_by_target(),
@@ -145,10 +160,15 @@
         self._state.directory.mark_reported_leaving(status.leaving_targets, status.name)
         self._state.rate_limits.merge(status.name, status.limits)
         self.record_crashes(status.name, status.crashes)
-        must_catch_up = self._is_store_down() or self._is_configuration_behind(status)
-        self._catch_up_if(
-            must_catch_up and status.as_of > self._follower.as_of, status.name
+        is_ahead = status.as_of > self._follower.as_of
+        must_catch_up = self._is_store_down() and is_ahead
+        self._newest_peer_version = max(
+            self._newest_peer_version or 0, status.config_version
         )
+        is_behind = self._is_configuration_behind(status)
+        if not self.holds_first_config():
+            self._store_view.release_config()
+        self._catch_up_if(must_catch_up or is_behind, status.name)
 
     def record_sums(self, sums: Sums) -> None:
         """Record the work of all other entries as summed by hubs."""
@@ -204,13 +224,17 @@
     def _is_configuration_behind(self, status: Status) -> bool:
         """Return whether peers have had a newer configuration for too long."""
         now = self._loop.time()
-        if status.config_revision <= self._store_view.config_revision:
-            if status.config_revision == self._store_view.config_revision:
+        version = self._store_view.config_version
+        if status.config_version <= version:
+            if status.config_version == version:
                 self._behind_since = None
             return False
         if self._behind_since is None:
             self._behind_since = now
-        return now - self._behind_since > CONFIGURATION_LAG_LIMIT_S
+        # An entry that has just started may have read an older one from a store that
+        # was restored from a copy.
+        is_starting = self._state.route_table is None
+        return is_starting or now - self._behind_since > CONFIGURATION_LAG_LIMIT_S
 
     async def _catch_up(self, name: str) -> None:
         assert self.mesh is not None
@@ -224,10 +248,12 @@
         except (PeerError, PeerTimeout) as exc:
             logger.bind(peer=name).info("snapshot request failed: {}", exc)
             return
-        if (
-            not isinstance(snapshot, StoreSnapshot)
-            or snapshot.as_of <= self._follower.as_of
-        ):
+        if not isinstance(snapshot, StoreSnapshot):
+            return
+        if snapshot.as_of <= self._follower.as_of:
+            self._store_view.adopt_config(
+                snapshot.config, snapshot.config_revision, name
+            )
             return
         self._store_view.adopt_snapshot(name, snapshot)
         self._follower.advance_to(snapshot.as_of)
--- a/src/lagoontide/gateway/store_view.py
+++ b/src/lagoontide/gateway/store_view.py
@@ -13,11 +13,14 @@
 from lagoontide.quarantine.keeper import QUARANTINE_PREFIX, StoredQuarantines
 from lagoontide.routes.records import RoutingConfig
 from lagoontide.routes.route_table import RouteTable
-from lagoontide.store.revision_store import KeyRevision, Listing
+from lagoontide.store.revision_store import KeyRevision, Listing, Revision
 from lagoontide.targets.records import Target
 
 __all__ = ["Decoders", "StoreView"]
 
+STORE_SOURCE = "store"
+# The operator writes again within this time of a restore what the store has lost.
+REWRITE_GRACE_S = 3.0
 # Entries whose leases expired during a store outage register again within this time
 # of its return.
 REREGISTRATION_TIMEOUT_S = 3.0
@@ -44,7 +47,7 @@
     config_key: str
     config: Callable[[bytes], RoutingConfig]
     target_id: Callable[[str], str | None]
-    target: Callable[[str, bytes, int], Target]
+    target: Callable[[str, bytes, Revision], Target]
     evacuated_domain: Callable[[str], str | None]
 
 
@@ -59,11 +62,14 @@
         Returns the loop time at which the store last became available again.
     clock : callable
         Returns the loop time.
+    holds_first_config : callable
+        Returns whether the first configuration is held back, as a peer may have a newer
+        one than a store that was restored from a copy.
 
     Attributes
     ----------
-    config_revision : int
-        Store revision of the configuration in force; 0 for none.
+    config_revision : Revision
+        Store revision of the configuration in force.
     config_value : bytes
         The configuration in force as it is stored.
     is_synced : bool
@@ -80,8 +86,15 @@
         decoders: Decoders,
         store_up_since: Callable[[], float],
         clock: Callable[[], float],
+        holds_first_config: Callable[[], bool] = lambda: False,
     ) -> None:
-        self.config_revision = 0
+        self._holds_first_config = holds_first_config
+        self._held: RoutingConfig | None = None
+        self._era = 0
+        # Evacuated failure domains that a restored store lacks, and the loop time until
+        # which each is kept.
+        self._evacuated_until: dict[str, float] = {}
+        self.config_revision = Revision()
         self.config_value = b""
         self.is_synced = False
         self.entries: dict[str, EntryRecord] = {}
@@ -98,6 +111,9 @@
         """Replace the view by a full listing; whatever it lacks is removed."""
         names = set()
         entries = set()
+        is_restored = 0 < self._era < listing.as_of.era
+        self._era = listing.as_of.era
+        absent = self._state.directory.absent()
         for item in listing.items:
             name = self._decoders.target_id(item.key)
             if name is not None:
@@ -110,8 +126,10 @@
         self.quarantines.keep_only(item.key for item in listing.items)
         up_since = self._store_up_since()
         self._state.directory.remove_unlisted(names, listing.as_of, up_since)
+        if is_restored:
+            self._state.directory.doubt_returned(absent)
         domains = (self._decoders.evacuated_domain(item.key) for item in listing.items)
-        self._state.directory.set_evacuated(filter(None, domains))
+        self._replace_evacuated(frozenset(filter(None, domains)), is_restored)
         self.is_synced = True
         logger.info(
             "store listed at revision {}: {} keys, {} targets",
@@ -126,7 +144,7 @@
         if name is not None:
             self._apply_target(name, item)
         elif item.key == self._decoders.config_key and item.value is not None:
-            self.adopt_config(item.value, item.revision, "store")
+            self.adopt_config(item.value, item.revision, STORE_SOURCE)
         elif item.key.startswith(ENTRIES_PREFIX):
             if item.value is None:
                 self._remove_entry(entry_name(item.key))
@@ -136,12 +154,25 @@
             self.quarantines.apply(item.key, item.value)
         elif (domain := self._decoders.evacuated_domain(item.key)) is not None:
             directory = self._state.directory
+            self._evacuated_until.pop(domain, None)
             others = directory.evacuated - {domain}
             directory.set_evacuated(others if item.value is None else others | {domain})
 
-    def adopt_config(self, value: bytes, revision: int, source: str) -> None:
-        """Put a configuration in force unless a newer one already is."""
-        if revision <= self.config_revision:
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force, or held back; 0 for none."""
+        route_table = self._state.route_table
+        if route_table is not None:
+            return route_table.version
+        return self._held.version if self._held else 0
+
+    def adopt_config(self, value: bytes, revision: Revision, source: str) -> None:
+        """Put a configuration in force unless a newer one already is.
+
+        Versions decide, as the store may go back to an older one when it is restored
+        from a copy.
+        """
+        if not value or value == self.config_value:
             return
         try:
             config = self._decoders.config(value)
@@ -150,21 +181,35 @@
                 "invalid configuration at revision {} ignored: {}", revision, exc
             )
             return
-        route_table = self._state.route_table
-        if route_table is not None and config.version < route_table.version:
-            logger.error(
-                "configuration {} at revision {} ignored: older than {} in force",
+        if (config.version, revision) < (self.config_version, self.config_revision):
+            logger.warning(
+                "configuration {} at revision {} from {} ignored: older than {}",
                 config.version,
                 revision,
-                route_table.version,
+                source,
+                self.config_version,
             )
             return
         self.config_revision, self.config_value = revision, value
+        is_first = self._state.route_table is None
+        if is_first and source == STORE_SOURCE and self._holds_first_config():
+            self._held = config
+            logger.info("configuration {} held back: no peer heard", config.version)
+            return
+        self._put_in_force(config, source)
+
+    def release_config(self) -> None:
+        """Put the configuration that was held back in force, if there is one."""
+        if self._held is not None and self._state.route_table is None:
+            self._put_in_force(self._held, STORE_SOURCE)
+
+    def _put_in_force(self, config: RoutingConfig, source: str) -> None:
+        self._held = None
         self._state.route_table = RouteTable(config)
         logger.info(
             "configuration {} at revision {} in force, from {}: {} routes, {} accounts",
             config.version,
-            revision,
+            self.config_revision,
             source,
             len(config.routes),
             len(config.accounts),
@@ -190,6 +235,7 @@
         # it lacks is gone and needs no further grace period.
         self._state.directory.remove_unlisted(names, snapshot.as_of, 0.0)
         self._state.directory.set_evacuated(snapshot.evacuated)
+        self._era = snapshot.as_of.era
         self.is_synced = True
 
     def kept_entries(self) -> dict[str, float]:
@@ -204,6 +250,23 @@
             if now >= until:
                 del self._kept_until[name]
                 self.entries.pop(name, None)
+        over = {name for name, until in self._evacuated_until.items() if now >= until}
+        if over:
+            for name in over:
+                del self._evacuated_until[name]
+            directory = self._state.directory
+            directory.set_evacuated(directory.evacuated - over)
+
+    def _replace_evacuated(self, listed: frozenset[str], is_restored: bool) -> None:
+        """Apply the listed evacuations; keep others that a restored store may lack."""
+        directory = self._state.directory
+        if is_restored:
+            until = self._clock() + REWRITE_GRACE_S
+            for domain in directory.evacuated - listed:
+                self._evacuated_until[domain] = until
+        for domain in listed:
+            self._evacuated_until.pop(domain, None)
+        directory.set_evacuated(listed | self._evacuated_until.keys())
 
     def _remove_entry(self, name: str) -> None:
         until = self._store_up_since() + REREGISTRATION_TIMEOUT_S
--- a/src/lagoontide/mesh/messages.py
+++ b/src/lagoontide/mesh/messages.py
@@ -4,6 +4,7 @@
 
 from lagoontide.mesh.registration import EntryRecord
 from lagoontide.quarantine.records import CrashReport
+from lagoontide.store.revision_store import Revision
 from lagoontide.targets.rate_limits import LimitReport
 from lagoontide.targets.records import Target
 
@@ -34,8 +35,10 @@
         ``IP:PORT`` where it listens for peers.
     capacity : float
         Processor cores of the entry.
-    config_revision, as_of : int
-        Store revisions of its configuration and up to which it has every change.
+    config_version : int
+        Version of its configuration; 0 for none.
+    as_of : Revision
+        Store revision up to which it has every change.
     loads : dict of str to float
         Its own load on each target, by target id.
     streams : dict of str to float
@@ -63,8 +66,8 @@
     address: str
     is_draining: bool
     capacity: float
-    config_revision: int
-    as_of: int
+    config_version: int
+    as_of: Revision
     loads: dict[str, float] = {}
     streams: dict[str, float] = {}
     leaving_targets: tuple[tuple[str, int], ...] = ()
@@ -80,7 +83,7 @@
 class StoreSnapshotRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
     """Requests the store state of a peer that has seen a later revision."""
 
-    as_of: int
+    as_of: Revision
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True, array_like=True, tag="beliefs"):
@@ -99,8 +102,8 @@
         The evacuated failure domains.
     """
 
-    as_of: int
-    config_revision: int
+    as_of: Revision
+    config_revision: Revision
     config: bytes
     targets: tuple[Target, ...]
     entries: dict[str, EntryRecord] = {}
@@ -112,7 +115,7 @@
 class Follow(msgspec.Struct, frozen=True, array_like=True, tag="follow"):
     """Subscribes to a hub's changes after a revision, for a second or two."""
 
-    as_of: int
+    as_of: Revision
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
@@ -125,7 +128,7 @@
     """
 
     key: str
-    revision: int
+    revision: Revision
     is_deleted: bool
     packed: bytes
 
@@ -135,15 +138,15 @@
 
     Attributes
     ----------
-    after, as_of : int
+    after, as_of : Revision
         The message holds every change after the first revision up to the second.
     age, uptime : float
         Seconds since the store last answered the hub, and since the hub last saw it
         come up.
     """
 
-    after: int
-    as_of: int
+    after: Revision
+    as_of: Revision
     age: float
     uptime: float
     changes: tuple[Change, ...] = ()
--- a/src/lagoontide/mesh/peers.py
+++ b/src/lagoontide/mesh/peers.py
@@ -18,6 +18,7 @@
 from lagoontide.mesh.registration import EntryRecord
 from lagoontide.mesh.roster import Roster
 from lagoontide.quarantine.records import CrashReport
+from lagoontide.store.revision_store import Revision
 from lagoontide.wire.conn import Conn
 from lagoontide.wire.pool import ConnPool
 from lagoontide.wire.router import Router
@@ -308,7 +309,7 @@
         if sums is not None:
             self._apply_sums(sums)
 
-    def _follow_hubs(self, as_of: int) -> None:
+    def _follow_hubs(self, as_of: Revision) -> None:
         """Request the store's changes after a revision from hubs."""
         now = self._loop.time()
         if now - self._follow_sent_at < FOLLOW_INTERVAL_S:
--- a/src/lagoontide/mesh/registration.py
+++ b/src/lagoontide/mesh/registration.py
@@ -66,8 +66,8 @@
         while not self._is_stopping:
             try:
                 wait = await self._register_or_renew()
-            except LeaseNotFound:
-                logger.info("lease expired; registering again")
+            except LeaseNotFound as exc:
+                logger.info("lease has ended, registering again: {}", exc)
                 self._lease, self._is_registered = None, False
                 wait = 0.0
             except StoreUnavailable as exc:
@@ -76,14 +76,18 @@
             await asyncio.sleep(wait)
 
     async def unregister(self) -> None:
-        """Revoke the lease, which deletes the key, and do not register again."""
+        """Delete the key, and do not register again.
+
+        The lease is left to expire: in a store that was restored from a copy it may
+        belong to another client.
+        """
         self._is_stopping = True
         if self._lease is None:
             return
         try:
-            await self._store.revoke(self._lease)
-        except (LeaseNotFound, StoreUnavailable) as exc:
-            logger.info("lease not revoked; it will expire: {}", exc)
+            await self._store.delete(self._key)
+        except StoreUnavailable as exc:
+            logger.info("key not deleted; its lease will expire: {}", exc)
 
     async def _register_or_renew(self) -> float:
         """Write the key or renew its lease; return the seconds until the next call."""
--- a/src/lagoontide/mesh/relay.py
+++ b/src/lagoontide/mesh/relay.py
@@ -15,7 +15,7 @@
 
 from lagoontide.errors import WireError
 from lagoontide.mesh.messages import Change, ChangeBatch
-from lagoontide.store.revision_store import KeyRevision
+from lagoontide.store.revision_store import KeyRevision, Revision
 
 __all__ = ["Relay", "RelayReceiver", "boot_time", "pack", "unpack"]
 
@@ -88,14 +88,14 @@
         self._changes: deque[Change] = deque()
         self._buffered_bytes = 0
         # The buffer holds every change after this revision.
-        self._complete_after = 0
-        self._as_of = 0
+        self._complete_after = Revision()
+        self._as_of = Revision()
         self._store_heard_at = 0.0
         self._store_up_since = 0.0
         self._is_store_up = False
         # For each follower, the revision up to which it has every change, and the time
         # of its last request.
-        self._followers: dict[str, tuple[int, float]] = {}
+        self._followers: dict[str, tuple[Revision, float]] = {}
 
     @property
     def followers(self) -> int:
@@ -111,13 +111,13 @@
         """Whether any follower has not timed out."""
         return self.followers > 0
 
-    def reset_to(self, as_of: int) -> None:
+    def reset_to(self, as_of: Revision) -> None:
         """Discard all changes; only those after ``as_of`` will be available."""
         self._changes.clear()
         self._buffered_bytes = 0
         self._complete_after = self._as_of = as_of
 
-    def append(self, items: Iterable[KeyRevision], as_of: int) -> None:
+    def append(self, items: Iterable[KeyRevision], as_of: Revision) -> None:
         """Add the changes up to a revision, and send them to followers."""
         for item in items:
             change = pack(item)
@@ -143,12 +143,12 @@
                 self._store_up_since = now
         self._is_store_up = is_up
 
-    def follow(self, name: str, as_of: int) -> None:
+    def follow(self, name: str, as_of: Revision) -> None:
         """Add or renew a follower that has every change up to a revision."""
         self._followers[name] = as_of, self._clock()
         self._send(name)
 
-    def _discard_through(self, revision: int) -> None:
+    def _discard_through(self, revision: Revision) -> None:
         while self._changes and self._changes[0].revision <= revision:
             self._buffered_bytes -= len(self._changes.popleft().packed)
         self._complete_after = max(self._complete_after, revision)
@@ -172,6 +172,7 @@
 @dataclass(slots=True)
 class _HubReport:
     at: float
+    as_of: Revision
     age: float
     uptime: float
 
@@ -192,8 +193,8 @@
 
     def __init__(
         self,
-        apply: Callable[[list[KeyRevision], int], None],
-        as_of: Callable[[], int],
+        apply: Callable[[list[KeyRevision], Revision], None],
+        as_of: Callable[[], Revision],
         on_report: Callable[["RelayReceiver"], None],
         clock: Callable[[], float] = boot_time,
     ) -> None:
@@ -203,11 +204,13 @@
         self._clock = clock
         self._reports: dict[str, _HubReport] = {}
         # The latest revision whose changes a hub could not send without a gap.
-        self._missing_through = 0
+        self._missing_through = Revision()
 
     def receive(self, peer: str, batch: ChangeBatch) -> None:
         """Apply a message from a hub, unless changes before it are missing."""
-        self._reports[peer] = _HubReport(self._clock(), batch.age, batch.uptime)
+        self._reports[peer] = _HubReport(
+            self._clock(), batch.as_of, batch.age, batch.uptime
+        )
         if batch.as_of <= self._as_of():
             self._on_report(self)
             return
@@ -256,8 +259,13 @@
         )
 
     def _recent_reports(self) -> Iterator[tuple[_HubReport, float]]:
-        """Yield the reports that have not timed out, with their ages in seconds."""
+        """Yield the reports that have not timed out, with their ages in seconds.
+
+        A hub in an earlier era of the store does not supply its changes.
+        """
         now = self._clock()
+        era = self._as_of().era
         for report in self._reports.values():
-            if now - report.at < HUB_REPORT_TIMEOUT_S:
+            is_recent = now - report.at < HUB_REPORT_TIMEOUT_S
+            if is_recent and report.as_of.era >= era:
                 yield report, now - report.at
--- a/src/lagoontide/platform/directory.py
+++ b/src/lagoontide/platform/directory.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from lagoontide.errors import WireError
+from lagoontide.store.revision_store import Revision
 from lagoontide.targets.records import Target, TargetState
 
 __all__ = [
@@ -46,7 +47,7 @@
     return key[len(EVACUATIONS_PREFIX) :] or None
 
 
-def decode_target(name: str, value: bytes, revision: int) -> Target:
+def decode_target(name: str, value: bytes, revision: Revision) -> Target:
     """Decode a registration; raises WireError if it is malformed."""
     try:
         data = _decoder.decode(value)
--- a/src/lagoontide/platform/standins/deployment.py
+++ b/src/lagoontide/platform/standins/deployment.py
@@ -9,6 +9,7 @@
 import msgspec
 import zmq
 
+from lagoontide.errors import WireError
 from lagoontide.gateway.gateway import Gateway
 from lagoontide.gateway.settings import Bounds, GatewaySettings
 from lagoontide.http1.client import TargetConn
@@ -111,7 +112,12 @@
 
     async def start(self) -> Gateway:
         """Start it, listening."""
-        self.gateway = Gateway(self.cfg, self.ctx, make_platform(self.cfg))
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while self.gateway is None:
+                # The port of a killed entry may not be free at once.
+                with contextlib.suppress(WireError):
+                    self.gateway = Gateway(self.cfg, self.ctx, make_platform(self.cfg))
+                await asyncio.sleep(0)
         await self.gateway.start()
         self.tasks = [asyncio.ensure_future(task) for task in self.gateway.tasks()]
         return self.gateway
--- a/src/lagoontide/platform/store.py
+++ b/src/lagoontide/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import urlencode
 
@@ -19,6 +20,7 @@
     KeyRevision,
     LeaseNotFound,
     Listing,
+    Revision,
 )
 
 __all__ = ["ERA", "PlatformStore"]
@@ -38,12 +40,12 @@
 MAX_PAGES = 1000
 MS_PER_S = 1000.0
 NO_LEASE = 0
+ERA_SEPARATOR = ":"
 
 RANGE_PATH = "/lagoontide/kv-range"
 WATCH_PATH = "/lagoontide/kv-watch"
 LEASE_PATH = "/lagoontide/kv-lease"
 KEEP_PATH = "/lagoontide/kv-keep/"
-LEASE_END_PATH = "/lagoontide/kv-lease-end/"
 TRANSACTION_PATH = "/lagoontide/kv-txn"
 ERA = b"Store-Era"
 MAX_ERA_DIGITS = 15
@@ -58,9 +60,9 @@
     value: str = ""
     deleted: bool = False
 
-    def to_item(self) -> KeyRevision:
+    def to_item(self, era: int) -> KeyRevision:
         value = None if self.deleted else base64.b64decode(self.value, validate=True)
-        return KeyRevision(self.key, value, self.revision)
+        return KeyRevision(self.key, value, Revision(era, self.revision))
 
 
 class _RangePage(msgspec.Struct):
@@ -75,12 +77,18 @@
 
 
 class _Lease(msgspec.Struct):
-    """``lease`` is an integer here; the rest of the package uses a string id."""
+    """``lease`` is an integer here; others use a string that also has the era."""
 
     lease: int
     ttl_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    era: int
+    body: bytes
+
+
 class PlatformStore:
     """Implements lagoontide.store.revision_store.RevisionStore.
 
@@ -111,19 +119,21 @@
     async def list(self, prefix: str) -> Listing:
         """See RevisionStore."""
         items: list[KeyRevision] = []
-        as_of = 0
+        as_of: Revision | None = None
         after = ""
         size = 0
         for _ in range(MAX_PAGES):
             query = urlencode({"prefix": prefix, **({"after": after} if after else {})})
-            body = await self._call("GET", f"{RANGE_PATH}?{query}")
-            page = _decode(body, _RangePage)
-            size += len(body)
+            answer = await self._call("GET", f"{RANGE_PATH}?{query}")
+            page = _decode(answer.body, _RangePage)
+            size += len(answer.body)
             if size > MAX_LISTING_BYTES:
                 break
             # Pages are not one snapshot: the watch starts at the first page's revision.
-            as_of = as_of or page.as_of
-            items += [item.to_item() for item in page.items]
+            as_of = as_of or Revision(answer.era, page.as_of)
+            if answer.era != as_of.era:
+                raise StoreUnavailable("restored while it was listed", step="range")
+            items += [item.to_item(answer.era) for item in page.items]
             if not page.more_pages or not page.items:
                 return Listing(tuple(items), as_of)
             after = page.items[-1].key
@@ -132,36 +142,44 @@
             step="list",
         )
 
-    async def watch(self, prefix: str, after: int, wait: float) -> Changes:
+    async def watch(self, prefix: str, after: Revision, wait: float) -> Changes:
         """See RevisionStore."""
         query = urlencode(
-            {"prefix": prefix, "after": after, "wait_ms": int(wait * MS_PER_S)}
+            {"prefix": prefix, "after": after.number, "wait_ms": int(wait * MS_PER_S)}
         )
-        body = await self._call("GET", f"{WATCH_PATH}?{query}", wait=wait)
-        answer = _decode(body, _Events)
+        answer = await self._call("GET", f"{WATCH_PATH}?{query}", wait=wait)
+        era = answer.era
+        if era != after.era:
+            raise ChangesUnavailable(
+                f"restored since era {after.era}, now in {era}", step="watch"
+            )
+        changes = _decode(answer.body, _Events)
         return Changes(
-            tuple(item.to_item() for item in answer.events), max(after, answer.as_of)
+            tuple(item.to_item(era) for item in changes.events),
+            max(after, Revision(era, changes.as_of)),
         )
 
     async def grant(self, ttl: float) -> tuple[str, float]:
         """See RevisionStore."""
-        body = await self._call("POST", LEASE_PATH, {"ttl_ms": int(ttl * MS_PER_S)})
-        answer = _decode(body, _Lease)
-        return str(answer.lease), answer.ttl_ms / MS_PER_S
+        body = {"ttl_ms": int(ttl * MS_PER_S)}
+        answer = await self._call("POST", LEASE_PATH, body)
+        lease = _decode(answer.body, _Lease)
+        return f"{answer.era}{ERA_SEPARATOR}{lease.lease}", lease.ttl_ms / MS_PER_S
 
     async def keep(self, lease: str) -> None:
         """See RevisionStore."""
-        await self._call("POST", KEEP_PATH + lease)
-
-    async def revoke(self, lease: str) -> None:
-        """See RevisionStore."""
-        await self._call("DELETE", LEASE_END_PATH + lease)
+        era, number = self._split_lease(lease)
+        answer = await self._call("POST", f"{KEEP_PATH}{number}")
+        _check_lease(era, answer)
 
     async def put(self, key: str, value: bytes, lease: str = "") -> None:
         """See RevisionStore."""
         text = base64.b64encode(value).decode()
-        put = {"key": key, "value": text, "lease": int(lease or NO_LEASE)}
-        await self._commit(puts=[put])
+        era, number = self._split_lease(lease) if lease else (None, NO_LEASE)
+        put = {"key": key, "value": text, "lease": number}
+        answer = await self._commit(puts=[put])
+        if era is not None:
+            _check_lease(era, answer)
 
     async def delete(self, key: str) -> None:
         """See RevisionStore."""
@@ -174,16 +192,23 @@
 
     async def _commit(
         self, puts: Sequence[object] = (), delete_keys: Sequence[str] = ()
-    ) -> None:
-        await self._call(
+    ) -> "_Answer":
+        return await self._call(
             "POST",
             TRANSACTION_PATH,
             {"expected_rev": [], "puts": puts, "delete_keys": delete_keys},
         )
 
+    def _split_lease(self, lease: str) -> tuple[int, int]:
+        """Return era and id of a lease; raises LeaseNotFound if its era has ended."""
+        era, _, number = lease.partition(ERA_SEPARATOR)
+        if int(era) != self.era:
+            raise LeaseNotFound(f"lease of era {era} in {self.era}", step="keep")
+        return int(era), int(number)
+
     async def _call(
         self, method: str, path: str, body: object = None, wait: float = 0.0
-    ) -> bytes:
+    ) -> "_Answer":
         step = path.partition("?")[0].rpartition("kv-")[2]
         try:
             max_bytes = MAX_CHANGES_BYTES if wait else MAX_PAGE_BYTES
@@ -198,33 +223,37 @@
             raise StoreUnavailable(str(exc), step=step) from exc
         except (OSError, InvalidResponse, TimeoutError) as exc:
             raise StoreUnavailable(f"no usable response: {exc!r}", step=step) from exc
-        self._observe_era(answer, step)
+        era = self._observe_era(answer, step)
         match answer.status:
             case 200:
-                return answer.body
+                return _Answer(era, answer.body)
             case 410:
                 raise ChangesUnavailable(
                     "changes after the requested revision were dropped", step=step
                 )
-            case 404 if step.startswith(("keep", "txn", "lease-end")):
+            case 404 if step.startswith(("keep", "txn")):
                 raise LeaseNotFound("lease does not exist", step=step)
             case status:
                 raise StoreUnavailable(f"unexpected status {status}", step=step)
 
-    def _observe_era(self, answer: Response, step: str) -> None:
-        """Take the era from an answer of any status."""
+    def _observe_era(self, answer: Response, step: str) -> int:
+        """Return the era of an answer of any status; the known one if it names none.
+
+        Raises StoreUnavailable for a late answer from an earlier era.
+        """
         texts = list(field_values(answer.fields, ERA.lower()))
         if not texts:
-            return
+            return self.era
         text = b", ".join(texts).strip()
         if not (text.isdigit() and len(text) <= MAX_ERA_DIGITS):
             logger.warning("unreadable era of the store ignored: {!r:.80}", text)
-            return
+            return self.era
         if (era := int(text)) > self.era:
             logger.info("store is in era {}, before: {}", era, self.era)
             self.era = era
         elif era < self.era:
-            logger.info("late answer of the store's era {}: {}", era, step)
+            raise StoreUnavailable(f"late answer of era {era} in {self.era}", step=step)
+        return era
 
     async def _exchange(
         self, method: str, path: str, body: object, max_bytes: int
@@ -257,6 +286,12 @@
         return TargetConn(await connect_tcp(self._host, self._port, CONNECT_TIMEOUT_S))
 
 
+def _check_lease(era: int, answer: _Answer) -> None:
+    """Raise LeaseNotFound if the answer to a call with a lease is of a later era."""
+    if answer.era != era:
+        raise LeaseNotFound(f"restored since era {era}", step="keep")
+
+
 def _decode(body: bytes, kind: type[Decoded]) -> Decoded:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/src/lagoontide/store/follower.py
+++ b/src/lagoontide/store/follower.py
@@ -12,6 +12,7 @@
     ChangesUnavailable,
     KeyRevision,
     Listing,
+    Revision,
     RevisionStore,
 )
 
@@ -24,6 +25,7 @@
 WATCH_BATCH_PAUSE_S = 0.2
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 0.5
+LISTING_BACKOFF_MAX_S = 2.0
 # How often a follower that receives relayed changes checks whether it still does.
 RELAY_CHECK_INTERVAL_S = 0.1
 
@@ -41,13 +43,13 @@
 class ChangeRelay(Protocol):
     """Forwards changes and the store's status to other processes."""
 
-    def reset_to(self, as_of: int) -> None:
+    def reset_to(self, as_of: Revision) -> None:
         """Restart at a revision whose individual changes are not known here.
 
         The revision was reached by a listing of the store or through another process.
         """
 
-    def append(self, items: Iterable[KeyRevision], as_of: int) -> None:
+    def append(self, items: Iterable[KeyRevision], as_of: Revision) -> None:
         """Forward the next changes, which are complete up to ``as_of``."""
 
     def update_store_status(self, is_up: bool) -> None:
@@ -69,8 +71,8 @@
     ----------
     relay : ChangeRelay or None
         Receives every change and the store's status.
-    as_of : int
-        Revision of the sink's contents; 0 before the first listing.
+    as_of : Revision
+        Revision of the sink's contents; the first one before a listing.
     is_up : bool
         Whether the store was available when last heard from, directly or by relay.
     down_since, up_since : float
@@ -87,7 +89,7 @@
         is_relayed: Callable[[], bool] = lambda: False,
     ) -> None:
         self.relay: ChangeRelay | None = None
-        self.as_of = 0
+        self.as_of = Revision()
         self.is_up = False
         self.down_since = 0.0
         self.up_since = 0.0
@@ -97,6 +99,8 @@
         self._sink = sink
         self._is_relayed = is_relayed
         self._must_list = True
+        # Listings since the last watch that was answered with changes or none.
+        self._unwatched_listings = 0
         self._backoff = BACKOFF_MIN_S
 
     async def run(self) -> None:
@@ -115,15 +119,22 @@
                 continue
             try:
                 await self._list_and_watch()
-            except ChangesUnavailable:
-                logger.info("cannot watch from revision {}, listing again", self.as_of)
+            except ChangesUnavailable as exc:
+                logger.info("listing again from revision {}: {}", self.as_of, exc)
                 self._must_list = True
+                if self._unwatched_listings > 0:
+                    # The last listing did not help, so the next one may not either.
+                    await asyncio.sleep(
+                        min(
+                            BACKOFF_MIN_S * 2.0**self._unwatched_listings,
+                            LISTING_BACKOFF_MAX_S,
+                        )
+                    )
             except StoreUnavailable as exc:
                 self._mark_down(exc)
-                await asyncio.sleep(self._backoff * random.uniform(0.5, 1.0))
-                self._backoff = min(self._backoff * 2, BACKOFF_MAX_S)
+                await self._back_off()
 
-    def advance_to(self, as_of: int) -> None:
+    def advance_to(self, as_of: Revision) -> None:
         """Record that the sink was brought up to a revision by other means."""
         if as_of > self.as_of:
             self.as_of = as_of
@@ -131,7 +142,7 @@
             if self.relay is not None:
                 self.relay.reset_to(as_of)
 
-    def apply_changes(self, items: Iterable[KeyRevision], as_of: int) -> None:
+    def apply_changes(self, items: Iterable[KeyRevision], as_of: Revision) -> None:
         """Apply the next changes as relayed by processes that watch the store."""
         for item in items:
             self._sink.apply(item)
@@ -153,12 +164,19 @@
         self.up_since = now - uptime
         self._mark_up(max(self.last_response_at, now - response_age), self.up_since)
 
+    async def _back_off(self) -> None:
+        await asyncio.sleep(self._backoff * random.uniform(0.5, 1.0))
+        self._backoff = min(self._backoff * 2, BACKOFF_MAX_S)
+
     async def _list_and_watch(self) -> None:
         if self._must_list:
             listing = await self._store.list(self._prefix)
             self._record_response()
             self._must_list = False
+            self._unwatched_listings += 1
             if listing.as_of >= self.as_of:
+                if self.as_of.number and listing.as_of.era > self.as_of.era:
+                    self._begin_era(listing.as_of)
                 self._sink.replace(listing)
                 self.as_of = listing.as_of
             else:
@@ -172,6 +190,7 @@
         while not self._is_relayed():
             changes = await self._store.watch(self._prefix, self.as_of, WATCH_WAIT_S)
             self._record_response()
+            self._unwatched_listings = 0
             items = [item for item in changes.items if item.revision > self.as_of]
             for item in items:
                 self._sink.apply(item)
@@ -181,6 +200,16 @@
             if changes.items:
                 await asyncio.sleep(WATCH_BATCH_PAUSE_S)
 
+    def _begin_era(self, as_of: Revision) -> None:
+        """Treat the store as available since now: others have yet to write again."""
+        logger.warning(
+            "store restored from a copy: revision {} after {}", as_of, self.as_of
+        )
+        self.up_since = asyncio.get_running_loop().time()
+        if self.relay is not None:
+            self.relay.update_store_status(False)
+            self.relay.update_store_status(True)
+
     def _record_response(self) -> None:
         now = asyncio.get_running_loop().time()
         self._backoff = BACKOFF_MIN_S
--- a/src/lagoontide/store/revision_store.py
+++ b/src/lagoontide/store/revision_store.py
@@ -1,7 +1,7 @@
 """Interface of a key-value store with revisions, watches and leases."""
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from lagoontide.errors import StoreError
 
@@ -11,6 +11,7 @@
     "KeyRevision",
     "LeaseNotFound",
     "Listing",
+    "Revision",
     "RevisionStore",
 ]
 
@@ -20,7 +21,25 @@
 
 
 class LeaseNotFound(StoreError):
-    """The lease has expired or was revoked."""
+    """The lease has ended."""
+
+
+class Revision(NamedTuple):
+    """A point in the history of a store, ordered over restores from copies.
+
+    Attributes
+    ----------
+    era : int
+        Rises when the store is restored from a copy; numbers are then given out again.
+    number : int
+        Rises with each change; 0 before the first one.
+    """
+
+    era: int = 0
+    number: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.number}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,13 +50,13 @@
     ----------
     value : bytes or None
         None if the key was deleted.
-    revision : int
+    revision : Revision
         Store revision of that write or deletion.
     """
 
     key: str
     value: bytes | None
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,27 +65,27 @@
 
     Attributes
     ----------
-    as_of : int
+    as_of : Revision
         Revision from which to watch for changes. Items may be newer; a key that is
         absent did not exist then or has been deleted since.
     """
 
     items: tuple[KeyRevision, ...]
-    as_of: int
+    as_of: Revision
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Consecutive changes, in order of their revisions.
+    """Consecutive changes of one era, in order of their revisions.
 
     Attributes
     ----------
-    as_of : int
+    as_of : Revision
         Revision up to which the changes are complete.
     """
 
     items: tuple[KeyRevision, ...]
-    as_of: int
+    as_of: Revision
 
 
 class RevisionStore(Protocol):
@@ -89,23 +108,25 @@
     async def list(self, prefix: str) -> Listing:
         """Return all keys under a prefix; see Listing for what ``as_of`` means."""
 
-    async def watch(self, prefix: str, after: int, wait: float) -> Changes:
+    async def watch(self, prefix: str, after: Revision, wait: float) -> Changes:
         """Return the changes after a revision; waits up to ``wait`` seconds for one.
 
         Raises
         ------
         ChangesUnavailable
-            If the store no longer keeps all changes after that revision.
+            If the store no longer keeps all changes after that revision, or has been
+            restored from a copy since.
         """
 
     async def grant(self, ttl: float) -> tuple[str, float]:
-        """Return the id of a new lease and its time to live in seconds."""
+        """Return a new lease and its time to live in seconds."""
 
     async def keep(self, lease: str) -> None:
-        """Renew a lease; raises LeaseNotFound if it has ended."""
+        """Renew a lease; raises LeaseNotFound if it has ended.
 
-    async def revoke(self, lease: str) -> None:
-        """Revoke a lease, which deletes its keys."""
+        A lease ends with the era in which it was granted, as its id may be given to
+        another client in the next one.
+        """
 
     async def put(self, key: str, value: bytes, lease: str = "") -> None:
         """Write a key that is deleted when its lease ends; without one it stays.
--- a/src/lagoontide/targets/directory.py
+++ b/src/lagoontide/targets/directory.py
@@ -1,10 +1,11 @@
 """Directory of targets, from the store, from peers and from the targets' answers."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from loguru import logger
 
+from lagoontide.store.revision_store import Revision
 from lagoontide.targets.records import Target, TargetState
 
 __all__ = ["Directory"]
@@ -13,6 +14,11 @@
 # seconds of its end (PROTOCOL, Service discovery); until then a missing registration
 # does not mean that the target is gone.
 REREGISTRATION_GRACE_S = 2.2
+# A store that was restored from a copy lists targets again that are gone. Those that
+# run write again, the leases of the others run out within this time.
+RETURN_DOUBT_S = 6.0
+# Targets that are gone are remembered for longer than copies are old.
+GONE_RETENTION_S = 120.0
 # Time for which peers are told that a target is leaving.
 LEAVING_ADVERTISED_S = 3.0
 # Targets that left are remembered for as long as an old registration may arrive.
@@ -35,6 +41,8 @@
         self._clock = clock
         self._targets: dict[str, Target] = {}
         self._leaving_since: dict[tuple[str, int], float] = {}
+        self._gone_at: dict[tuple[str, int], float] = {}
+        self._doubted_until: dict[tuple[str, int], float] = {}
         self._evacuated: frozenset[str] = frozenset()
         # Targets whose registration is missing since a store outage, with the clock
         # time until which they are kept.
@@ -90,6 +98,8 @@
         if known is not None and known.revision > target.revision:
             return
         self._expires_at.pop(target.id, None)
+        if known is not None and known.revision < target.revision:
+            self._end_doubt(target.key, "it has registered again")
         self._targets[target.id] = target
         self._by_address = None
         if known is not None and (known.key, known.state) == (target.key, target.state):
@@ -104,7 +114,7 @@
         if target.state is TargetState.LEAVING:
             self._leaving_since[target.key] = self._clock()
 
-    def remove(self, name: str, revision: int, store_up_since: float) -> None:
+    def remove(self, name: str, revision: Revision, store_up_since: float) -> None:
         """Remove a target whose registration was deleted at a revision.
 
         Parameters
@@ -124,13 +134,13 @@
         self._drop(name, "entry deleted")
 
     def remove_unlisted(
-        self, names: Iterable[str], as_of: int, store_up_since: float
+        self, names: Iterable[str], as_of: Revision, store_up_since: float
     ) -> None:
         """Remove all targets that a full listing of the store does not contain.
 
         Parameters
         ----------
-        as_of : int
+        as_of : Revision
             The store's revision of the listing.
         store_up_since : float
             See ``remove``.
@@ -138,6 +148,31 @@
         for name in self._targets.keys() - set(names):
             self.remove(name, as_of, store_up_since)
 
+    def absent(self) -> frozenset[tuple[str, int]]:
+        """Return id and start time of the targets whose registration was deleted."""
+        expiring = (self._targets[name].key for name in self._expires_at)
+        return frozenset((*self._gone_at, *expiring))
+
+    def doubt_returned(self, absent: Collection[tuple[str, int]]) -> None:
+        """Send no work for now to targets that a restored store lists again.
+
+        Parameters
+        ----------
+        absent : collection of tuple
+            What ``absent`` returned before the store's first listing since.
+        """
+        until = self._clock() + RETURN_DOUBT_S
+        for target in self._targets.values():
+            if target.key in absent and target.id not in self._expires_at:
+                self._doubted_until[target.key] = until
+                self._ready = None
+                logger.bind(target=target.id).info("target was gone before the restore")
+
+    def _end_doubt(self, key: tuple[str, int], reason: str) -> None:
+        if self._doubted_until.pop(key, None) is not None:
+            self._ready = None
+            logger.bind(target=key[0]).info("target is back: {}", reason)
+
     def mark_leaving(self, target: Target, reason: str) -> None:
         """Stop sending work to a target, for a reason that is logged.
 
@@ -192,6 +227,12 @@
         for key, at in tuple(self._leaving_since.items()):
             if now - at > LEAVING_RETENTION_S and key[0] not in self._targets:
                 del self._leaving_since[key]
+        for key, at in tuple(self._gone_at.items()):
+            if now - at > GONE_RETENTION_S:
+                del self._gone_at[key]
+        for key, until in tuple(self._doubted_until.items()):
+            if now >= until:
+                self._end_doubt(key, "its registration has not run out")
         for name, until in tuple(self._expires_at.items()):
             if now >= until:
                 self._expires_at.pop(name)
@@ -201,11 +242,14 @@
         return (
             target.state is TargetState.READY
             and target.key not in self._leaving_since
+            and target.key not in self._doubted_until
             and target.failure_domain not in self._evacuated
         )
 
     def _drop(self, name: str, reason: str) -> None:
-        del self._targets[name]
+        target = self._targets.pop(name)
+        self._gone_at[target.key] = self._clock()
+        self._doubted_until.pop(target.key, None)
         self._expires_at.pop(name, None)
         self._ready = self._by_address = None
         logger.bind(target=name).info("target gone: {}", reason)
--- a/src/lagoontide/targets/records.py
+++ b/src/lagoontide/targets/records.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from lagoontide.store.revision_store import Revision
+
 __all__ = ["Target", "TargetState"]
 
 
@@ -25,7 +27,7 @@
         Unix time of its start in ms; 0 if unknown.
     slots : int
         Requests that it runs concurrently.
-    revision : int
+    revision : Revision
         The store's revision of the registration.
     """
 
@@ -37,7 +39,7 @@
     state: TargetState
     born: int = 0
     slots: int = 1
-    revision: int = 0
+    revision: Revision = Revision()
 
     @property
     def address(self) -> str:
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -6,6 +6,7 @@
 
 from lagoontide.mesh.messages import StoreSnapshot
 from lagoontide.platform.standins.deployment import send, start_deployment
+from lagoontide.store.revision_store import Revision
 from tests.support.waiting import wait_for
 
 STAGED = [
@@ -55,9 +56,10 @@
                 target.register(small.store, zone="z2")
             small.store.put("op/evacuate/z2", b"")
             await wait_for(lambda: len(directory.ready("plain")) == 1)
+            known = gateway.follower.as_of
             snapshot = StoreSnapshot(
-                as_of=gateway.follower.as_of + 1,
-                config_revision=0,
+                as_of=Revision(known.era, known.number + 1),
+                config_revision=Revision(),
                 config=b"",
                 targets=directory.all(),
                 evacuated=evacuated,
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -17,6 +17,7 @@
 )
 from lagoontide.platform.standins.store import StoreFault
 from lagoontide.platform.standins.targets import TargetStandin
+from lagoontide.targets.directory import REREGISTRATION_GRACE_S
 
 # config_apply_ms of the users' deployments.
 APPLY_S = 2.0
@@ -117,6 +118,8 @@
         async with start_deployment(2) as small:
             store = small.store
             gone, *others = small.targets_of("plain")
+            # Until then a deleted registration may be missing since an outage.
+            await asyncio.sleep(REREGISTRATION_GRACE_S + 0.3)
             copy = store.copy()
             if is_announced:
                 gone.register(store, state="draining")
--- a/tests/gateway/test_store_view.py
+++ b/tests/gateway/test_store_view.py
@@ -4,7 +4,7 @@
 
 from lagoontide.gateway.store_view import REREGISTRATION_TIMEOUT_S
 from lagoontide.mesh.messages import StoreSnapshotRequest
-from lagoontide.store.revision_store import Listing
+from lagoontide.store.revision_store import Listing, Revision
 from tests.mesh.fleet import Fleet
 from tests.support.virtual import run_virtual
 
@@ -17,7 +17,7 @@
         replies.append(message)
 
     await entry.peer_sync._handle_snapshot_request(
-        "other", StoreSnapshotRequest(0), send
+        "other", StoreSnapshotRequest(Revision()), send
     )
     return replies[0]
 
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -8,12 +8,11 @@
 import asyncio
 import contextlib
 import random
-from itertools import count
 from types import SimpleNamespace
 
 import msgspec
 
-from lagoontide.errors import PeerError, PeerTimeout, StoreUnavailable, WireError
+from lagoontide.errors import PeerError, PeerTimeout, WireError
 from lagoontide.forward.call import ForwardingState
 from lagoontide.gateway.peer_sync import PeerSync
 from lagoontide.gateway.store_view import Decoders, StoreView
@@ -23,25 +22,17 @@
 from lagoontide.quarantine.ledger import Ledger
 from lagoontide.routes.records import RoutingConfig
 from lagoontide.store.follower import Follower
-from lagoontide.store.revision_store import (
-    Changes,
-    ChangesUnavailable,
-    KeyRevision,
-    LeaseNotFound,
-    Listing,
-)
 from lagoontide.targets.directory import Directory
 from lagoontide.targets.load import Loads
 from lagoontide.targets.rate_limits import RateLimits
 from lagoontide.targets.records import Target, TargetState
 from lagoontide.wire.router import Router
+from tests.mesh.fake_store import Store, StoreClient
 
 CONFIG_KEY = "plan"
 TARGET_PREFIX = "targets/"
 DOMAINS = ("north", "east", "south", "west")
 LATENCY_S = 0.002
-STORE_LATENCY_S = 0.004
-SILENT_S = 2.0
 
 
 def decode_config(value):
@@ -59,129 +50,6 @@
     return Target(name, "engine", "h", 1, "north", state, revision=revision)
 
 
-class Store:
-    """A fake store with revisions, watches, leases and a history that can be lost."""
-
-    def __init__(self):
-        self.revision = 0
-        self.keys = {}
-        self.history = []
-        self.dropped_until = 0
-        self.leases = {}
-        self._lease_ids = count(1)
-        self._changed = asyncio.Event()
-
-    def put(self, key, value, lease=0):
-        self.revision += 1
-        self.keys[key] = (value, self.revision, lease)
-        self._note(KeyRevision(key, value, self.revision))
-
-    def delete(self, key):
-        if key in self.keys:
-            self.revision += 1
-            del self.keys[key]
-            self._note(KeyRevision(key, None, self.revision))
-
-    def drop_history(self):
-        self.dropped_until = self.revision
-        self.history.clear()
-
-    def expire(self, now):
-        for lease, (ends_at, _) in tuple(self.leases.items()):
-            if ends_at <= now:
-                self.end(lease)
-
-    def end(self, lease):
-        del self.leases[lease]
-        for key, (_, _, owner) in tuple(self.keys.items()):
-            if owner == lease:
-                self.delete(key)
-
-    def _note(self, item):
-        self.history.append(item)
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def wait(self, after, seconds):
-        if self.revision > after:
-            return
-        try:
-            async with asyncio.timeout(seconds):
-                await self._changed.wait()
-        except TimeoutError:
-            return
-
-
-class StoreClient:
-    """The store client of one entry.
-
-    Attributes
-    ----------
-    trouble : str
-        "" for none, "refuses" to fail each call at once, or "silent" to let it time
-        out.
-    calls : list of str
-        The names of the calls made so far.
-    """
-
-    def __init__(self, store):
-        self.store = store
-        self.trouble = ""
-        self.calls = []
-
-    async def _call(self, call):
-        self.calls.append(call)
-        await asyncio.sleep(STORE_LATENCY_S)
-        self.store.expire(asyncio.get_running_loop().time())
-        if self.trouble == "silent":
-            await asyncio.sleep(SILENT_S)
-        if self.trouble:
-            raise StoreUnavailable(self.trouble, step=call)
-
-    async def list(self, prefix):
-        await self._call("list")
-        items = (
-            KeyRevision(key, row[0], row[1]) for key, row in self.store.keys.items()
-        )
-        return Listing(tuple(items), self.store.revision)
-
-    async def watch(self, prefix, after, wait):
-        await self._call("watch")
-        if after < self.store.dropped_until:
-            raise ChangesUnavailable("dropped", step="watch")
-        await self.store.wait(after, wait)
-        if self.trouble:
-            raise StoreUnavailable(self.trouble, step="watch")
-        if after < self.store.dropped_until:
-            raise ChangesUnavailable("dropped", step="watch")
-        items = tuple(item for item in self.store.history if item.revision > after)
-        return Changes(items, self.store.revision)
-
-    async def grant(self, ttl):
-        await self._call("grant")
-        lease = next(self.store._lease_ids)
-        self.store.leases[lease] = asyncio.get_running_loop().time() + ttl, ttl
-        return lease, ttl
-
-    async def keep(self, lease):
-        await self._call("keep")
-        if lease not in self.store.leases:
-            raise LeaseNotFound("gone", step="keep")
-        ttl = self.store.leases[lease][1]
-        self.store.leases[lease] = asyncio.get_running_loop().time() + ttl, ttl
-
-    async def revoke(self, lease):
-        await self._call("end")
-        if lease in self.store.leases:
-            self.store.end(lease)
-
-    async def put(self, key, value, lease):
-        await self._call("put")
-        if lease not in self.store.leases:
-            raise LeaseNotFound("gone", step="put")
-        self.store.put(key, value, lease)
-
-
 class Link:
     """A simulated connection to another entry; see ``lagoontide.wire.conn.Conn``."""
 
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -7,6 +7,7 @@
 from lagoontide.mesh.messages import Member, Status, Sums
 from lagoontide.mesh.peers import MAX_FULL_MESH_ENTRIES, MIN_LOST_AFTER_S, Mesh
 from lagoontide.mesh.registration import EntryRecord
+from lagoontide.store.revision_store import Revision
 
 
 class Conn:
@@ -23,7 +24,7 @@
 
 
 def make_status(name):
-    return Status(name, f"h:{name}", False, 1.0, 1, 1)
+    return Status(name, f"h:{name}", False, 1.0, 1, Revision(1, 1))
 
 
 def make_mesh(name="e0"):
--- a/tests/mesh/test_seeds.py
+++ b/tests/mesh/test_seeds.py
@@ -15,6 +15,7 @@
 from lagoontide.mesh import relay
 from lagoontide.mesh.relay import Relay, RelayReceiver
 from lagoontide.store.follower import Follower
+from lagoontide.store.revision_store import Revision
 from tests.mesh.fleet import CONFIG_KEY, TARGET_PREFIX, Fleet
 from tests.support.virtual import run_virtual
 
@@ -38,8 +39,8 @@
         self.targets = []
         self.gone = set()
 
-    async def run(self):
-        actions = (
+    def actions(self):
+        return (
             self._kill,
             self._block_store,
             self._block_store,
@@ -48,9 +49,11 @@
             self._drop_history,
             self._lose_hubs,
         )
+
+    async def run(self):
         for _ in range(STEPS):
             self._change()
-            action = self.rng.choice(actions)
+            action = self.rng.choice(self.actions())
             asyncio.ensure_future(action(self.rng.uniform(0.5, 4.0)))
             await asyncio.sleep(STEP_S)
         await asyncio.sleep(5.0)
@@ -129,6 +132,32 @@
                 self.fleet.start(name)
 
 
+class RestoreScenario(FaultScenario):
+    """The same with a store that is restored from copies."""
+
+    def __init__(self, fleet, seed):
+        super().__init__(fleet, seed)
+        self.copies = []
+
+    def actions(self):
+        return (*super().actions(), self._restore, self._restore, self._restore)
+
+    def _change(self):
+        self.copies.append(self.fleet.store.copy())
+        super()._change()
+
+    async def _restore(self, seconds):
+        store = self.fleet.store
+        store.restore(self.copies[-min(len(self.copies), 1 + int(seconds / STEP_S))])
+        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+        # The operator and the targets write again.
+        store.put(CONFIG_KEY, str(self.version).encode())
+        for name in self.targets:
+            store.put(f"{TARGET_PREFIX}{name}", b"ready")
+        for name in self.gone:
+            store.delete(f"{TARGET_PREFIX}{name}")
+
+
 def find_faults(scenario):
     """Return the violated invariants.
 
@@ -155,13 +184,13 @@
     return faults
 
 
-def run_seed(seed):
+def run_seed(seed, make_scenario=FaultScenario):
     """Return the violations found with a seed."""
 
     async def main():
         fleet = Fleet(FLEET_SIZE, seed)
         await fleet.settle()
-        scenario = FaultScenario(fleet, seed)
+        scenario = make_scenario(fleet, seed)
         await scenario.run()
         await asyncio.sleep(CONVERGENCE_S)
         return find_faults(scenario)
@@ -174,9 +203,18 @@
     assert run_seed(seed) == []
 
 
+# Guards against entries of a large fleet, many of them followers of hubs, that do not
+# follow a store which goes back to a copy (incident CONFIG).
+@pytest.mark.parametrize("seed", SEEDS)
+def test_state_converges_over_restores(seed):
+    assert run_seed(seed, RestoreScenario) == []
+
+
 def receive_despite_gaps(self, peer, message):
     """Apply changes although changes before them are missing."""
-    self._reports[peer] = relay._HubReport(self._clock(), message.age, message.uptime)
+    self._reports[peer] = relay._HubReport(
+        self._clock(), message.as_of, message.age, message.uptime
+    )
     self._on_report(self)
     if message.as_of > self._as_of():
         items = [relay.unpack(change) for change in message.changes]
@@ -197,7 +235,7 @@
     known, at = self._followers[name]
     now = self._clock()
     message = relay.ChangeBatch(
-        0,
+        Revision(),
         self._as_of,
         now - self._store_heard_at,
         now - self._store_up_since,
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -12,10 +12,15 @@
     ChangesUnavailable,
     KeyRevision,
     Listing,
+    Revision,
 )
 from tests.support.waiting import wait_for
 
 
+def at(number, era=1):
+    return Revision(era, number)
+
+
 class Store:
     """A fake store with scripted responses; a watch blocks once they are used up."""
 
@@ -67,41 +72,45 @@
 
 
 def test_each_change_is_applied_once_and_in_order():
-    changes = Changes((KeyRevision("a", b"", 6), KeyRevision("b", None, 7)), 7)
-    overlapping = Changes((KeyRevision("b", None, 7), KeyRevision("c", b"", 8)), 8)
-    store = Store(Listing((), 5), changes, overlapping)
+    changes = Changes(
+        (KeyRevision("a", b"", at(6)), KeyRevision("b", None, at(7))), at(7)
+    )
+    overlapping = Changes(
+        (KeyRevision("b", None, at(7)), KeyRevision("c", b"", at(8))), at(8)
+    )
+    store = Store(Listing((), at(5)), changes, overlapping)
     sink, follower = follow(store)
-    assert sink.seen == [("replace", 5), ("a", 6), ("b", 7), ("c", 8)]
-    assert follower.as_of == 8
+    assert sink.seen == [("replace", at(5)), ("a", at(6)), ("b", at(7)), ("c", at(8))]
+    assert follower.as_of == at(8)
 
 
 def test_failed_watch_resumes_at_its_revision():
-    store = Store(Listing((), 5), StoreUnavailable("cut"), Changes((), 6))
+    store = Store(Listing((), at(5)), StoreUnavailable("cut"), Changes((), at(6)))
     _, follower = follow(store)
-    assert store.calls[:3] == ["list", ("watch", 5), ("watch", 5)]
+    assert store.calls[:3] == ["list", ("watch", at(5)), ("watch", at(5))]
     assert follower.is_up
 
 
 def test_lost_history_causes_a_new_listing():
-    store = Store(Listing((), 5), ChangesUnavailable("gone"), Listing((), 9))
+    store = Store(Listing((), at(5)), ChangesUnavailable("gone"), Listing((), at(9)))
     sink, _ = follow(store)
-    assert sink.seen == [("replace", 5), ("replace", 9)]
+    assert sink.seen == [("replace", at(5)), ("replace", at(9))]
 
 
 def test_listing_older_than_the_sink_is_ignored():
-    store = Store(Listing((), 9), ChangesUnavailable("gone"), Listing((), 4))
+    store = Store(Listing((), at(9)), ChangesUnavailable("gone"), Listing((), at(4)))
     sink, follower = follow(store)
-    assert sink.seen == [("replace", 9)]
-    assert follower.as_of == 9
+    assert sink.seen == [("replace", at(9))]
+    assert follower.as_of == at(9)
 
 
 def test_first_response_is_not_logged_as_a_recovery():
     lines = []
     sink = logger.add(lines.append, format="{message}")
     try:
-        follow(Store(Listing((), 1)))
+        follow(Store(Listing((), at(1))))
         first, lines[:] = list(lines), []
-        follow(Store(StoreUnavailable("down"), Listing((), 1)))
+        follow(Store(StoreUnavailable("down"), Listing((), at(1))))
     finally:
         logger.remove(sink)
     assert not any("available again" in line for line in first)
--- a/tests/targets/test_directory.py
+++ b/tests/targets/test_directory.py
@@ -1,5 +1,6 @@
 """Tests of the directory over deleted and expired registrations and restarts."""
 
+from lagoontide.store.revision_store import Revision
 from lagoontide.targets.directory import REREGISTRATION_GRACE_S, Directory
 from lagoontide.targets.records import Target, TargetState
 
@@ -11,8 +12,8 @@
         return self.now
 
 
-def make_target(name="i", revision=1, state=TargetState.READY, born=1, port=1):
-    return Target(name, "s", "h", port, "z", state, born, 1, revision)
+def make_target(name="i", revision=1, era=1, state=TargetState.READY, born=1, port=1):
+    return Target(name, "s", "h", port, "z", state, born, 1, Revision(era, revision))
 
 
 def ids(directory):
@@ -39,7 +40,7 @@
 def test_a_deleted_target_is_removed_at_once_while_the_store_is_up():
     directory = Directory(Clock())
     directory.put(make_target())
-    directory.remove("i", 2, store_up_since=0.0)
+    directory.remove("i", Revision(1, 2), store_up_since=0.0)
     assert len(directory) == 0
 
 
@@ -48,7 +49,7 @@
     directory = Directory(clock)
     directory.put(make_target("a"))
     directory.put(make_target("b"))
-    directory.remove_unlisted([], 9, store_up_since=clock.now)
+    directory.remove_unlisted([], Revision(1, 9), store_up_since=clock.now)
     assert ids(directory) == ["a", "b"]
     directory.put(make_target("a", revision=10))
     clock.now += REREGISTRATION_GRACE_S
@@ -60,7 +61,7 @@
     clock = Clock()
     directory = Directory(clock)
     directory.put(make_target(state=TargetState.LEAVING))
-    directory.remove_unlisted([], 9, store_up_since=clock.now)
+    directory.remove_unlisted([], Revision(1, 9), store_up_since=clock.now)
     assert len(directory) == 0
 
 
@@ -87,7 +88,7 @@
     clock = Clock()
     directory = Directory(clock)
     directory.put(make_target(state=TargetState.LEAVING))
-    directory.remove("i", 2, store_up_since=0.0)
+    directory.remove("i", Revision(1, 2), store_up_since=0.0)
     clock.now += 1000.0
     directory.remove_expired()
     assert not directory._leaving_since
