Ignore SIGHUP until the handler of an entry is installed

The first statement now ignores it; the settings are read at the start anyway, and polled. Before that lies the start of the interpreter alone.

Evidence: test_a_reload_while_an_entry_starts_does_not_end_it failed for both ways to start an entry and passes.

--- a/src/__main__.py
+++ b/src/__main__.py
@@ -1,7 +1,12 @@
 """Start of a process on the platform: ``python3 src front``."""
 
+import signal
 import sys
 
+# Until its handler is installed, SIGHUP would end the process, which reads its settings
+# at the start anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from lagoontide.platform.daemon import main
 
 ROLES = ("front",)
--- a/src/lagoontide/platform/daemon.py
+++ b/src/lagoontide/platform/daemon.py
@@ -1,9 +1,14 @@
 """Runs an entry with the platform's settings, store and field codec."""
 
 import os
+import signal
 import sys
 from pathlib import Path
 
+if __name__ == "__main__":
+    # As in src/__main__.py.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from lagoontide.gateway.daemon import run_gateway
 from lagoontide.gateway.gateway import Platform
 from lagoontide.gateway.settings import GatewaySettings
