Suspect requests whose head a reset may have lost

Evidence: test_a_request_whose_head_was_lost_in_a_reset_is_a_suspect found no quarantine and does now.

--- a/src/lagoontide/forward/crashes.py
+++ b/src/lagoontide/forward/crashes.py
@@ -33,12 +33,14 @@
 def may_show_crash(call: Call, exc: TargetFailed) -> bool:
     """Return whether a failed attempt may be the cause of its target's crash.
 
-    A prompt makes a target crash when its response begins; before its head the request
-    was still waiting. The single response to other requests comes at their end.
+    A prompt makes a target crash when its response begins. If the connection was closed
+    before its head, the request was still waiting; if it was reset, the head may have
+    been lost. The single response to other requests comes at their end.
     """
     if exc.step in BODY_STEPS:
         return True
-    return exc.step == HEAD_STEP and not call.metadata.prompt_parts
+    was_reset = isinstance(exc.__cause__, ConnectionResetError)
+    return exc.step == HEAD_STEP and (was_reset or not call.metadata.prompt_parts)
 
 
 def _part_key(part: str) -> str:
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -70,6 +70,8 @@
         TargetFault of the next ``faults_left`` requests.
     crashes_on : callable
         Returns whether a run makes the target crash as it begins to respond.
+    shows_head : bool
+        Whether the head of the response arrives before the crash.
     crashes_on_piece : callable
         The same for a piece, given as in the call.
     restart_after : float
@@ -95,6 +97,7 @@
     events_before_fault: int = 2
     rate_limit: str = ""
     crashes_on: Callable[[Run], bool] = lambda run: False
+    shows_head: bool = True
     crashes_on_piece: Callable[[dict[str, Any]], bool] = lambda item: False
     restart_after: float = 1.0
     keeps_id: bool = False
@@ -303,7 +306,8 @@
     ) -> None:
         await asyncio.sleep(self.work)
         seal = (RESPONSE_SEAL, f"seal-{self.id}".encode())
-        await reply.start(ResponseHead(200, [*response_fields, seal]))
+        if self.shows_head:
+            await reply.start(ResponseHead(200, [*response_fields, seal]))
         await asyncio.sleep(self.work)
         self.crash()
         await asyncio.sleep(self.restart_after)
--- a/tests/gateway/test_target_endings.py
+++ b/tests/gateway/test_target_endings.py
@@ -137,6 +137,17 @@
     asyncio.run(main())
 
 
+# Guards against missing a crash that resets connections before their heads are read.
+def test_a_request_whose_head_was_lost_in_a_reset_is_a_suspect():
+    def crash_without_head(target):
+        crash_on_bad(target)
+        target.shows_head = False
+
+    lines = lines_of(crash_without_head)
+    (block,) = [extra for text, extra in lines if "quarantined" in text]
+    assert block["keys"] == ["aa", "bad"]
+
+
 # Guards against entries that forget what crashed targets when all of them end.
 @pytest.mark.parametrize("stays_away", [0.0, 1.0])
 def test_a_quarantine_outlasts_the_end_of_all_entries(stays_away):
