Check a target again when another connection to it breaks

Only connections that break within 20 ms share a check now, and only the result that a target has ended is kept for longer.

Evidence: test_a_target_that_ends_after_a_check_is_checked_again failed and passes.

--- a/src/lagoontide/targets/endings.py
+++ b/src/lagoontide/targets/endings.py
@@ -14,8 +14,10 @@
 
 # A crashed target refuses connections at once; a silent network does not answer.
 CHECK_TIMEOUT_S = 0.3
-# The result of a check also holds for other connections that break in this time.
-RESULT_TTL_S = 0.5
+# Connections that break within this time broke for the same reason.
+BURST_S = 0.02
+# For this long a target that was found ended is not asked again.
+ENDED_TTL_S = 0.5
 
 
 @dataclass(slots=True)
@@ -55,14 +57,20 @@
     async def has_ended(self, target: Target) -> bool:
         """Return whether a target, whose connection broke, has ended unannounced."""
         check = self._checks.get(target.key)
-        is_current = check is not None and (
-            not check.task.done() or self._clock() - check.started_at < RESULT_TTL_S
-        )
-        if check is None or not is_current:
+        if check is None or not self._covers(check):
             task = asyncio.create_task(self._check(target))
             check = self._checks[target.key] = _Check(task, self._clock())
         return await asyncio.shield(check.task)
 
+    def _covers(self, check: _Check) -> bool:
+        """Return whether a check holds for a connection that breaks now."""
+        age = self._clock() - check.started_at
+        if age < BURST_S:
+            return True
+        # A target that still listened then may have ended since.
+        is_done = check.task.done() and not check.task.cancelled()
+        return is_done and check.task.result() and age < ENDED_TTL_S
+
     def keep_only(self, keep: Iterable[tuple[str, int]]) -> None:
         """Drop the results for all targets but those with the given keys."""
         kept = set(keep)
--- a/tests/targets/test_endings.py
+++ b/tests/targets/test_endings.py
@@ -75,3 +75,23 @@
 def test_a_target_that_was_leaving_is_not_asked(is_listening):
     result = asyncio.run(check(TargetState.LEAVING, is_listening))
     assert result == (False, 0)
+
+
+# Guards against missing a crash that comes soon after a connection was reset.
+def test_a_target_that_ends_after_a_check_is_checked_again():
+    async def main():
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        port = server.sockets[0].getsockname()[1]
+        target = Target("t1", "plain", "127.0.0.1", port, "z1", TargetState.READY)
+        directory = Directory(loop.time)
+        directory.put(target)
+        pools = Pools(lambda name: 10, lambda: 1)
+        endings = Endings(directory, pools, loop.time)
+        assert not await endings.has_ended(target)
+        server.close()
+        await asyncio.sleep(0.05)
+        assert await endings.has_ended(target)
+        pools.close()
+
+    asyncio.run(main())
