--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -80,6 +80,8 @@
         Whether the next incarnation has the same id.
     crashed_at : list of float
         Event loop time of each crash.
+    down : list of tuple
+        Event loop times between which it was down after a crash.
     on_crash, on_restart : callable
         Called once the target has stopped, and before it listens again.
     """
@@ -102,6 +104,7 @@
     restart_after: float = 1.0
     keeps_id: bool = False
     crashed_at: list[float] = field(default_factory=list)
+    down: list[tuple[float, float]] = field(default_factory=list)
     on_crash: Callable[[], None] = lambda: None
     on_restart: Callable[[], None] = lambda: None
     arrived_at: list[float] = field(default_factory=list)
@@ -189,6 +192,8 @@
         self.on_restart()
         await self.listen(host, int(port))
         self._is_down = False
+        up_at = asyncio.get_running_loop().time()
+        self.down.append((self.crashed_at[-1], up_at))
         if self._store is None or self._state != "ready":
             return
         if not self.keeps_id:
