Spare targets that are cold

A cold target has a rate limit now, which entries share like one that it names. Its registration or a response says for how long, its service's configuration how much. Limits above 8 a second have fewer holders, as each may send one request more than its share within a second: at most 1.5 times the limit and 5 requests in any second.

--- a/src/lagoontide/forward/fields.py
+++ b/src/lagoontide/forward/fields.py
@@ -98,6 +98,8 @@
         Whether the body has a content encoding, which no caller asked for.
     rate_limit : float or None
         Requests a second that the target takes from all entries together.
+    cold_left : float or None
+        Seconds for which the target stays cold; None if it does not say so.
     unreadable_rate_limit : str
         Text of the rate limit if it is invalid.
     """
@@ -110,6 +112,7 @@
     is_encoded: bool = False
     rate_limit: float | None = None
     unreadable_rate_limit: str = ""
+    cold_left: float | None = None
 
 
 class FieldCodec(Protocol):
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -37,6 +37,7 @@
 from lagoontide.routes.records import Service
 from lagoontide.store.follower import Follower
 from lagoontide.store.revision_store import RevisionStore
+from lagoontide.targets.cold import ColdTargets
 from lagoontide.targets.directory import Directory
 from lagoontide.targets.endings import Endings
 from lagoontide.targets.health import Health
@@ -193,7 +194,8 @@
 
     def _make_state(self, clock: Callable[[], float]) -> ForwardingState:
         cfg, bounds = self.cfg, self.cfg.bounds
-        limits = RateLimits(clock)
+        cold = ColdTargets(clock, lambda name: self._find_service(name).cold_rate)
+        limits = RateLimits(clock, cold)
         directory = Directory(clock)
         pools = Pools(
             lambda name: self._find_service(name).max_conns, self._count_entries
--- a/src/lagoontide/gateway/store_view.py
+++ b/src/lagoontide/gateway/store_view.py
@@ -221,6 +221,7 @@
             self.adopt_config(snapshot.config, snapshot.config_revision, peer)
         for target in snapshot.targets:
             self._state.directory.put(target)
+            self._state.rate_limits.cold.register(target)
         self.entries.clear()
         self.entries.update(snapshot.entries)
         now = self._clock()
@@ -290,7 +291,9 @@
             directory.remove(name, item.revision, self._store_up_since())
             return
         try:
-            directory.put(self._decoders.target(name, item.value, item.revision))
+            target = self._decoders.target(name, item.value, item.revision)
+            directory.put(target)
+            self._state.rate_limits.cold.register(target)
         except WireError as exc:
             logger.warning("target treated as deleted: {}", exc)
             # An unreadable registration counts as a deletion, without a grace period,
--- a/src/lagoontide/platform/configuration.py
+++ b/src/lagoontide/platform/configuration.py
@@ -72,6 +72,7 @@
 class _Service(msgspec.Struct):
     name: str
     max_conns: int = 100
+    cold_per_s: float = 0.0
     pieces: _PieceSettings | None = None
 
 
@@ -154,6 +155,7 @@
     return Service(
         name=data.name,
         max_conns=max(1, data.max_conns),
+        cold_rate=data.cold_per_s if data.cold_per_s > 0.0 else None,
         piece_settings=None if data.pieces is None else _to_piece_settings(data.pieces),
     )
 
--- a/src/lagoontide/platform/directory.py
+++ b/src/lagoontide/platform/directory.py
@@ -16,6 +16,7 @@
 
 TARGETS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
+MS_PER_S = 1000.0
 STATES = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 
 
@@ -28,6 +29,7 @@
     state: str
     slots: int = 1
     born: int = 0
+    cold_left_ms: float = 0.0
 
 
 _decoder = msgspec.json.Decoder(_Registration)
@@ -62,6 +64,7 @@
             born=data.born,
             slots=data.slots,
             revision=revision,
+            cold_left=max(0.0, data.cold_left_ms / MS_PER_S),
         )
     except (msgspec.DecodeError, KeyError, ValueError) as exc:
         raise WireError(
--- a/src/lagoontide/platform/fields.py
+++ b/src/lagoontide/platform/fields.py
@@ -38,6 +38,7 @@
 RESPONSE_SEAL = b"X-Lagoontide-Response-Seal"
 NOT_RUN = b"X-Lagoontide-Not-Executed"
 RATE_LIMIT = b"Server-Limit"
+COLD = b"X-Lagoontide-Cold-Ms"
 AUTHORIZATION = b"Authorization"
 BEARER_PREFIX = "bearer "
 
@@ -69,6 +70,7 @@
         RESPONSE_SEAL,
         NOT_RUN,
         RATE_LIMIT,
+        COLD,
         b"Cache-Control",
         b"Connection",
         b"Content-Encoding",
@@ -157,6 +159,7 @@
             is_encoded=encoding is not None and encoding.lower() != b"identity",
             rate_limit=rate_limit,
             unreadable_rate_limit=unreadable,
+            cold_left=_decode_cold(fields),
         )
 
     def _log_unknown_fields(self, fields: Fields) -> None:
@@ -184,6 +187,15 @@
     return (rate, "") if math.isfinite(rate) else (None, text or "empty")
 
 
+def _decode_cold(fields: Fields) -> float | None:
+    """Return the seconds for which a target stays cold; None if that is unreadable."""
+    values = [value.strip() for value in field_values(fields, COLD.lower())]
+    if len(values) != 1 or not DECIMAL_NUMBER.fullmatch(values[0].decode("latin-1")):
+        return None
+    seconds = float(values[0]) / MS_PER_S
+    return seconds if math.isfinite(seconds) else None
+
+
 def _field_text(fields: Fields, name: bytes) -> str | None:
     values = list(field_values(fields, name.lower()))
     if len(values) > 1:
--- a/src/lagoontide/routes/records.py
+++ b/src/lagoontide/routes/records.py
@@ -132,12 +132,15 @@
     max_conns : int
         Maximum number of connections that one target accepts from all entries
         together.
+    cold_rate : float or None
+        Requests a second that a cold target takes from all entries together.
     piece_settings : PieceSettings or None
         Set if the service's targets run pieces of stages.
     """
 
     name: str
     max_conns: int = 100
+    cold_rate: float | None = None
     piece_settings: PieceSettings | None = None
 
 
--- a/src/lagoontide/targets/rate_limits.py
+++ b/src/lagoontide/targets/rate_limits.py
@@ -1,10 +1,11 @@
 """Rate limits that targets name in their responses, as known to all entries."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
+from lagoontide.targets.cold import ColdTargets
 from lagoontide.targets.records import Target
 
 __all__ = ["LimitReport", "RateLimit", "RateLimits"]
@@ -48,9 +49,14 @@
     ----------
     clock : callable
         Returns the seconds of a monotonic clock.
+    cold : ColdTargets, optional
+        Targets that take fewer requests as they are cold.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], cold: ColdTargets | None = None
+    ) -> None:
+        self.cold = ColdTargets(clock) if cold is None else cold
         self._clock = clock
         self._records: dict[tuple[str, int], RateLimit] = {}
         self._unreadable_logged_at: dict[tuple[str, int], float] = {}
@@ -62,8 +68,8 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no target has named a limit lately."""
-        return not self._records
+        """Whether no target has named a limit lately, or is cold."""
+        return not self._records and self.cold.is_empty
 
     def observe(self, target: Target, rate: float | None, unreadable: str = "") -> None:
         """Record the limit in a response of a target.
@@ -106,13 +112,20 @@
         ]
 
     def get(self, target: Target) -> RateLimit | None:
-        """Return the limit of a target; None if it has none."""
+        """Return the limit of a target, the lower one if it is also cold, or None."""
         record = self._records.get(target.key)
-        return None if record is None or record.rate is None else record
+        if record is not None and record.rate is None:
+            record = None
+        cold_rate = None if self.cold.is_empty else self.cold.rate(target)
+        if cold_rate is None:
+            return record
+        if record is None:
+            return RateLimit(cold_rate, self._clock())
+        return replace(record, rate=min(cold_rate, record.rate or 0.0))
 
     def rate_of(self, target: Target) -> float | None:
         """Return the requests a second that a target takes; None for no limit."""
-        record = self._records.get(target.key)
+        record = self.get(target)
         return None if record is None else record.rate
 
     def describe(self, target: Target) -> str:
@@ -126,6 +139,7 @@
     def keep_only(self, keep: Iterable[tuple[str, int]]) -> None:
         """Drop limits that have ended, and those of targets without a given key."""
         kept = set(keep)
+        self.cold.keep_only(kept)
         oldest = self._clock() - ENDED_ADVERTISED_S
         for key, record in tuple(self._records.items()):
             if key not in kept or (record.rate is None and record.observed_at < oldest):
--- a/src/lagoontide/targets/rate_shares.py
+++ b/src/lagoontide/targets/rate_shares.py
@@ -33,6 +33,7 @@
 UNCONFIRMED_S = 4.0
 PROBE_TURN_S = 1.5
 BUCKET_SIZE = 1.0
+MIN_HOLDERS = 4
 # Absorbs rounding when a reserved request's time has come.
 EPSILON = 1e-9
 
@@ -222,8 +223,13 @@
 
 
 def _holder_count(limit: RateLimit, members: int) -> int:
-    """Return how many entries divide a limit."""
-    return min(members, 1 + int(min(limit.rate or 0.0, members)))
+    """Return how many entries divide a limit.
+
+    Each holder may send one request more than its share in a short time, so that high
+    limits have fewer holders than requests a second.
+    """
+    rate = min(limit.rate or 0.0, 2.0 * members)
+    return min(members, 1 + int(rate), MIN_HOLDERS + int(rate / 2.0))
 
 
 def _probe_turn(age: float) -> int:
--- a/src/lagoontide/targets/records.py
+++ b/src/lagoontide/targets/records.py
@@ -27,6 +27,8 @@
         Unix time of its start in ms; 0 if unknown.
     slots : int
         Requests that it runs concurrently.
+    cold_left : float
+        Seconds for which it stays cold, at the time of the registration.
     revision : Revision
         The store's revision of the registration.
     """
@@ -40,6 +42,7 @@
     born: int = 0
     slots: int = 1
     revision: Revision = Revision()
+    cold_left: float = 0.0
 
     @property
     def address(self) -> str:
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from lagoontide.http1.messages import field_value
+from lagoontide.platform.directory import TARGETS_PREFIX
 from lagoontide.platform.standins.deployment import send, start_deployment
 from lagoontide.platform.standins.runs import TargetFault
 
@@ -205,3 +207,33 @@
             assert statuses.count(200) >= 0.9 * len(statuses)
 
     asyncio.run(main())
+
+
+# Guards against a surge on a target that has just started, over all entries (FAILBACK).
+def test_entries_together_spare_a_target_that_is_cold():
+    async def main():
+        async with start_deployment(4) as small:
+            services = [{"name": "plain", "max_conns": 50, "cold_per_s": 2.0}]
+            small.configure(2, services=services)
+            cold, *others = small.targets_of("plain")
+            value = msgspec.json.decode(cold.entry("z1"))
+            value |= {"cold_left_ms": 60_000, "born": 2}
+            small.store.put(TARGETS_PREFIX + cold.id, msgspec.json.encode(value))
+            await asyncio.sleep(CONTACT_S)
+            since = asyncio.get_running_loop().time()
+            statuses = await ask_for(small, 4.0, "/safe/a", [])
+            times = [at for at in cold.arrived_at if at > since]
+            most = max(
+                sum(begin <= at < begin + 1.0 for at in times) for begin in times
+            )
+            assert most <= 1.5 * 2.0 + 5
+            assert statuses.count(200) >= 0.95 * len(statuses)
+            # It is warm: its share of the requests is that of the others again.
+            value |= {"cold_left_ms": 0}
+            small.store.put(TARGETS_PREFIX + cold.id, msgspec.json.encode(value))
+            await asyncio.sleep(CONTACT_S)
+            before = len(cold.arrived_at)
+            await ask_for(small, 2.0, "/safe/a", [])
+            assert len(cold.arrived_at) - before > 15
+
+    asyncio.run(main())
--- a/tests/targets/test_rate_shares.py
+++ b/tests/targets/test_rate_shares.py
@@ -1,9 +1,12 @@
 """How entries divide the rate limits of targets."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
+from lagoontide.store.revision_store import Revision
+from lagoontide.targets.cold import ColdTargets
 from lagoontide.targets.rate_limits import RateLimits
 from lagoontide.targets.rate_shares import (
     DUE_AFTER_S,
@@ -215,3 +218,50 @@
     assert limits.rate_of(TARGET) is None
     limits.merge("other", [("t", 7, 3.0, 0.5)])
     assert limits.rate_of(TARGET) is None
+
+
+# Guards against a surge on targets that have just started (FAILBACK, issue 31).
+@pytest.mark.parametrize("number", [1, 4, 32, 98])
+@pytest.mark.parametrize("rate", [0.0, 1.0, 8.0, 22.0, 60.0])
+def test_a_cold_target_gets_no_more_in_a_second_than_it_takes(number, rate):
+    fleet = Fleet(number)
+    cold = replace(TARGET, cold_left=6.0, revision=Revision(1, 1))
+    for shares in fleet.shares.values():
+        shares.limits.cold = ColdTargets(fleet.clock, lambda service: rate)
+        shares.limits.cold.register(cold)
+    fleet.run(5.0)
+    assert len(fleet.sends) <= 5.0 * (1.5 * rate + 5)
+    most = max(
+        (sum(at <= t < at + 1.0 for t in fleet.sends) for at in fleet.sends), default=0
+    )
+    assert most <= 1.5 * rate + 5
+    assert len(fleet.sends) >= 0.8 * rate * 5.0 - 1
+    fleet.clock.now += 2.0
+    assert all(shares.wait(cold) == 0.0 for shares in fleet.shares.values())
+
+
+def test_a_cold_target_that_names_a_limit_has_the_lower_one():
+    clock = Clock()
+    limits = RateLimits(clock, ColdTargets(clock, lambda service: 5.0))
+    limits.cold.observe(TARGET, 3.0)
+    assert limits.rate_of(TARGET) == 5.0
+    limits.observe(TARGET, 2.0)
+    assert limits.rate_of(TARGET) == 2.0
+    limits.observe(TARGET, 9.0)
+    assert limits.rate_of(TARGET) == 5.0
+    clock.now += 3.0
+    assert limits.rate_of(TARGET) == 9.0
+    limits.cold.keep_only({TARGET.key})
+    limits.observe(TARGET, None)
+    assert limits.get(TARGET) is None
+
+
+def test_an_older_registration_does_not_make_a_target_cold_again():
+    clock = Clock()
+    cold = ColdTargets(clock, lambda service: 5.0)
+    cold.register(replace(TARGET, cold_left=3.0, revision=Revision(1, 4)))
+    cold.register(replace(TARGET, cold_left=0.0, revision=Revision(1, 5)))
+    cold.register(replace(TARGET, cold_left=3.0, revision=Revision(1, 4)))
+    assert cold.rate(TARGET) is None
+    cold.register(replace(TARGET, cold_left=3.0, revision=Revision(2, 1)))
+    assert cold.rate(TARGET) == 5.0
