Stand-in targets: fall silent for a while and go on

A sound target may send nothing for a second or so, before the head, before the first event, between events or within one.

--- a/src/lagoontide/platform/standins/runs.py
+++ b/src/lagoontide/platform/standins/runs.py
@@ -9,7 +9,7 @@
 from lagoontide.http1.messages import Fields, field_value
 from lagoontide.platform.fields import INPUTS, PROMPT_PREFIX
 
-__all__ = ["Run", "TargetFault", "encode_registration", "make_run"]
+__all__ = ["Run", "SilentAt", "TargetFault", "encode_registration", "make_run"]
 
 
 class TargetFault(StrEnum):
@@ -22,6 +22,16 @@
     NO_SEAL = "no seal"
     STALLS = "stalls"
     EXTRA_ANSWER = "extra answer"
+    SILENT = "silent"
+
+
+class SilentAt(StrEnum):
+    """The point of a response at which a sound target falls silent."""
+
+    HEAD = "before the head"
+    FIRST_EVENT = "before the first event"
+    BETWEEN = "between events"
+    WITHIN = "within an event"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -29,6 +29,7 @@
 from lagoontide.platform.standins.responses import json_response
 from lagoontide.platform.standins.runs import (
     Run,
+    SilentAt,
     TargetFault,
     encode_registration,
     make_run,
@@ -71,6 +72,10 @@
         Request id, stage and piece number of each result, by handle.
     fault : TargetFault
         TargetFault of the next ``faults_left`` requests.
+    silence : float
+        Seconds for which a silent target sends nothing before it goes on.
+    silent_at : SilentAt
+        Where in the response it falls silent; plain responses have one such point.
     crashes_on : callable
         Returns whether a run makes the target crash as it begins to respond.
     shows_head : bool
@@ -100,6 +105,8 @@
     fault: TargetFault = TargetFault.NONE
     faults_left: int = 0
     events_before_fault: int = 2
+    silence: float = 1.0
+    silent_at: SilentAt = SilentAt.BETWEEN
     rate_limit: str = ""
     leaving: tuple[str, ...] = ()
     crashes_on: Callable[[Run], bool] = lambda run: False
@@ -280,6 +287,8 @@
         fault: TargetFault,
     ) -> None:
         await asyncio.sleep(3600 if fault is TargetFault.STALLS else self.work)
+        if fault is TargetFault.SILENT:
+            await asyncio.sleep(self.silence)
         if fault is TargetFault.RUNS_AND_CUTS:
             return
         status = 500 if fault is TargetFault.FAILS else 200
@@ -299,21 +308,41 @@
         first = int(last_event) + 1 if last_event else 1
         token_counts = field_value(req.head.fields, TOKEN_COUNTS.lower())
         total = int(token_counts.split(b",")[1]) if token_counts else self.events
+        is_silent = fault is TargetFault.SILENT
+        if is_silent and self.silent_at is SilentAt.HEAD:
+            await asyncio.sleep(self.silence)
         await reply.start(ResponseHead(200, response_fields))
+        if is_silent and self.silent_at is SilentAt.FIRST_EVENT:
+            await asyncio.sleep(self.silence)
         for number in range(first, total + 1):
             await asyncio.sleep(self.work)
-            if (
-                fault is not TargetFault.NONE
-                and number - first == self.events_before_fault
-            ):
+            is_due = number - first == self.events_before_fault
+            name = b"id: %d\n" % number if self.sends_event_ids else b""
+            event = b"%sdata: token %d\n\n" % (name, number)
+            if is_silent:
+                await self._send_late(reply, event, is_due)
+                continue
+            if fault is not TargetFault.NONE and is_due:
                 if fault is TargetFault.STALLS:
                     await asyncio.sleep(3600)
                 await reply.send_data(b"id: %d\nda" % number)
                 return
-            name = b"id: %d\n" % number if self.sends_event_ids else b""
-            await reply.send_data(b"%sdata: token %d\n\n" % (name, number))
+            await reply.send_data(event)
         await reply.finish()
 
+    async def _send_late(
+        self, reply: ResponseWriter, event: bytes, is_due: bool
+    ) -> None:
+        """Send an event, silent before or within it if it is due."""
+        if is_due and self.silent_at is SilentAt.BETWEEN:
+            await asyncio.sleep(self.silence)
+        if is_due and self.silent_at is SilentAt.WITHIN:
+            middle = len(event) // 2
+            await reply.send_data(event[:middle])
+            await asyncio.sleep(self.silence)
+            event = event[middle:]
+        await reply.send_data(event)
+
     async def _begin_and_crash(
         self, reply: ResponseWriter, response_fields: Fields
     ) -> None:
