--- /dev/null
+++ b/tests/gateway/test_silent_targets.py
@@ -0,0 +1,112 @@
+"""Sound targets that fall silent for a second and go on."""
+
+import asyncio
+
+import pytest
+
+from lagoontide.platform.standins.deployment import send, start_deployment
+from lagoontide.platform.standins.runs import SilentAt, TargetFault
+from tests.support.waiting import wait_for
+
+EVENTS = 6
+SILENCE_S = 1.6
+
+
+def make_silent(small, service, silent_at=SilentAt.BETWEEN):
+    for target in small.targets_of(service):
+        target.fault, target.faults_left = TargetFault.SILENT, 100
+        target.silence, target.silent_at = SILENCE_S, silent_at
+
+
+def spend_retry_budget(small):
+    for gateway in small.gateways:
+        gateway.state.budget.set_limits(0.0, 0.0, 10.0)
+
+
+def remove_other_targets(small, service):
+    first, *others = small.targets_of(service)
+    for gateway in small.gateways:
+        for target in map(gateway.state.directory.get, (item.id for item in others)):
+            gateway.state.directory.mark_leaving(target, "test")
+
+
+LACKS = {
+    "no retry budget": lambda small, service: spend_retry_budget(small),
+    "no other target": remove_other_targets,
+}
+
+
+async def ask(small, path, service, request_id):
+    answer = await send(small.ports[0], path, request_id, deadline_ms=5000)
+    runs = sum(target.runs[request_id] for target in small.targets_of(service))
+    return answer, runs
+
+
+def run(scenario):
+    async def with_deployment():
+        async with start_deployment() as small:
+            small.configure(2, **long_timeouts())
+            state = small.gateways[0].state
+            await wait_for(lambda: state.route_table.version == 2)
+            await scenario(small)
+
+    asyncio.run(with_deployment())
+
+
+def long_timeouts():
+    """Return the routes of the deployment, which wait for longer than any silence."""
+    plain = {"host": "a.example", "timeout_ms": 5000, "target_latency_ms": 300}
+    stream = plain | {"kind": "stream", "service": "engine", "gap_target_ms": 100}
+    return {
+        "routes": [
+            plain
+            | {"name": "safe", "prefix": "/safe/", "kind": "safe", "max_attempts": 2}
+            | {"service": "plain"},
+            stream
+            | {"name": "events", "prefix": "/events/", "max_attempts": 2}
+            | {"resume_streams": True},
+        ]
+    }
+
+
+# Guards against streams that end early as their target is silent for a second and no
+# other target may go on with them.
+@pytest.mark.parametrize("lack", LACKS)
+@pytest.mark.parametrize("silent_at", SilentAt)
+def test_stream_waits_for_its_silent_target_if_no_other_may_continue(silent_at, lack):
+    async def scenario(small):
+        make_silent(small, "engine", silent_at)
+        LACKS[lack](small, "engine")
+        answer, runs = await ask(small, "/events/a", "engine", "r1")
+        ids = [line for line in answer.body.split(b"\n") if line.startswith(b"id:")]
+        assert (answer.status, runs) == (200, 1)
+        assert ids == [b"id: %d" % number for number in range(1, EVENTS + 1)]
+
+    run(scenario)
+
+
+# Guards against requests that fail as their target is silent for a second and no other
+# target may be asked.
+@pytest.mark.parametrize("lack", LACKS)
+def test_request_waits_for_its_silent_target_if_no_other_may_run_it(lack):
+    async def scenario(small):
+        make_silent(small, "plain")
+        LACKS[lack](small, "plain")
+        answer, runs = await ask(small, "/safe/a", "plain", "r1")
+        assert (answer.status, answer.body, runs) == (200, b"done:x", 1)
+
+    run(scenario)
+
+
+# Guards against a reserve that is lost between the timeout of a request and its retry.
+def test_requests_do_not_give_up_their_target_for_a_retry_that_others_took():
+    async def scenario(small):
+        make_silent(small, "plain")
+        small.gateways[0].state.budget.set_limits(0.0, 1.25, 10.0)
+        answers = await asyncio.gather(
+            *(ask(small, "/safe/a", "plain", f"r{number}") for number in range(4))
+        )
+        assert [answer.status for answer, _ in answers] == [200] * 4
+        assert sorted(runs for _, runs in answers) == [1, 1, 1, 2]
+
+    run(scenario)
