Leave a silent target only once a successor is reserved

Callers of streams got a reset in the middle of their answer, and callers of repeatable requests 502, when a sound target was silent for a second: a timer gave the target up first and looked for a successor afterwards. The retry budget, the rate limits, the connections, the quarantine or the lack of another target then ended an answer that its target would have gone on with.

Cause: silence alone ended the wait. Now the timer tries to reserve a successor, with its turn and a unit of the retry budget, and ends the wait only then; else it tries again every 0.1 s until the target goes on or the deadline ends the request. A reservation is given back if the target goes on in the same moment.

The timer also ran while the caller was being written to, with the last event not yet counted as sent: a slow caller could have had it twice. It stops meanwhile.

--- a/src/lagoontide/forward/event_relay.py
+++ b/src/lagoontide/forward/event_relay.py
@@ -8,6 +8,7 @@
 from lagoontide.forward.attempt import TargetResponse
 from lagoontide.forward.call import Call
 from lagoontide.forward.events import Event, EventSplitter
+from lagoontide.forward.handover import StallTimer
 from lagoontide.forward.inputs import Inputs
 from lagoontide.http1.messages import ResponseHead, end_to_end_fields
 from lagoontide.http1.server import ResponseWriter
@@ -16,8 +17,8 @@
 
 # Comment bytes without an event in between, above which a stream counts as broken.
 MAX_COMMENT_BYTES = 16 << 10
-# A stream that may move to another target does so when no event arrives for this
-# multiple of its longest expected gap.
+# A stream may move to another target when no event arrives for this multiple of its
+# longest expected gap.
 IDLE_TIMEOUT_GAPS = 4.0
 MIN_IDLE_TIMEOUT_S = 0.8
 
@@ -40,8 +41,8 @@
 
     Parameters
     ----------
-    wait : asyncio.Timeout
-        Limits the time to the next event.
+    timer : StallTimer
+        Runs while the next event of the target is waited for.
     on_content : callable
         Called before events are relayed.
     """
@@ -53,7 +54,7 @@
         reply: ResponseWriter,
         progress: Progress,
         inputs: Inputs,
-        wait: asyncio.Timeout,
+        timer: StallTimer,
         on_content: Callable[[], None],
     ) -> None:
         self._on_content = on_content
@@ -62,7 +63,7 @@
         self._reply = reply
         self._progress = progress
         self._inputs = inputs
-        self._timeout = wait
+        self._timer = timer
         self._loop = asyncio.get_running_loop()
         self._comment_bytes = 0
 
@@ -81,6 +82,7 @@
                 await self._relay_events(
                     [event for event in events if self._is_new(event)]
                 )
+        self._timer.stop()
         if splitter.has_partial_event:
             raise self._interrupted("stream ended within an event", step="end")
         if not self._progress.is_started:
@@ -93,10 +95,11 @@
         data = b"".join(event.data for event in new_events)
         if any(event.has_content for event in new_events):
             self._comment_bytes = 0
-            await self._relay_content(data)
+            # What is being written counts as received: it must not be sent twice.
             self._progress.last_event_id = _last_event_id(
                 new_events, self._progress.last_event_id
             )
+            await self._relay_content(data)
             return
         # Comments show that the connection is alive, not that work progresses.
         self._comment_bytes += len(data)
@@ -125,11 +128,14 @@
             taken = self._progress.first_event_at - self._response.sent_at
             self._inputs.record_first_event_time(taken)
         self._on_content()
+        # A caller that reads slowly is no silence of the target.
+        self._timer.stop()
         if not self._progress.is_started:
             await self._start()
         self._inputs.release()
-        self._extend_timeout()
         await self._reply.send_data(data)
+        if self._call.can_retry(after=1):
+            self._timer.start(self._longest_gap())
 
     async def _start(self) -> None:
         head = self._response.head
@@ -138,13 +144,10 @@
             ResponseHead(head.status, end_to_end_fields(head.fields))
         )
 
-    def _extend_timeout(self) -> None:
-        if self._timeout.when() is None:
-            return
-        silence = max(
+    def _longest_gap(self) -> float:
+        return max(
             MIN_IDLE_TIMEOUT_S, IDLE_TIMEOUT_GAPS * self._call.route.max_event_gap
         )
-        self._timeout.reschedule(self._loop.time() + silence)
 
     def _interrupted(self, reason: str, step: str = "stream") -> StreamInterrupted:
         return StreamInterrupted(reason, step=step, peer=self._response.target.id)
--- a/src/lagoontide/forward/guard.py
+++ b/src/lagoontide/forward/guard.py
@@ -106,6 +106,10 @@
                 return NotRun(str(withheld), withheld.retry_after)
         return None
 
+    def is_suspect(self, call: Call) -> bool:
+        """Return whether a request may be withheld, as targets crashed under it."""
+        return self._verdict(call) is not None
+
     @asynccontextmanager
     async def watch(self, call: Call, target: Target) -> AsyncIterator[Run]:
         """Watch a send of a request, which is the body of the ``async with`` block.
--- /dev/null
+++ b/src/lagoontide/forward/handover.py
@@ -0,0 +1,126 @@
+"""Handover of a request from a silent target to a reserved successor."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from lagoontide.errors import TargetFailed
+from lagoontide.forward.call import Call, ForwardingState
+from lagoontide.targets.choose import Choice
+
+__all__ = ["HandedOver", "StallTimer", "make_stall_timer"]
+
+# A request that stays at its silent target looks for a successor again after this.
+RETRY_INTERVAL_S = 0.1
+
+Reserve = Callable[[], Choice | None]
+
+
+class HandedOver(TargetFailed):
+    """A silent target was given up for a successor, which is reserved."""
+
+    def __init__(self, successor: Choice, *, step: str, peer: str) -> None:
+        super().__init__(
+            f"silent, handed over to {successor.target.id}", step=step, peer=peer
+        )
+        self.successor = successor
+
+
+class StallTimer:
+    """Ends the wait for a silent target once a successor is reserved.
+
+    Silence alone never ends it: the target may be sound and go on.
+
+    Parameters
+    ----------
+    wait : asyncio.Timeout
+        The wait for the target; it expires when the request is handed over.
+    reserve : callable
+        Reserves a successor and returns it, or returns None if there is none now.
+    release : callable
+        Gives a reserved successor back.
+
+    Attributes
+    ----------
+    successor : Choice or None
+        The target that the request is handed over to.
+    """
+
+    def __init__(
+        self, wait: asyncio.Timeout, reserve: Reserve, release: Callable[[Choice], None]
+    ) -> None:
+        self.successor: Choice | None = None
+        self._wait = wait
+        self._reserve = reserve
+        self._release = release
+        self._loop = asyncio.get_running_loop()
+        self._handle: asyncio.TimerHandle | None = None
+
+    def start(self, seconds: float) -> None:
+        """Look for a successor unless stopped or started again within some seconds."""
+        self.stop()
+        self._handle = self._loop.call_later(seconds, self._hand_over)
+
+    def stop(self) -> None:
+        """Stay at the target, which has gone on, unless the wait for it has ended."""
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+        if self.successor is not None and not self._wait.expired():
+            self._wait.reschedule(None)
+            self._release(self.successor)
+            self.successor = None
+
+    def handed_over(self, *, step: str, peer: str) -> HandedOver:
+        """Return the error of a wait that has ended for the successor."""
+        assert self.successor is not None
+        return HandedOver(self.successor, step=step, peer=peer)
+
+    def _hand_over(self) -> None:
+        self._handle = None
+        self.successor = self._reserve()
+        if self.successor is None:
+            self.start(RETRY_INTERVAL_S)
+        else:
+            self._wait.reschedule(self._loop.time())
+
+
+def make_stall_timer(
+    state: ForwardingState,
+    call: Call,
+    wait: asyncio.Timeout,
+    choose: Callable[[], Choice | None],
+) -> StallTimer:
+    """Return the timer of a send; ``choose`` returns an untried target, or None."""
+    return StallTimer(
+        wait,
+        lambda: _reserve_successor(state, call, choose),
+        lambda choice: _release_successor(state, call, choice),
+    )
+
+
+def _reserve_successor(
+    state: ForwardingState, call: Call, choose: Callable[[], Choice | None]
+) -> Choice | None:
+    """Reserve a target that a request may be handed over to, or return None.
+
+    Its turn and a unit of the retry budget are taken, so that nothing but a failure of
+    the successor itself can end the request after its target was given up.
+    """
+    if not call.can_retry(after=1) or state.budget.left(call.service) < 1.0:
+        return None
+    choice = choose()
+    if choice is None or state.health.is_backed_off(choice.target):
+        return None
+    if not state.pools.pool_of(choice.target).has_room or state.guard.is_suspect(call):
+        return None
+    if not state.rate_shares.take(choice.target):
+        return None
+    state.budget.take(call.service)
+    return replace(choice, has_turn=True)
+
+
+def _release_successor(state: ForwardingState, call: Call, choice: Choice) -> None:
+    """Give back what ``_reserve_successor`` took."""
+    state.rate_shares.refund(choice.target)
+    state.budget.refund(call.service)
--- a/src/lagoontide/forward/retries.py
+++ b/src/lagoontide/forward/retries.py
@@ -73,3 +73,9 @@
             return False
         self._windows[service].retries.append(self._clock())
         return True
+
+    def refund(self, service: str) -> None:
+        """Take back the latest retry, which was not sent."""
+        retries = self._windows[service].retries
+        if retries:
+            retries.pop()
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from loguru import logger
 
@@ -15,8 +15,9 @@
     start_attempt,
 )
 from lagoontide.forward.call import Call, ForwardingState
-from lagoontide.forward.event_relay import EventRelay, Progress, StreamInterrupted
+from lagoontide.forward.event_relay import EventRelay, Progress
 from lagoontide.forward.guard import RequestWithheld
+from lagoontide.forward.handover import HandedOver, make_stall_timer
 from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
@@ -42,8 +43,8 @@
 # A refusal after this many sends in total ends the request.
 MAX_SENDS_ON_REFUSAL = 4
 NO_INPUT_BYTES: Mapping[str, float] = {}
-# A resumable stream moves to another target when no event arrives for this share of
-# its objective.
+# A resumable stream may move to another target when no event arrives for this share
+# of its objective.
 FIRST_EVENT_TIMEOUT_SHARE = 1.0
 MIN_FIRST_EVENT_TIMEOUT_S = 1.2
 # A target fetches its inputs before it reads the prompt (PROTOCOL, Stages). They are
@@ -97,15 +98,22 @@
     tried: set[str] = set()
     reason = "no target"
     withheld: RequestWithheld | None = None
+    successor: Choice | None = None
+
+    def choose() -> Choice | None:
+        return choose_engine(state, call, tried, rng, inputs.bytes_by_domain())
+
     while True:
         handles = await inputs.ready()
         call.record_step("inputs")
-        choice = choose_engine(state, call, tried, rng, inputs.bytes_by_domain())
         is_retry = call.send_tracker.sends > 0
-        if choice is None and not is_retry:
-            choice = await wait_for_turn(state, call, tried)
-        if choice is None or (is_retry and not state.budget.take(call.service)):
-            break
+        choice, successor = successor, None
+        if choice is None:
+            choice = choose()
+            if choice is None and not is_retry:
+                choice = await wait_for_turn(state, call, tried)
+            if choice is None or (is_retry and not state.budget.take(call.service)):
+                break
         target = choice.target
         tried.add(target.id)
         ready = len(state.directory.ready(call.service))
@@ -117,7 +125,7 @@
         try:
             async with state.guard.watch(call, target) as run:
                 outcome = await _relay_from_target(
-                    state, call, target, options, reply, progress, inputs
+                    state, call, target, options, reply, progress, inputs, choose
                 )
                 run.is_complete = outcome == Relayed(is_complete=True)
         except RequestWithheld as exc:
@@ -143,6 +151,8 @@
             if progress.is_started and progress.last_event_id is None:
                 # Without event ids the point to resume from is unknown.
                 break
+            if isinstance(exc, HandedOver):
+                successor = exc.successor
         else:
             return outcome
         if not call.can_retry():
@@ -211,31 +221,48 @@
     reply: ResponseWriter,
     progress: Progress,
     inputs: Inputs,
+    choose: Callable[[], Choice | None],
 ) -> Outcome:
     loop = asyncio.get_running_loop()
     share = _LoadShare(state, call, target)
     started_at = loop.time()
     response: TargetResponse | None = None
+
+    def choose_successor() -> Choice | None:
+        # Without event ids the point to resume from is unknown.
+        is_unknown = progress.is_started and progress.last_event_id is None
+        return None if is_unknown else choose()
+
     release_timer = loop.call_later(INPUT_FETCH_S, inputs.release)
     try:
         with record_losses(state.health, target):
-            async with asyncio.timeout(_first_event_timeout(call)) as wait:
-                response = await start_attempt(state, call, target, options)
-                if not is_success(response.head.status):
-                    return await _read_error(call, response, progress.is_started)
-                relay = EventRelay(
-                    call, response, reply, progress, inputs, wait, share.remove_prompt
-                )
-                await relay.run()
+            async with asyncio.timeout(None) as wait:
+                timer = make_stall_timer(state, call, wait, choose_successor)
+                if call.can_retry(after=1):
+                    timer.start(_first_event_timeout(call))
+                try:
+                    response = await start_attempt(state, call, target, options)
+                    if not is_success(response.head.status):
+                        return await _read_error(call, response, progress.is_started)
+                    relay = EventRelay(
+                        call,
+                        response,
+                        reply,
+                        progress,
+                        inputs,
+                        timer,
+                        share.remove_prompt,
+                    )
+                    await relay.run()
+                finally:
+                    timer.stop()
             state.health.record_response(
                 target, progress.first_event_at - started_at, False
             )
             return Relayed(is_complete=True)
     except TimeoutError:
         state.health.record_loss(target)
-        raise StreamInterrupted(
-            "no event within the timeout", step="stream", peer=target.id
-        ) from None
+        raise timer.handed_over(step="stream", peer=target.id) from None
     finally:
         release_timer.cancel()
         if response is not None:
@@ -243,13 +270,8 @@
         share.end()
 
 
-def _first_event_timeout(call: Call) -> float | None:
-    """Return the seconds to wait for the first event, or None for no limit.
-
-    Only a stream that may be resumed on another target is given up when it stalls.
-    """
-    if not call.can_retry(after=1):
-        return None
+def _first_event_timeout(call: Call) -> float:
+    """Return the seconds without a first event until a successor is looked for."""
     return max(
         MIN_FIRST_EVENT_TIMEOUT_S, FIRST_EVENT_TIMEOUT_SHARE * call.route.objective
     )
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -14,6 +15,7 @@
 )
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.guard import RequestWithheld
+from lagoontide.forward.handover import HandedOver, make_stall_timer
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
 from lagoontide.forward.selection import candidates, wait_for_turn
@@ -81,19 +83,26 @@
     failure: Answered | None = None
     reason = "no target"
     withheld: RequestWithheld | None = None
-    while True:
-        choice = choose_lowest_cost(
+    successor: Choice | None = None
+
+    def choose() -> Choice | None:
+        return choose_lowest_cost(
             candidates(state, call.service, tried),
             state.loads,
             state.health,
             state.failure_domain,
             rng,
         )
+
+    while True:
         is_retry = call.send_tracker.sends > 0
-        if choice is None and not is_retry:
-            choice = await wait_for_turn(state, call, tried)
-        if choice is None or (is_retry and not state.budget.take(call.service)):
-            break
+        choice, successor = successor, None
+        if choice is None:
+            choice = choose()
+            if choice is None and not is_retry:
+                choice = await wait_for_turn(state, call, tried)
+            if choice is None or (is_retry and not state.budget.take(call.service)):
+                break
         target = choice.target
         tried.add(target.id)
         ready = len(state.directory.ready(call.service))
@@ -102,7 +111,7 @@
         log = logger.bind(request=call.metadata.request_id, target=target.id)
         try:
             async with state.guard.watch(call, target) as run:
-                answer = await _try_target(state, call, target, options, reply)
+                answer = await _try_target(state, call, target, options, reply, choose)
                 run.is_complete = _is_complete_success(answer)
         except RequestWithheld as exc:
             reason, withheld = str(exc), exc
@@ -121,6 +130,8 @@
             call.attempts += 1
             if reply.is_started:
                 return Relayed(is_complete=False, reason=reason)
+            if isinstance(exc, HandedOver):
+                successor = exc.successor
         else:
             if isinstance(answer, Relayed) or not is_server_error(
                 answer.response.status
@@ -153,16 +164,16 @@
     target: Target,
     options: SendOptions,
     reply: ResponseWriter,
+    choose: Callable[[], Choice | None],
 ) -> Answered | Relayed:
     """Send the request to one target, and record its load and health."""
     loop = asyncio.get_running_loop()
     started_at = loop.time()
-    timeout = _attempt_timeout(state, call)
     state.loads.begin(target)
     try:
         with record_losses(state.health, target):
-            answer = await _send_with_timeout(
-                state, call, target, options, reply, timeout
+            answer = await _send_until_handover(
+                state, call, target, options, reply, choose
             )
     finally:
         state.loads.end(target)
@@ -171,40 +182,36 @@
     return answer
 
 
-async def _send_with_timeout(
+async def _send_until_handover(
     state: ForwardingState,
     call: Call,
     target: Target,
     options: SendOptions,
     reply: ResponseWriter,
-    timeout: float | None,
+    choose: Callable[[], Choice | None],
 ) -> Answered | Relayed:
-    loop = asyncio.get_running_loop()
-    started_at = loop.time()
+    def choose_successor() -> Choice | None:
+        return None if reply.is_started else choose()
+
     try:
-        async with asyncio.timeout(timeout):
-            response = await start_attempt(state, call, target, options)
+        async with asyncio.timeout(None) as wait:
+            timer = make_stall_timer(state, call, wait, choose_successor)
+            if call.can_retry(after=1):
+                timer.start(_attempt_timeout(state, call))
             try:
-                return await _read_response(response, reply)
+                response = await start_attempt(state, call, target, options)
+                try:
+                    return await _read_response(response, reply)
+                finally:
+                    response.close()
             finally:
-                response.close()
+                timer.stop()
     except TimeoutError:
-        raise TargetFailed(
-            f"no complete response within {loop.time() - started_at:.3f} s",
-            step="wait",
-            peer=target.id,
-        ) from None
-
+        raise timer.handed_over(step="wait", peer=target.id) from None
 
-def _attempt_timeout(state: ForwardingState, call: Call) -> float | None:
-    """Return the seconds to wait before another target is tried.
 
-    None means that no other target may be tried, so there is no limit.
-    """
-    if not call.can_retry(after=1):
-        return None
-    if state.budget.left(call.service) < 1.0:
-        return None
+def _attempt_timeout(state: ForwardingState, call: Call) -> float:
+    """Return the seconds without a whole response until a successor is looked for."""
     peers = state.directory.ready(call.service)
     typical = state.health.median_time(peers, call.route.objective)
     return max(
--- a/src/lagoontide/targets/pool.py
+++ b/src/lagoontide/targets/pool.py
@@ -55,6 +55,11 @@
         # Shortest idle time after which the target has closed a connection.
         self._observed_idle_limit = MAX_IDLE_S
 
+    @property
+    def has_room(self) -> bool:
+        """Whether another request may get a connection."""
+        return bool(self._idle) or self._in_use < self.max_open
+
     async def acquire(
         self, timeout: float, is_at_most_once: bool = False
     ) -> TargetConn:
