--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -2,17 +2,20 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 import h11
 
 from lagoontide.http1.messages import (
     Fields,
-    RequestHead,
     Response,
     ResponseHead,
-    field_values,
+)
+from lagoontide.http1.request_reader import (
+    BadRequest,
+    HttpLimits,
+    Request,
+    RequestReader,
 )
 from lagoontide.http1.tcp import TcpConn
 from lagoontide.tasks import TaskSet
@@ -25,47 +28,6 @@
 LINGER_S = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class HttpLimits:
-    """Limits on the size and duration of a client's requests.
-
-    Attributes
-    ----------
-    head_timeout : float
-        Seconds from the first byte of a request head to its end.
-    idle_timeout : float
-        Seconds without a new request, or without a further byte of a body.
-    """
-
-    max_head_bytes: int = 32 << 10
-    max_body_bytes: int = 8 << 20
-    head_timeout: float = 5.0
-    idle_timeout: float = 30.0
-
-
-@dataclass(frozen=True, slots=True)
-class Request:
-    """A completely read request.
-
-    Attributes
-    ----------
-    received_at : float
-        Loop time at which the first byte was received.
-    """
-
-    head: RequestHead
-    body: bytes
-    received_at: float
-
-
-class BadRequest(Exception):
-    """A request that is rejected while it is read; ``status`` is for the response."""
-
-    def __init__(self, status: int, message: str) -> None:
-        super().__init__(message)
-        self.status = status
-
-
 Handler = Callable[[Request, "ResponseWriter"], Awaitable[None]]
 
 
@@ -222,7 +184,7 @@
         while True:
             self._idle.add(tcp)
             try:
-                reader = _RequestReader(tcp, conn, self._limits())
+                reader = RequestReader(tcp, conn, self._limits())
                 req = await reader.read(lambda: self._idle.discard(tcp))
             except BadRequest as exc:
                 await _send_error(tcp, conn, exc)
@@ -258,130 +220,10 @@
             tcp.on_lost = None
 
 
-class _RequestReader:
-    """Reads one request."""
-
-    def __init__(self, tcp: TcpConn, conn: h11.Connection, limits: HttpLimits) -> None:
-        self._tcp = tcp
-        self._conn = conn
-        self._limits = limits
-        self._started_at = 0.0
-
-    async def read(self, on_start: Callable[[], None]) -> Request | None:
-        """Return the next request, or None if the client sends no more.
-
-        Parameters
-        ----------
-        on_start : callable
-            Called once the first byte of the request is received.
-        """
-        loop = asyncio.get_running_loop()
-        head = await self._read_head(loop, on_start)
-        if head is None:
-            return None
-        received_at = self._started_at
-        _check_framing(head.fields)
-        if self._conn.they_are_waiting_for_100_continue:
-            data = self._conn.send(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
-            await self._tcp.write(data or b"")
-        body = await self._read_body()
-        return Request(head, body, received_at)
-
-    async def _read_head(
-        self, loop: asyncio.AbstractEventLoop, on_start: Callable[[], None]
-    ) -> RequestHead | None:
-        self._started_at = loop.time()
-        has_started = bool(self._conn.trailing_data[0])
-        if has_started:
-            on_start()
-        while True:
-            event = self._next_event()
-            match event:
-                case h11.Request():
-                    fields = list(event.headers.raw_items())
-                    head = RequestHead(event.method, event.target, fields)
-                    _check_head_size(head, self._limits.max_head_bytes)
-                    return head
-                case h11.ConnectionClosed():
-                    return None
-            wait = self._limits.idle_timeout
-            if has_started:
-                wait = self._started_at + self._limits.head_timeout - loop.time()
-            try:
-                async with asyncio.timeout(wait):
-                    data = await self._tcp.read()
-            except TimeoutError:
-                if has_started:
-                    raise BadRequest(408, "the head took too long") from None
-                return None
-            if not has_started:
-                has_started = True
-                self._started_at = loop.time()
-                on_start()
-            self._receive(data)
-
-    async def _read_body(self) -> bytes:
-        body = bytearray()
-        while True:
-            event = self._next_event()
-            match event:
-                case h11.Data():
-                    body += event.data
-                    if len(body) > self._limits.max_body_bytes:
-                        raise BadRequest(413, "the body is too large")
-                case h11.EndOfMessage():
-                    return bytes(body)
-                case h11.ConnectionClosed():
-                    raise BadRequest(400, "the body was cut")
-                case _:
-                    try:
-                        async with asyncio.timeout(self._limits.idle_timeout):
-                            data = await self._tcp.read()
-                    except TimeoutError:
-                        raise BadRequest(408, "the body took too long") from None
-                    self._receive(data)
-
-    def _next_event(self) -> Any:
-        try:
-            return self._conn.next_event()
-        except h11.RemoteProtocolError as exc:
-            raise BadRequest(exc.error_status_hint, str(exc)) from None
-
-    def _receive(self, data: bytes) -> None:
-        try:
-            self._conn.receive_data(data)
-        except h11.RemoteProtocolError as exc:
-            raise BadRequest(exc.error_status_hint, str(exc)) from None
-
-
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
 
 
-def _check_head_size(head: RequestHead, max_bytes: int) -> None:
-    """Reject a head that is too large.
-
-    The limit of h11 applies to incomplete events only, so that a head which arrives
-    at once passes it.
-    """
-    size = len(head.method) + len(head.path)
-    size += sum(len(key) + len(value) for key, value in head.fields)
-    if size > max_bytes:
-        raise BadRequest(431, f"a head of {size} bytes; {max_bytes} are allowed")
-
-
-def _check_framing(fields: Fields) -> None:
-    """Reject fields by which two parsers could find different body lengths.
-
-    They would allow request smuggling.
-    """
-    has_length = any(True for _ in field_values(fields, b"content-length"))
-    if has_length and any(True for _ in field_values(fields, b"transfer-encoding")):
-        raise BadRequest(400, "a length beside a transfer encoding")
-
-
 async def _send_error(tcp: TcpConn, conn: h11.Connection, problem: BadRequest) -> None:
     if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
         text = str(problem).encode("utf-8", "replace")
