Keep requests that arrive as the idle timeout expires

Callers saw a kept connection close, with no answer, after the entry had received their whole request. If the event loop is late, the bytes of a request and the timer of the idle timeout become due in one pass: the bytes are read from the socket, then the timeout cancels the wait, and the reader closed the connection over them. A body ended in a 408 in the same way. A shorter idle_timeout_ms and a busy loop, as beside a change of the configuration, make it more likely.

The reader now looks for unread bytes before it lets the timeout count. All three cases of tests/http1/test_idle_timeout.py fail on the code before.

--- a/src/lagoontide/http1/request_reader.py
+++ b/src/lagoontide/http1/request_reader.py
@@ -106,8 +106,7 @@
             if has_started:
                 wait = self._started_at + self._limits.head_timeout - loop.time()
             try:
-                async with asyncio.timeout(wait):
-                    data = await self._tcp.read()
+                data = await self._read(wait)
             except TimeoutError:
                 if has_started:
                     raise BadRequest(408, "the head took too long") from None
@@ -133,12 +132,22 @@
                     raise BadRequest(400, "the body was cut")
                 case _:
                     try:
-                        async with asyncio.timeout(self._limits.idle_timeout):
-                            data = await self._tcp.read()
+                        data = await self._read(self._limits.idle_timeout)
                     except TimeoutError:
                         raise BadRequest(408, "the body took too long") from None
                     self._receive(data)
 
+    async def _read(self, timeout: float) -> bytes:
+        """Return the next bytes; raises TimeoutError if none arrive in time."""
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._tcp.read()
+        except TimeoutError:
+            if not self._tcp.has_unread:
+                raise
+        # They arrived in the pass of the event loop in which the timeout expired.
+        return await self._tcp.read()
+
     def _next_event(self) -> Any:
         try:
             return self._conn.next_event()
