Log a handler's unexpected exception and reset its connection

Callers saw a closed connection in place of an answer; if the answer had begun, it ended by FIN, which an HTTP/1.0 caller takes for the end of a body without a length. The exception of a connection's task went unlogged, and an OSError or the cancellation of a task on which the handler waited passed for a caller that had left.

Cause: the listener named three exceptions and left all others to the task. Now any exception that isn't the client's disconnection or the task's own cancellation is logged with the path and a bounded traceback without values, and the connection is reset.

--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import h11
+from loguru import logger
 
 from lagoontide.http1.messages import (
     Fields,
@@ -18,6 +19,7 @@
     RequestReader,
 )
 from lagoontide.http1.tcp import TcpConn
+from lagoontide.logs import format_traceback
 from lagoontide.tasks import TaskSet
 
 __all__ = ["HttpLimits", "Listener", "Request", "ResponseWriter"]
@@ -56,6 +58,25 @@
         self.is_started = False
         self.is_complete = False
 
+    def is_ended_by(self, exc: BaseException) -> bool:
+        """Return whether an exception only shows that the request was given up.
+
+        That is the client's disconnection or the cancellation of the current task.
+        Anything else, also the cancellation of another task, is a fault of the handler.
+        """
+        match exc:
+            case asyncio.CancelledError():
+                task = asyncio.current_task()
+                return task is not None and task.cancelling() > 0
+            case OSError():
+                return self.is_disconnected
+        return False
+
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether the connection to the client has ended."""
+        return self._tcp.is_lost or self._tcp.transport.is_closing()
+
     async def send(self, response: Response) -> None:
         """Send a complete response."""
         length = (b"Content-Length", b"%d" % len(response.body))
@@ -167,10 +188,13 @@
     async def _serve_connection(self, tcp: TcpConn) -> None:
         try:
             await self._serve_requests(tcp)
-        except (OSError, asyncio.CancelledError, h11.LocalProtocolError):
-            # Only a reset tells the client that this response is incomplete.
-            tcp.on_lost = None
-            tcp.abort()
+        except (OSError, asyncio.CancelledError):
+            _reset(tcp)
+        except Exception as exc:
+            _reset(tcp)
+            logger.bind(traceback=format_traceback(exc)).error(
+                "connection of a client failed: {!r:.200}", exc
+            )
         finally:
             self._idle.discard(tcp)
             tcp.on_lost = None
@@ -215,11 +239,24 @@
         self.in_flight += 1
         try:
             await self._handle(req, reply)
+        except (Exception, asyncio.CancelledError) as exc:
+            if reply.is_ended_by(exc):
+                raise
+            logger.bind(
+                path=req.head.path[:80].decode("latin-1"),
+                traceback=format_traceback(exc),
+            ).error("request failed: {!r:.200}", exc)
         finally:
             self.in_flight -= 1
             tcp.on_lost = None
 
 
+def _reset(tcp: TcpConn) -> None:
+    """Reset a connection: only that tells the client that a response is incomplete."""
+    tcp.on_lost = None
+    tcp.abort()
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
 
--- a/src/lagoontide/logs.py
+++ b/src/lagoontide/logs.py
@@ -9,8 +9,10 @@
 
 from lagoontide.settings import LogSettings
 
-__all__ = ["configure_logging"]
+__all__ = ["configure_logging", "format_traceback"]
 
+MAX_TRACEBACK_FRAMES = 12
+MAX_TRACEBACK_CHARS = 4000
 CONTEXT_FIELDS = ("request", "stage", "step", "peer")
 
 
@@ -53,3 +55,9 @@
     if record["exception"] is not None:
         line["exception"] = "".join(traceback.format_exception(*record["exception"]))
     print(msgspec.json.encode(line).decode(), file=sys.stderr, flush=True)
+
+
+def format_traceback(exc: BaseException) -> str:
+    """Return the last frames of an exception's traceback, without any values."""
+    lines = traceback.format_exception(exc, limit=-MAX_TRACEBACK_FRAMES)
+    return "".join(lines)[-MAX_TRACEBACK_CHARS:]
