Count and log why answers end early

An answer that ended early showed as cut, unknown or caller_left, so that neither the log nor the metrics told a deadline from a drain, or a target that broke off from one that was given up. Nor did they say how long that target had been silent.

EndReason is the closed list of reasons, in which silence of a target is left out on purpose. Outcomes carry the reason; the request's log line names it with the target, the age of its last byte, the version of the configuration and the time left, and lagoontide_answers_ended_early counts by reason. Where an outcome has none yet, a broken-off target is taken for it. tests/gateway/test_early_ends.py needs the new names and can't run on the code before.

--- a/src/lagoontide/forward/attempt.py
+++ b/src/lagoontide/forward/attempt.py
@@ -58,6 +58,7 @@
         conn: TargetConn,
         sent_at: float,
         endings: Endings,
+        call: Call,
     ) -> None:
         self.target = target
         self.sent_at = sent_at
@@ -66,8 +67,16 @@
         self._pool = pool
         self._conn = conn
         self._endings = endings
+        self._call = call
         self._is_closed = False
 
+    @property
+    def last_byte_at(self) -> float | None:
+        """Loop time of the last byte of the response; None if there was none yet."""
+        last = self._conn.tcp.last_byte_at
+        # An earlier byte belongs to the previous request on the connection.
+        return None if last is None or last < self.sent_at else last
+
     async def read_head(
         self, state: ForwardingState, request_id: str, is_new_conn: bool
     ) -> None:
@@ -115,12 +124,14 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self._call.last_byte_at = self.last_byte_at
         self._pool.release(self._conn, is_complete and self._conn.prepare_reuse())
 
     def settle(self) -> None:
         """Release the connection and let the pool read the rest of the response."""
         if not self._is_closed:
             self._is_closed = True
+            self._call.last_byte_at = self.last_byte_at
             self._pool.drain_and_release(self._conn)
 
 
@@ -151,6 +162,7 @@
         If the request may have run.
     """
     loop = asyncio.get_running_loop()
+    call.last_target, call.last_byte_at = target.id, None
     if not options.has_turn and not state.rate_shares.take(target):
         raise TargetUnreachable(
             "over the target's rate limit", step="limit", peer=target.id
@@ -159,7 +171,7 @@
     conn = await pool.acquire(
         CONNECT_TIMEOUT_S, is_at_most_once=not call.route.may_repeat
     )
-    response = TargetResponse(target, pool, conn, loop.time(), state.endings)
+    response = TargetResponse(target, pool, conn, loop.time(), state.endings, call)
     if not state.directory.is_accepting_work(target):
         response.close()
         raise TargetUnreachable(
--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -83,6 +83,12 @@
         Milliseconds from the first byte to each step, for the log.
     choices : list of str
         Routing decisions with their inputs, for the log.
+    config_version : int
+        Version of the configuration in force when the request arrived.
+    last_target : str
+        Id of the target that was tried last.
+    last_byte_at : float or None
+        Loop time of that target's last byte; None if it sent none to this request.
     """
 
     request: Request
@@ -97,6 +103,9 @@
     is_client_retry: bool = False
     timeline: dict[str, int] = field(default_factory=dict)
     choices: list[str] = field(default_factory=list)
+    config_version: int = 0
+    last_target: str = ""
+    last_byte_at: float | None = None
 
     @property
     def time_left(self) -> float:
--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -12,6 +12,7 @@
 from lagoontide.forward.observe import Observer
 from lagoontide.forward.outcome import (
     Answered,
+    EndReason,
     NotRun,
     Outcome,
     Rejected,
@@ -130,6 +131,7 @@
             deadline=req.received_at + timeout - RESPONSE_MARGIN_S,
             objective_at=req.received_at + route.objective - prior_wait,
             is_client_retry=prior_wait > 0,
+            config_version=route_table.version,
         )
 
     async def _forward(self, call: Call, reply: ResponseWriter) -> Outcome:
@@ -152,12 +154,13 @@
                 finally:
                     self._timeouts.discard(wait)
         except TimeoutError:
-            if reply.is_started:
-                return Relayed(is_complete=False, reason="time is up")
-            return call.send_tracker.failure_outcome("time is up", is_timeout=True)
+            is_drain = self._drain_deadline < call.deadline
+            end = EndReason.DRAIN if is_drain else EndReason.DEADLINE
+            return _ended(call, reply, "time is up", end, is_timeout=True)
         except InputsFailed as exc:
             if reply.is_started:
-                return Relayed(is_complete=False, reason=str(exc))
+                end = EndReason.NO_SUCCESSOR
+                return Relayed(is_complete=False, reason=str(exc), end=end)
             after = exc.retry_after or pick_retry_after(self._rng)
             return call.send_tracker.failure_outcome(str(exc), after)
         finally:
@@ -171,6 +174,20 @@
         return await forward_unary(self._state, call, reply, self._rng)
 
 
+def _ended(
+    call: Call,
+    reply: ResponseWriter,
+    reason: str,
+    end: EndReason,
+    retry_after: float | None = None,
+    is_timeout: bool = False,
+) -> Relayed | NotRun | Unknown:
+    """Return the outcome of a request that ends without a complete answer."""
+    if reply.is_started:
+        return Relayed(is_complete=False, reason=reason, end=end)
+    return call.send_tracker.failure_outcome(reason, retry_after, is_timeout, end)
+
+
 async def _send_outcome(outcome: Outcome, reply: ResponseWriter) -> None:
     match outcome:
         case Answered(response):
--- a/src/lagoontide/forward/observe.py
+++ b/src/lagoontide/forward/observe.py
@@ -5,6 +5,7 @@
 from lagoontide.forward.call import Call
 from lagoontide.forward.outcome import (
     Answered,
+    EndReason,
     NotRun,
     Outcome,
     Rejected,
@@ -13,7 +14,7 @@
 )
 from lagoontide.http1.server import Request
 
-__all__ = ["Observer", "describe_outcome"]
+__all__ = ["Observer", "describe_outcome", "end_reason"]
 
 
 class Observer(Protocol):
@@ -50,3 +51,17 @@
             return "unknown_timeout" if is_timeout else "unknown", reason
         case None:
             return "caller_left", ""
+
+
+def end_reason(outcome: Outcome | None) -> EndReason | None:
+    """Return why an answer ended early or never came; None if it did not."""
+    match outcome:
+        case None:
+            return EndReason.CALLER_LEFT
+        case Relayed(is_complete=False, end=end):
+            return end or EndReason.TARGET_BROKE_OFF
+        case Unknown(end=end):
+            return end or EndReason.TARGET_BROKE_OFF
+        case NotRun(end=end):
+            return end
+    return None
--- a/src/lagoontide/forward/outcome.py
+++ b/src/lagoontide/forward/outcome.py
@@ -1,11 +1,13 @@
 """Outcomes of a request, and the tracking that proves that it did not run."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from lagoontide.http1.messages import Response
 
 __all__ = [
     "Answered",
+    "EndReason",
     "NotRun",
     "Outcome",
     "Rejected",
@@ -15,6 +17,22 @@
 ]
 
 
+class EndReason(StrEnum):
+    """Why an answer ended early, or never came.
+
+    The list is closed. A target's silence is not among them: it ends no answer.
+    """
+
+    TARGET_BROKE_OFF = "target_broke_off"
+    INVALID_RESPONSE = "invalid_response"
+    # The target broke off, and no other one could take over.
+    NO_SUCCESSOR = "no_successor"
+    DEADLINE = "deadline"
+    DRAIN = "drain"
+    CALLER_LEFT = "caller_left"
+    INTERNAL_ERROR = "internal_error"
+
+
 @dataclass(frozen=True, slots=True)
 class Answered:
     """A target's complete response, to be passed on unchanged."""
@@ -24,10 +42,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Relayed:
-    """The response was already sent, either in full or visibly truncated."""
+    """The response was already sent, either in full or visibly truncated.
+
+    Attributes
+    ----------
+    end : EndReason or None
+        Why it was truncated.
+    """
 
     is_complete: bool
     reason: str = ""
+    end: EndReason | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,18 +73,28 @@
     ----------
     retry_after : float or None
         Seconds after which capacity should be available.
+    end : EndReason or None
+        Why there is no answer; None for a mere refusal.
     """
 
     reason: str
     retry_after: float | None = None
+    end: EndReason | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """A target may have run the request, but there is no complete response."""
+    """A target may have run the request, but there is no complete response.
+
+    Attributes
+    ----------
+    end : EndReason or None
+        Why there is none.
+    """
 
     reason: str
     is_timeout: bool = False
+    end: EndReason | None = None
 
 
 Outcome = Answered | Relayed | Rejected | NotRun | Unknown
@@ -89,12 +124,16 @@
         self._unresolved.discard(number)
 
     def failure_outcome(
-        self, reason: str, retry_after: float | None = None, is_timeout: bool = False
+        self,
+        reason: str,
+        retry_after: float | None = None,
+        is_timeout: bool = False,
+        end: EndReason | None = None,
     ) -> NotRun | Unknown:
         """Return the outcome of a request without a response.
 
         It is NotRun only if every send is proven not to have run.
         """
         if self._unresolved:
-            return Unknown(reason, is_timeout)
-        return NotRun(reason, retry_after)
+            return Unknown(reason, is_timeout, end)
+        return NotRun(reason, retry_after, end)
--- a/src/lagoontide/gateway/metrics.py
+++ b/src/lagoontide/gateway/metrics.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 from prometheus_client import (
@@ -14,8 +14,8 @@
 )
 
 from lagoontide.forward.call import Call
-from lagoontide.forward.observe import describe_outcome
-from lagoontide.forward.outcome import Outcome
+from lagoontide.forward.observe import describe_outcome, end_reason
+from lagoontide.forward.outcome import EndReason, Outcome
 from lagoontide.http1.server import Request
 
 if TYPE_CHECKING:
@@ -78,6 +78,14 @@
             ("service",),
             registry=self.registry,
         )
+        self._early_ends = Counter(
+            "lagoontide_answers_ended_early",
+            "Answers that ended early or never came, refusals left out.",
+            ("reason",),
+            registry=self.registry,
+        )
+        for reason in EndReason:
+            self._early_ends.labels(reason.value)
         self._latency = Histogram(
             "lagoontide_request_seconds",
             "Seconds from a request's first byte to its end.",
@@ -127,6 +135,9 @@
             first = call.timeline.get("first_event")
             if first is not None:
                 self._first_event.labels(route).observe(first / 1000.0)
+        end = end_reason(outcome)
+        if end is not None:
+            self._early_ends.labels(end.value).inc()
         if name in SAMPLED_OUTCOMES:
             self._sampled += 1
             if self._sampled % LOG_SAMPLE_INTERVAL:
@@ -142,6 +153,7 @@
             timeline=call.timeline if call else "",
             choices=call.choices if call else "",
             path="" if call else req.head.path[:80].decode("latin-1"),
+            **_describe_end(end, call),
         ).info("request ended: {}", detail or name)
 
     async def watch(self, gateway: "Gateway", lines_dropped: Callable[[], int]) -> None:
@@ -197,3 +209,20 @@
             self._label_values.add(name)
             return name
         return OVERFLOW_LABEL
+
+
+def _describe_end(end: EndReason | None, call: Call | None) -> dict[str, Any]:
+    """Return the log fields of an answer that ended early; none for others."""
+    if end is None:
+        return {}
+    if call is None:
+        return {"end": end.value}
+    now = asyncio.get_running_loop().time()
+    last = call.last_byte_at
+    return {
+        "end": end.value,
+        "config_version": call.config_version,
+        "last_target": call.last_target,
+        "last_byte_age": None if last is None else round(now - last, 3),
+        "left_ms": round(call.time_left * 1000),
+    }
--- a/src/lagoontide/http1/tcp.py
+++ b/src/lagoontide/http1/tcp.py
@@ -29,12 +29,15 @@
         Whether the peer has closed the connection, by FIN or reset.
     was_reset : bool
         Whether the connection ended other than by a clean FIN.
+    last_byte_at : float or None
+        Loop time at which bytes were last received.
     """
 
     def __init__(self, on_open: Callable[["TcpConn"], None] | None = None) -> None:
         self.on_lost: Callable[[], None] | None = None
         self.is_lost = False
         self.was_reset = False
+        self.last_byte_at: float | None = None
         self._on_open = on_open
         self._data = bytearray()
         self._read_waiter: asyncio.Future[None] | None = None
@@ -64,6 +67,7 @@
     def data_received(self, data: bytes) -> None:
         """See asyncio.Protocol."""
         self._data += data
+        self.last_byte_at = asyncio.get_running_loop().time()
         if len(self._data) > READ_HIGH_WATER_BYTES:
             self.transport.pause_reading()
         self._wake_reader()
--- /dev/null
+++ b/tests/gateway/test_early_ends.py
@@ -0,0 +1,141 @@
+"""Answers that end early or never come: what callers see, the log and the counter."""
+
+import asyncio
+
+import pytest
+from loguru import logger
+
+from lagoontide.forward.outcome import EndReason
+from lagoontide.gateway.metrics import GatewayMetrics
+from lagoontide.http1.client import InvalidResponse
+from lagoontide.platform.standins.deployment import send, start_deployment
+from lagoontide.platform.standins.runs import TargetFault
+from tests.support.waiting import wait_for
+
+COUNTER = 'lagoontide_answers_ended_early_total{reason="%s"}'
+STREAM = [(b"X-Lagoontide-Token-Counts", b"10,6")]
+
+
+class Ends:
+    """Early ends of one entry, from its log and its counter."""
+
+    def __init__(self, gateway):
+        self.records = []
+        self._gateway = gateway
+        self._number = logger.add(
+            lambda message: self.records.append(message.record), format=""
+        )
+
+    def close(self):
+        logger.remove(self._number)
+
+    def lines(self):
+        return [item["extra"] for item in self.records if item["extra"].get("end")]
+
+    def count(self, reason):
+        prefix = COUNTER % reason
+        for line in self._gateway.metrics.render().decode().splitlines():
+            if line.startswith(prefix):
+                return float(line.rpartition(" ")[2])
+        return None
+
+    def check_only(self, reason):
+        assert [line["end"] for line in self.lines()] == [reason]
+        for other in EndReason:
+            assert self.count(other) == (other is reason)
+
+
+def run(scenario):
+    async def main():
+        async with start_deployment() as small:
+            ends = Ends(small.gateways[0])
+            try:
+                await scenario(small, ends)
+            finally:
+                ends.close()
+
+    asyncio.run(main())
+
+
+def set_fault(small, service, fault, times=10):
+    for target in small.targets_of(service):
+        target.fault, target.faults_left = fault, times
+
+
+# Guards against ends whose cause the log and the metrics don't tell apart.
+def test_deadline_is_the_reason():
+    async def scenario(small, ends):
+        set_fault(small, "plain", TargetFault.STALLS)
+        answer = await send(small.ports[0], "/once/a", "r1", deadline_ms=400)
+        assert answer.status == 504
+        ends.check_only(EndReason.DEADLINE)
+        line = ends.lines()[0]
+        assert line["last_target"].startswith("plain-")
+        assert line["last_byte_age"] is None
+        assert 380 <= line["ms"] <= 1000
+        assert line["left_ms"] <= 20
+
+    run(scenario)
+
+
+def test_drain_is_the_reason_of_a_request_that_it_ends():
+    async def scenario(small, ends):
+        set_fault(small, "plain", TargetFault.STALLS)
+        sent = asyncio.ensure_future(send(small.ports[0], "/once/a", "r1"))
+        gateway = small.gateways[0]
+        await wait_for(lambda: gateway.callers.in_flight)
+        now = asyncio.get_running_loop().time()
+        gateway.forwarder.set_drain_deadline(now + 0.2)
+        assert (await sent).status == 504
+        ends.check_only(EndReason.DRAIN)
+        assert ends.lines()[0]["left_ms"] > 1000
+
+    run(scenario)
+
+
+def test_broken_off_target_is_the_reason_of_a_cut_stream():
+    async def scenario(small, ends):
+        set_fault(small, "engine", TargetFault.RUNS_AND_CUTS)
+        with pytest.raises((OSError, InvalidResponse)):
+            await send(small.ports[0], "/events/a", "r1", extra=STREAM)
+        await wait_for(ends.lines)
+        line = ends.lines()[0]
+        assert line["end"] in (EndReason.TARGET_BROKE_OFF, EndReason.NO_SUCCESSOR)
+        assert line["last_target"].startswith("eng-")
+        assert 0.0 <= line["last_byte_age"] < 1.0
+        assert ends.count(line["end"]) == 1.0
+
+    run(scenario)
+
+
+def test_caller_that_leaves_is_the_reason():
+    async def scenario(small, ends):
+        set_fault(small, "plain", TargetFault.STALLS)
+        sent = asyncio.ensure_future(send(small.ports[0], "/once/a", "r1"))
+        await wait_for(lambda: small.gateways[0].callers.in_flight)
+        sent.cancel()
+        await wait_for(ends.lines)
+        ends.check_only(EndReason.CALLER_LEFT)
+
+    run(scenario)
+
+
+def test_answered_request_does_not_end_early():
+    async def scenario(small, ends):
+        await send(small.ports[0], "/safe/a", "r1")
+        await send(small.ports[0], "/nowhere/a", "r2")
+        set_fault(small, "plain", TargetFault.FULL)
+        await send(small.ports[0], "/safe/a", "r3")
+        assert not ends.lines()
+        assert {ends.count(reason) for reason in EndReason} == {0.0}
+
+    run(scenario)
+
+
+def test_each_reason_has_a_counter_from_the_start():
+    text = GatewayMetrics().render().decode()
+    assert all(COUNTER % reason in text for reason in EndReason)
+
+
+def test_silence_is_no_reason():
+    assert not any("silen" in reason or "stall" in reason for reason in EndReason)
