Answer requests that an unexpected exception ends

Callers saw a closed connection in place of an answer or a refusal, and the log said caller_left with no exception. An exception that no handler names left Forwarder.handle without an outcome. Two others went the same way unnoticed: the cancellation of a task on which the request waits, which passed for the caller's disconnection, and a timeout of an inner step, which was reported as the request's own with time left.

All three are now logged with the request's id, the configuration's version and a bounded traceback. If nothing has been sent to the caller, the answer is the one that the SendTracker allows, 503 only with proof; else the connection is reset. A close of the entry under a running request counts as drain. On the code before, the seven new cases of tests/gateway/test_early_ends.py fail.

--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import xxhash
+from loguru import logger
 
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.fields import InvalidField, RequestMetadata
@@ -26,6 +27,7 @@
 from lagoontide.forward.unary import forward_unary
 from lagoontide.http1.messages import Fields, Response, field_value
 from lagoontide.http1.server import Request, ResponseWriter
+from lagoontide.logs import format_traceback
 from lagoontide.routes.records import Account, RouteKind
 from lagoontide.routes.route_table import RouteTable, pick_service
 
@@ -81,10 +83,41 @@
             else:
                 outcome = resolved
             await _send_outcome(outcome, reply)
+        except (Exception, asyncio.CancelledError) as exc:
+            if reply.is_ended_by(exc):
+                outcome = self._outcome_of_cancellation(call, reply)
+                raise
+            outcome = self._outcome_of_error(call, reply, exc)
+            await _send_outcome(outcome, reply)
         finally:
             seconds = asyncio.get_running_loop().time() - started_at
             self._observer.record_outcome(req, call, outcome, seconds)
 
+    def _outcome_of_cancellation(
+        self, call: Call | None, reply: ResponseWriter
+    ) -> Outcome | None:
+        """Return the outcome of a request whose connection ends; None if it is lost."""
+        if reply.is_disconnected or call is None:
+            return None
+        return _ended(call, reply, "the entry stops", EndReason.DRAIN)
+
+    def _outcome_of_error(
+        self, call: Call | None, reply: ResponseWriter, exc: BaseException
+    ) -> Outcome:
+        """Log an unexpected exception and return the outcome of its request."""
+        logger.bind(
+            request=call.metadata.request_id if call else "",
+            config_version=call.config_version if call else "",
+            target=call.last_target if call else "",
+            traceback=format_traceback(exc),
+        ).error("request failed unexpectedly: {!r:.200}", exc)
+        reason, end = "internal error", EndReason.INTERNAL_ERROR
+        if call is not None:
+            return _ended(call, reply, reason, end, pick_retry_after(self._rng))
+        if reply.is_started:
+            return Relayed(is_complete=False, reason=reason, end=end)
+        return NotRun(reason, pick_retry_after(self._rng), end)
+
     def _make_call(self, req: Request) -> Call | Rejected | NotRun:
         """Return the call for a request, or the outcome if it cannot be forwarded."""
         route_table = self._state.route_table
@@ -154,6 +187,8 @@
                 finally:
                     self._timeouts.discard(wait)
         except TimeoutError:
+            if not wait.expired():
+                raise
             is_drain = self._drain_deadline < call.deadline
             end = EndReason.DRAIN if is_drain else EndReason.DEADLINE
             return _ended(call, reply, "time is up", end, is_timeout=True)
--- a/tests/gateway/test_early_ends.py
+++ b/tests/gateway/test_early_ends.py
@@ -5,9 +5,11 @@
 import pytest
 from loguru import logger
 
+from lagoontide.forward import forwarder as forwarder_module
 from lagoontide.forward.outcome import EndReason
 from lagoontide.gateway.metrics import GatewayMetrics
 from lagoontide.http1.client import InvalidResponse
+from lagoontide.http1.messages import ResponseHead
 from lagoontide.platform.standins.deployment import send, start_deployment
 from lagoontide.platform.standins.runs import TargetFault
 from tests.support.waiting import wait_for
@@ -62,6 +64,81 @@
         target.fault, target.faults_left = fault, times
 
 
+# Guards against a request that ends without an answer, as an exception that no handler
+# names closed its connection.
+@pytest.mark.parametrize(("has_sent", "status"), [(False, 503), (True, 502)])
+def test_unexpected_exception_before_the_answer_is_a_visible_failure(
+    monkeypatch, has_sent, status
+):
+    async def fail(state, call, reply, rng):
+        if has_sent:
+            call.send_tracker.register_send()
+        raise KeyError("gone")
+
+    async def scenario(small, ends):
+        monkeypatch.setattr(forwarder_module, "forward_unary", fail)
+        answer = await send(small.ports[0], "/once/a", "r1")
+        assert answer.status == status
+        ends.check_only(EndReason.INTERNAL_ERROR)
+        line = ends.lines()[0]
+        assert (line["request"], line["config_version"]) == ("r1", 1)
+        errors = [item for item in ends.records if item["level"].name == "ERROR"]
+        assert [item["extra"]["request"] for item in errors] == ["r1"]
+        assert errors[0]["extra"]["config_version"] == 1
+        assert "KeyError" in errors[0]["extra"]["traceback"]
+
+    run(scenario)
+
+
+# Guards against an answer that an unexpected exception cuts and that looks complete.
+@pytest.mark.parametrize("length", [None, 10])
+def test_unexpected_exception_within_the_answer_resets_it(monkeypatch, length):
+    async def fail(state, call, reply, rng):
+        await reply.start(ResponseHead(200, [], length=length))
+        await reply.send_data(b"part")
+        await asyncio.sleep(0.05)
+        raise KeyError("gone")
+
+    async def scenario(small, ends):
+        monkeypatch.setattr(forwarder_module, "forward_unary", fail)
+        with pytest.raises(ConnectionResetError):
+            await send(small.ports[0], "/safe/a", "r1")
+        await wait_for(ends.lines)
+        ends.check_only(EndReason.INTERNAL_ERROR)
+
+    run(scenario)
+
+
+# Guards against a request that is dropped like one whose caller has left, as a task on
+# which it waits was cancelled.
+def test_cancelled_inner_task_is_an_internal_error(monkeypatch):
+    async def fail(state, call, reply, rng):
+        inner = asyncio.ensure_future(asyncio.sleep(3600))
+        asyncio.get_running_loop().call_soon(inner.cancel)
+        await inner
+
+    async def scenario(small, ends):
+        monkeypatch.setattr(forwarder_module, "forward_unary", fail)
+        assert (await send(small.ports[0], "/safe/a", "r1")).status == 503
+        ends.check_only(EndReason.INTERNAL_ERROR)
+
+    run(scenario)
+
+
+# Guards against a timeout of some inner step that is reported as the request's own.
+def test_timeout_of_an_inner_step_is_an_internal_error(monkeypatch):
+    async def fail(state, call, reply, rng):
+        call.send_tracker.register_send()
+        raise TimeoutError
+
+    async def scenario(small, ends):
+        monkeypatch.setattr(forwarder_module, "forward_unary", fail)
+        assert (await send(small.ports[0], "/safe/a", "r1")).status == 502
+        ends.check_only(EndReason.INTERNAL_ERROR)
+
+    run(scenario)
+
+
 # Guards against ends whose cause the log and the metrics don't tell apart.
 def test_deadline_is_the_reason():
     async def scenario(small, ends):
@@ -120,6 +197,20 @@
     run(scenario)
 
 
+# Guards against requests that a close of the entry ends and that count as left.
+def test_close_of_an_entry_is_a_drain_and_no_leaving_caller():
+    async def scenario(small, ends):
+        set_fault(small, "plain", TargetFault.STALLS)
+        sent = asyncio.ensure_future(send(small.ports[0], "/once/a", "r1"))
+        await wait_for(lambda: small.gateways[0].callers.in_flight)
+        await small.gateways[0].callers.close()
+        with pytest.raises(OSError):
+            await sent
+        ends.check_only(EndReason.DRAIN)
+
+    run(scenario)
+
+
 def test_answered_request_does_not_end_early():
     async def scenario(small, ends):
         await send(small.ports[0], "/safe/a", "r1")
