--- a/src/lagoontide/gateway/daemon.py
+++ b/src/lagoontide/gateway/daemon.py
@@ -10,8 +10,9 @@
 from loguru import logger
 
 from lagoontide.errors import SettingsError
-from lagoontide.gateway.gateway import Gateway, Platform
+from lagoontide.gateway.gateway import Gateway
 from lagoontide.gateway.output import LogOutput
+from lagoontide.gateway.platform import Platform
 from lagoontide.gateway.settings import GatewaySettings
 from lagoontide.gateway.stop import stop_gracefully
 from lagoontide.lifecycle import run_until_signal
--- a/src/lagoontide/platform/daemon.py
+++ b/src/lagoontide/platform/daemon.py
@@ -10,7 +10,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from lagoontide.gateway.daemon import run_gateway
-from lagoontide.gateway.gateway import Platform
+from lagoontide.gateway.platform import Platform
 from lagoontide.gateway.settings import GatewaySettings
 from lagoontide.gateway.store_view import Decoders
 from lagoontide.lifecycle import run_daemon
