Record the version of a target

What two versions of a target's software write does not fit together. The version belongs to id and start time: a target that registers another one gets no more work. A registration without a version names no target to use.

--- a/src/lagoontide/platform/directory.py
+++ b/src/lagoontide/platform/directory.py
@@ -27,6 +27,7 @@
     address: str
     zone: str
     state: str
+    version: str
     slots: int = 1
     born: int = 0
     cold_left_ms: float = 0.0
@@ -64,6 +65,7 @@
             born=data.born,
             slots=data.slots,
             revision=revision,
+            version=data.version,
             cold_left=max(0.0, data.cold_left_ms / MS_PER_S),
         )
     except (msgspec.DecodeError, KeyError, ValueError) as exc:
--- a/src/lagoontide/targets/directory.py
+++ b/src/lagoontide/targets/directory.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable
+from dataclasses import replace
 
 from loguru import logger
 
@@ -43,6 +44,8 @@
         self._leaving_since: dict[tuple[str, int], float] = {}
         self._gone_at: dict[tuple[str, int], float] = {}
         self._doubted_until: dict[tuple[str, int], float] = {}
+        # Versions by id and start time, also of targets that are gone.
+        self._versions: dict[tuple[str, int], str] = {}
         self._evacuated: frozenset[str] = frozenset()
         # Targets whose registration is missing since a store outage, with the clock
         # time until which they are kept.
@@ -100,6 +103,7 @@
         self._expires_at.pop(target.id, None)
         if known is not None and known.revision < target.revision:
             self._end_doubt(target.key, "it has registered again")
+        target = self._keep_version(target)
         self._targets[target.id] = target
         self._by_address = None
         if known is not None and (known.key, known.state) == (target.key, target.state):
@@ -230,6 +234,9 @@
         for key, at in tuple(self._gone_at.items()):
             if now - at > GONE_RETENTION_S:
                 del self._gone_at[key]
+                known = self._targets.get(key[0])
+                if known is None or known.key != key:
+                    self._versions.pop(key, None)
         for key, until in tuple(self._doubted_until.items()):
             if now >= until:
                 self._end_doubt(key, "its registration has not run out")
@@ -238,6 +245,25 @@
                 self._expires_at.pop(name)
                 self._drop(name, "not registered again after the store outage")
 
+    def _keep_version(self, target: Target) -> Target:
+        """Return a target with the version that it first registered since its start.
+
+        A registration with another one is wrong, now or before, so that streams of the
+        target cannot be told from those of another version.
+        """
+        known = self._versions.get(target.key, "")
+        if target.version in ("", known):
+            return replace(target, version=known)
+        if not known:
+            self._versions[target.key] = target.version
+            return target
+        self.mark_leaving(
+            target,
+            f"registered as version {target.version!r} since the same start, "
+            f"before as {known!r}",
+        )
+        return replace(target, version=known)
+
     def _is_accepting_work(self, target: Target) -> bool:
         return (
             target.state is TargetState.READY
--- a/src/lagoontide/targets/records.py
+++ b/src/lagoontide/targets/records.py
@@ -31,6 +31,8 @@
         Seconds for which it stays cold, at the time of the registration.
     revision : Revision
         The store's revision of the registration.
+    version : str
+        Version of its software, to be compared for equality only; "" if unknown.
     """
 
     id: str
@@ -43,6 +45,7 @@
     slots: int = 1
     revision: Revision = Revision()
     cold_left: float = 0.0
+    version: str = ""
 
     @property
     def address(self) -> str:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -65,11 +65,27 @@
         decode_target("i-1", value, 3)
 
 
+REGISTRATION = {
+    "service": "s",
+    "address": "1.2.3.4:5",
+    "zone": "z",
+    "state": "draining",
+    "version": "v1.2",
+}
+
+
+@pytest.mark.parametrize("version", [None, 3, ["v1"]])
+def test_registration_without_a_readable_version_raises_wire_error(version):
+    without = {key: REGISTRATION[key] for key in REGISTRATION if key != "version"}
+    with pytest.raises(WireError):
+        decode_target("i-1", msgspec.json.encode(without), 3)
+    with pytest.raises(WireError):
+        decode_target("i-1", msgspec.json.encode(without | {"version": version}), 3)
+
+
 def test_target_registration_is_decoded():
-    value = msgspec.json.encode(
-        {"service": "s", "address": "1.2.3.4:5", "zone": "z", "state": "draining"}
-    )
-    target = decode_target("i-1", value, 3)
+    target = decode_target("i-1", msgspec.json.encode(REGISTRATION), 3)
+    assert target.version == "v1.2"
     assert (target.host, target.port, target.state) == (
         "1.2.3.4",
         5,
