--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -9,6 +9,7 @@
 from lagoontide.forward.outcome import SendTracker
 from lagoontide.forward.retries import RetryBudget
 from lagoontide.http1.server import Request
+from lagoontide.origins.ledger import Origins
 from lagoontide.routes.records import Account, Route
 from lagoontide.routes.route_table import RouteTable
 from lagoontide.routes.urgency import urgency_of
@@ -47,6 +48,8 @@
         What this entry may send within them.
     borrow_turn : callable
         Returns whether another entry lends a turn in a target's rate limit.
+    origins : Origins
+        The versions that began streams.
     """
 
     failure_domain: str
@@ -62,6 +65,7 @@
     rate_limits: RateLimits
     rate_shares: RateShares
     borrow_turn: Callable[[Target], Awaitable[bool]]
+    origins: Origins
     route_table: RouteTable | None = None
 
 
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -3,33 +3,36 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from typing import Any
 
 from loguru import logger
 
 from lagoontide.forward.call import Call, ForwardingState
-from lagoontide.forward.fields import FieldCodec
 from lagoontide.forward.forwarder import Forwarder
 from lagoontide.forward.guard import Guard
 from lagoontide.forward.retries import RetryBudget
 from lagoontide.forward.stream import choose_engine
 from lagoontide.gateway.metrics import GatewayMetrics
+from lagoontide.gateway.origins import resume_window, versions_by_service
 from lagoontide.gateway.peer_sync import PeerSync
+from lagoontide.gateway.platform import Platform
 from lagoontide.gateway.settings import GatewaySettings
-from lagoontide.gateway.store_view import Decoders, StoreView
+from lagoontide.gateway.store_view import StoreView
 from lagoontide.http1.messages import Response
 from lagoontide.http1.server import HttpLimits, Listener, Request, ResponseWriter
 from lagoontide.mesh.messages import MESSAGES as MESH_MESSAGES
+from lagoontide.mesh.origin_peers import OriginPeers
 from lagoontide.mesh.peers import Mesh
 from lagoontide.mesh.registration import EntryRecord, Registration
 from lagoontide.mesh.turn_loans import MESSAGES as TURN_MESSAGES, TurnLoans
+from lagoontide.origins.keeper import OriginKeeper
+from lagoontide.origins.ledger import Origins
+from lagoontide.origins.messages import MESSAGES as ORIGIN_MESSAGES
 from lagoontide.pieces.calibration import Calibration
 from lagoontide.pieces.demand import Demand
 from lagoontide.pieces.dispatcher import OrderDispatcher
 from lagoontide.pieces.inputs import StageInputs
 from lagoontide.pieces.messages import MESSAGES as PIECE_MESSAGES
-from lagoontide.pieces.records import PieceClient
 from lagoontide.quarantine.keeper import Keeper
 from lagoontide.quarantine.ledger import Ledger
 from lagoontide.quarantine.messages import MESSAGES as QUARANTINE_MESSAGES
@@ -37,7 +40,6 @@
 from lagoontide.routes.records import Service
 from lagoontide.store.follower import Follower
 from lagoontide.store.pace import Pace
-from lagoontide.store.revision_store import RevisionStore
 from lagoontide.targets.cold import ColdTargets
 from lagoontide.targets.directory import Directory
 from lagoontide.targets.endings import Endings
@@ -51,7 +53,7 @@
 from lagoontide.wire.router import Router
 from lagoontide.wire.server import Server, bind
 
-__all__ = ["Gateway", "Platform"]
+__all__ = ["Gateway"]
 
 # The empty prefix: one watch covers every key of the store.
 WATCHED_PREFIX = ""
@@ -64,28 +66,6 @@
 MAX_MESH_MESSAGE_BYTES = 8 << 20
 
 
-@dataclass(frozen=True, slots=True)
-class Platform:
-    """The platform's store, protocol and decoders, as a gateway uses them.
-
-    Attributes
-    ----------
-    field_codec : FieldCodec
-        The platform's header fields.
-    make_piece_client : callable
-        Returns a client for stage targets that uses the given connection pools, rate
-        limits, detection of ended targets and directory.
-    ready_path : bytes
-        Path of the balancer's readiness probe.
-    """
-
-    store: RevisionStore
-    field_codec: FieldCodec
-    decoders: Decoders
-    make_piece_client: Callable[[Pools, RateShares, Endings, Directory], PieceClient]
-    ready_path: bytes
-
-
 class Gateway:
     """An entry: accepts callers' requests and forwards them to targets.
 
@@ -156,6 +136,7 @@
             self.mesh.run(),
             self.registration.run(),
             self.keeper.run(),
+            self.origin_keeper.run(),
             self._sweep(),
         ]
 
@@ -233,6 +214,7 @@
                 limits, cfg.name, lambda: self.mesh.limit_sharers(), clock
             ),
             borrow_turn=lambda target: self.turn_loans.borrow(target),
+            origins=Origins(clock, lambda: resume_window(self.state.route_table)),
         )
 
     def _make_mesh(self, ctx: Context) -> None:
@@ -240,7 +222,11 @@
         cfg = self.cfg
         address = f"{cfg.peers[0]}:{cfg.peers[1]}"
         codec = make_codec(
-            MESH_MESSAGES, PIECE_MESSAGES, QUARANTINE_MESSAGES, TURN_MESSAGES
+            MESH_MESSAGES,
+            PIECE_MESSAGES,
+            QUARANTINE_MESSAGES,
+            TURN_MESSAGES,
+            ORIGIN_MESSAGES,
         )
         identity = Identity(cfg.name)
         own = EntryRecord(address, cfg.cpu_share, cfg.failure_domain)
@@ -286,18 +272,30 @@
             self._platform.store,
             self.state.guard.ledger,
             self.store_view.quarantines,
-            lambda: (
-                self.trials.is_coordinator
-                and self.store_view.is_synced
-                and self.follower.is_up
-            ),
+            self._is_responsible,
+        )
+        self.origin_keeper = OriginKeeper(
+            self._platform.store,
+            self.state.origins,
+            self.store_view.origins,
+            cfg.name,
+            self._is_responsible,
+            self._count_entries,
+            self._clock,
         )
+        self.origin_peers = OriginPeers(self.state.origins, self.mesh)
         self.turn_loans = TurnLoans(
             self.state.rate_shares, self.state.directory, self.mesh, self._clock
         )
         router = Router()
-        parts = (self.peer_sync, self.dispatcher, self.trials, self.turn_loans)
-        for part in (self.mesh, *parts):
+        for part in (
+            self.mesh,
+            self.peer_sync,
+            self.dispatcher,
+            self.trials,
+            self.turn_loans,
+            self.origin_peers,
+        ):
             part.register(router)
         self._mesh_server: Server = bind(
             ctx,
@@ -322,6 +320,14 @@
         route_table = self.state.route_table
         return HttpLimits() if route_table is None else route_table.config.limits
 
+    def _is_responsible(self) -> bool:
+        """Return whether this entry writes to the store on behalf of all."""
+        return (
+            self.trials.is_coordinator
+            and self.store_view.is_synced
+            and self.follower.is_up
+        )
+
     def _count_entries(self) -> int:
         return self.mesh.entry_count()
 
@@ -344,6 +350,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             directory = self.state.directory
             directory.remove_expired()
+            self.state.origins.observe_versions(versions_by_service(directory.all()))
             self.follower.check_silence()
             self.store_view.sweep()
             keys = {target.key for target in directory.all()}
--- a/src/lagoontide/gateway/peer_sync.py
+++ b/src/lagoontide/gateway/peer_sync.py
@@ -279,5 +279,7 @@
                 kept=self._state.directory.seconds_until_expiry(),
                 kept_entries=self._store_view.kept_entries(),
                 evacuated=tuple(self._state.directory.evacuated),
+                origins=self._state.origins.aged(),
+                origin_values=self._store_view.origins.values(),
             )
         )
--- a/src/lagoontide/gateway/store_view.py
+++ b/src/lagoontide/gateway/store_view.py
@@ -10,6 +10,7 @@
 from lagoontide.forward.call import ForwardingState
 from lagoontide.mesh.messages import StoreSnapshot
 from lagoontide.mesh.registration import ENTRIES_PREFIX, EntryRecord, entry_name
+from lagoontide.origins.keeper import ORIGINS_PREFIX, VERSIONS_PREFIX, StoredOrigins
 from lagoontide.quarantine.keeper import QUARANTINE_PREFIX, StoredQuarantines
 from lagoontide.routes.records import RoutingConfig
 from lagoontide.routes.route_table import RouteTable
@@ -78,6 +79,8 @@
         Registered entries by name; shared with the mesh.
     quarantines : StoredQuarantines
         The quarantines that the store holds.
+    origins : StoredOrigins
+        What the store holds of the versions that began streams.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         self.is_synced = False
         self.entries: dict[str, EntryRecord] = {}
         self.quarantines = StoredQuarantines(state.guard.ledger)
+        self.origins = StoredOrigins(state.origins)
         # Entries whose keys disappeared during a store outage, and the loop time
         # until which each is kept.
         self._kept_until: dict[str, float] = {}
@@ -124,6 +128,7 @@
         for name in self.entries.keys() - entries:
             self._remove_entry(name)
         self.quarantines.keep_only(item.key for item in listing.items)
+        self.origins.end_listing(item.key for item in listing.items)
         up_since = self._store_up_since()
         self._state.directory.remove_unlisted(names, listing.as_of, up_since)
         if is_restored:
@@ -152,6 +157,8 @@
                 self._apply_entry(item.key, item.value)
         elif item.key.startswith(QUARANTINE_PREFIX):
             self.quarantines.apply(item.key, item.value)
+        elif item.key.startswith((ORIGINS_PREFIX, VERSIONS_PREFIX)):
+            self.origins.apply(item.key, item.value)
         elif (domain := self._decoders.evacuated_domain(item.key)) is not None:
             directory = self._state.directory
             self._evacuated_until.pop(domain, None)
@@ -236,6 +243,7 @@
         # it lacks is gone and needs no further grace period.
         self._state.directory.remove_unlisted(names, snapshot.as_of, 0.0)
         self._state.directory.set_evacuated(snapshot.evacuated)
+        self.origins.adopt_snapshot(snapshot.origin_values, snapshot.origins)
         self._era = snapshot.as_of.era
         self.is_synced = True
 
--- a/src/lagoontide/mesh/messages.py
+++ b/src/lagoontide/mesh/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from lagoontide.mesh.registration import EntryRecord
+from lagoontide.origins.messages import AgedOrigin
 from lagoontide.quarantine.records import CrashReport
 from lagoontide.store.revision_store import Revision
 from lagoontide.targets.rate_limits import LimitReport
@@ -104,6 +105,10 @@
         with the seconds for which each is still retained.
     evacuated : tuple of str
         The evacuated failure domains.
+    origins : list
+        The versions that began streams, with the time that each has been known.
+    origin_values : dict
+        The stored version set with its mark, by key.
     """
 
     as_of: Revision
@@ -114,6 +119,8 @@
     kept: dict[str, float] = {}
     kept_entries: dict[str, float] = {}
     evacuated: tuple[str, ...] = ()
+    origins: list[AgedOrigin] = []
+    origin_values: dict[str, bytes] = {}
 
 
 class Follow(msgspec.Struct, frozen=True, array_like=True, tag="follow"):
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -18,6 +18,7 @@
 from lagoontide.gateway.store_view import Decoders, StoreView
 from lagoontide.mesh.peers import Mesh
 from lagoontide.mesh.registration import EntryRecord, Registration
+from lagoontide.origins.ledger import Origins
 from lagoontide.pieces.demand import Demand
 from lagoontide.quarantine.ledger import Ledger
 from lagoontide.routes.records import RoutingConfig
@@ -98,7 +99,7 @@
             Loads(loop.time),
             *(None, None, SimpleNamespace(ledger=Ledger(loop.time)), None),
             RateLimits(loop.time),
-            *(None, None),
+            *(None, None, Origins(loop.time)),
         )
         self.store_view = StoreView(
             self.state,
