Continue streams only at the version that began them

Callers got streams joined from targets of two software versions: within one answer after a break, and over their tries, where the entry that they came back to knew nothing of the stream's begin. Neither the registrations' version nor the take-up's first request id was read.

A stream that has begun now chooses among targets of its version only, on every path: resumption, handover, turns that are waited for or borrowed. A take-up gets its version from the records of origins, from a peer, or from being the only one that may have begun it; else, and where no target of it is left, it is refused at once and not run. Until the set of versions is stored, all streams are recorded, so that its absence tells that none began before.

--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -48,6 +48,9 @@
         What this entry may send within them.
     borrow_turn : callable
         Returns whether another entry lends a turn in a target's rate limit.
+    ask_origin : callable
+        Returns the version that began a stream, by the id of its request and its
+        service, as another entry knows it; None if none does.
     origins : Origins
         The versions that began streams.
     """
@@ -65,6 +68,7 @@
     rate_limits: RateLimits
     rate_shares: RateShares
     borrow_turn: Callable[[Target], Awaitable[bool]]
+    ask_origin: Callable[[str, str], Awaitable[str | None]]
     origins: Origins
     route_table: RouteTable | None = None
 
@@ -87,6 +91,10 @@
         Milliseconds from the first byte to each step, for the log.
     choices : list of str
         Routing decisions with their inputs, for the log.
+    version : str or None
+        Software version of the target that a stream was sent to; None before.
+    has_begun : bool
+        Whether the caller has events of a stream, which then keeps its version.
     config_version : int
         Version of the configuration in force when the request arrived.
     last_target : str
@@ -107,6 +115,8 @@
     is_client_retry: bool = False
     timeline: dict[str, int] = field(default_factory=dict)
     choices: list[str] = field(default_factory=list)
+    version: str | None = None
+    has_begun: bool = False
     config_version: int = 0
     last_target: str = ""
     last_byte_at: float | None = None
--- a/src/lagoontide/forward/event_relay.py
+++ b/src/lagoontide/forward/event_relay.py
@@ -140,6 +140,7 @@
     async def _start(self) -> None:
         head = self._response.head
         self._progress.is_started = True
+        self._call.has_begun = True
         await self._reply.start(
             ResponseHead(head.status, end_to_end_fields(head.fields))
         )
--- a/src/lagoontide/forward/fields.py
+++ b/src/lagoontide/forward/fields.py
@@ -41,6 +41,9 @@
         Number of pieces of each stage of the route.
     last_event_id : int or None
         Id of the event after which a stream is to be resumed.
+    resumes : str or None
+        Id of the request that brought the stream's first event; None if that is not
+        said, or not readable.
     """
 
     request_id: str
@@ -52,6 +55,7 @@
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
     last_event_id: int | None = None
+    resumes: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -21,6 +21,7 @@
     Unknown,
 )
 from lagoontide.forward.prior_wait import PriorWaitEstimator
+from lagoontide.forward.resumption import fix_version
 from lagoontide.forward.retry_after import pick_limited_retry_after, pick_retry_after
 from lagoontide.forward.selection import is_beyond_limits
 from lagoontide.forward.stream import forward_stream
@@ -170,6 +171,9 @@
     async def _forward(self, call: Call, reply: ResponseWriter) -> Outcome:
         self._state.budget.record_request(call.service)
         refusal = self._state.guard.refusal(call)
+        if refusal is not None:
+            return refusal
+        refusal = await fix_version(self._state, call, self._rng)
         if refusal is not None:
             return refusal
         if is_beyond_limits(self._state, call):
--- a/src/lagoontide/forward/retry_after.py
+++ b/src/lagoontide/forward/retry_after.py
@@ -4,6 +4,7 @@
 import random
 
 from lagoontide.forward.call import Call, ForwardingState
+from lagoontide.forward.selection import ready_targets
 
 __all__ = ["pick_limited_retry_after", "pick_retry_after"]
 
@@ -27,7 +28,7 @@
     If all targets are at their rate limits, it is the time until this entry may send
     again. An entry without a share does not know that; the caller reaches another.
     """
-    wait = state.rate_shares.shortest_wait(state.directory.ready(call.service))
+    wait = state.rate_shares.shortest_wait(ready_targets(state, call))
     if not 0.0 < wait < math.inf:
         return pick_retry_after(rng)
     latest = MAX_TIME_SHARE * call.time_left
--- a/src/lagoontide/forward/selection.py
+++ b/src/lagoontide/forward/selection.py
@@ -8,7 +8,7 @@
 from lagoontide.targets.choose import Choice, usable
 from lagoontide.targets.records import Target
 
-__all__ = ["candidates", "is_beyond_limits", "wait_for_turn"]
+__all__ = ["candidates", "is_beyond_limits", "ready_targets", "wait_for_turn"]
 
 # A request waits for its turn at a limited target for at most this share of the time
 # to its objective, or of all the time left to it if that is more, and the less the less
@@ -17,18 +17,39 @@
 TIME_WAIT_SHARE = 0.2
 
 
+def ready_targets(state: ForwardingState, call: Call) -> Sequence[Target]:
+    """Return the targets that accept a call; of its version only if it has begun."""
+    targets = state.directory.ready(call.service)
+    if not call.has_begun:
+        return targets
+    return [target for target in targets if target.version == call.version]
+
+
 def candidates(
-    state: ForwardingState, service: str, tried: Collection[str]
+    state: ForwardingState, call: Call, tried: Collection[str]
 ) -> list[Target]:
     """Return the untried targets that may get a request now.
 
+    A stream that was sent to a target before stays at its version if it can, even
+    before its first event, as its record need not follow then.
+    """
+    targets = ready_targets(state, call)
+    if call.version is not None and not call.has_begun:
+        same = [target for target in targets if target.version == call.version]
+        return _usable(state, same, tried) or _usable(state, targets, tried)
+    return _usable(state, targets, tried)
+
+
+def _usable(
+    state: ForwardingState, ready: Sequence[Target], tried: Collection[str]
+) -> list[Target]:
+    """Return the untried ones of some targets that may get a request now.
+
     If the limit of some of them was not confirmed lately, only these: their responses
     show whether it has ended.
     """
     shares = state.rate_shares
-    targets = usable(
-        shares.admitting(state.directory.ready(service)), state.health, tried
-    )
+    targets = usable(shares.admitting(ready), state.health, tried)
     if shares.limits.is_empty:
         return targets
     due = [
@@ -41,7 +62,7 @@
 
 def is_beyond_limits(state: ForwardingState, call: Call) -> bool:
     """Return whether all targets are limited, with no turn for a call in time."""
-    ready = state.directory.ready(call.service)
+    ready = ready_targets(state, call)
     wait = state.rate_shares.shortest_wait(ready)
     if not ready or wait <= _max_wait(call):
         return False
@@ -63,9 +84,7 @@
     Returns None if there is no target, or no turn in time.
     """
     untried = [
-        target
-        for target in state.directory.ready(call.service)
-        if target.id not in tried
+        target for target in ready_targets(state, call) if target.id not in tried
     ]
     if not untried:
         return None
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -20,6 +20,7 @@
 from lagoontide.forward.handover import HandedOver, make_stall_timer
 from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
+from lagoontide.forward.resumption import record_begin, record_end
 from lagoontide.forward.retry_after import pick_limited_retry_after
 from lagoontide.forward.selection import candidates, wait_for_turn
 from lagoontide.forward.unary import (
@@ -116,6 +117,7 @@
                 break
         target = choice.target
         tried.add(target.id)
+        record_begin(state, call, target.version)
         ready = len(state.directory.ready(call.service))
         call.choices.append(describe_choice(state, choice, ready))
         options = SendOptions(
@@ -154,6 +156,8 @@
             if isinstance(exc, HandedOver):
                 successor = exc.successor
         else:
+            if outcome == Relayed(is_complete=True):
+                record_end(state, call)
             return outcome
         if not call.can_retry():
             break
@@ -182,7 +186,7 @@
     inputs : mapping
         Bytes of stage results that the target has to fetch, by failure domain.
     """
-    targets = candidates(state, call.service, tried)
+    targets = candidates(state, call, tried)
     parts = call.metadata.prompt_parts
     if not parts:
         return choose_lowest_cost(
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -87,7 +87,7 @@
 
     def choose() -> Choice | None:
         return choose_lowest_cost(
-            candidates(state, call.service, tried),
+            candidates(state, call, tried),
             state.loads,
             state.health,
             state.failure_domain,
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -214,6 +214,9 @@
                 limits, cfg.name, lambda: self.mesh.limit_sharers(), clock
             ),
             borrow_turn=lambda target: self.turn_loans.borrow(target),
+            ask_origin=lambda name, service: self.origin_peers.find_at_peers(
+                name, service
+            ),
             origins=Origins(clock, lambda: resume_window(self.state.route_table)),
         )
 
--- a/src/lagoontide/origins/keeper.py
+++ b/src/lagoontide/origins/keeper.py
@@ -24,16 +24,13 @@
 ]
 
 ORIGINS_PREFIX = "lagoontide/origins/"
-# The version set, and the mark that it may lack versions; the mark's key begins with
-# the key of the set.
 VERSIONS_PREFIX = VERSIONS_KEY = "lagoontide/versions"
-PARTIAL_KEY = VERSIONS_KEY + "-partial"
 POLL_INTERVAL_S = 0.05
 # Half of the writes that the store takes a second from all entries together, and their
 # division among batches and the leases of batches.
 BATCHES_PER_S = 160.0
 GRANTS_PER_S = 40.0
-MIN_WRITE_INTERVAL_S = 0.05
+MIN_WRITE_INTERVAL_S = 0.1
 MIN_LEASE_PERIOD_S = 10.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 2.0
@@ -75,13 +72,12 @@
         if key.startswith(ORIGINS_PREFIX):
             if value is not None:
                 self._apply_batch(key, value)
-        elif key in (VERSIONS_KEY, PARTIAL_KEY):
+        elif key == VERSIONS_KEY:
             if value is None:
                 self._values.pop(key, None)
             else:
                 self._values[key] = value
-            if key == VERSIONS_KEY:
-                self._apply_versions(value)
+            self._apply_versions(value)
             self._note_stored()
 
     def end_listing(self, keys: Iterable[str]) -> None:
@@ -103,11 +99,10 @@
         self.end_listing(values)
 
     def _note_stored(self) -> None:
+        is_unreadable = self.versions is None and VERSIONS_KEY in self._values
         # Within a listing this may be premature, but nothing reads it there.
-        if self._is_listed:
-            self._origins.note_stored(
-                self.versions is not None and PARTIAL_KEY not in self._values
-            )
+        if self._is_listed and not is_unreadable:
+            self._origins.note_stored(self.versions is not None)
 
     def _apply_batch(self, key: str, value: bytes) -> None:
         try:
@@ -210,12 +205,6 @@
         versions = self._origins.version_set()
         if versions == self._stored.versions or not self._is_responsible():
             return
-        if self._stored.versions is None and not self._origins.is_complete:
-            # Written first, so that nobody takes the set for complete. It ends when
-            # nothing that is older than the set can be taken up any more.
-            lease, _ = await self._store.grant(self._origins.retention)
-            await self._store.put(PARTIAL_KEY, b"{}", lease)
-            self._stored.apply(PARTIAL_KEY, b"{}")
         value = msgspec.json.encode(versions)
         await self._store.put(VERSIONS_KEY, value)
         self._stored.apply(VERSIONS_KEY, value)
--- a/src/lagoontide/origins/ledger.py
+++ b/src/lagoontide/origins/ledger.py
@@ -84,7 +84,7 @@
         # Clock time at which each version was last seen, by service.
         self._seen: dict[str, dict[str, float]] = {}
         self._mixed: dict[str, frozenset[str]] = {}
-        self._complete_from: float | None = None
+        self._is_listed = False
         self._has_stored_versions = False
         self.dropped = 0
 
@@ -125,7 +125,7 @@
         self._add(record)
         if is_new:
             self._update(service)
-        if service in self._mixed:
+        if service in self._mixed or not self._has_stored_versions:
             self._unsent[request_id] = record
 
     def complete(self, request_id: str) -> None:
@@ -192,28 +192,23 @@
             self._update(service)
 
     def note_stored(self, has_versions: bool) -> None:
-        """Record that the store's keys are known, and whether they tell all versions.
+        """Record that the store's keys are known, and whether the version set is there.
 
-        Parameters
-        ----------
-        has_versions : bool
-            Whether the version set is stored, by an entry that knew all versions.
+        Until it is stored, all streams are recorded. Thus where it is missing, either
+        no stream began before, or all that did are on record.
         """
-        if self._complete_from is None:
-            self._complete_from = self._clock()
+        self._is_listed = True
         self._has_stored_versions = has_versions
 
     @property
     def is_complete(self) -> bool:
         """Whether all versions that may have begun a stream are known."""
-        since = self._complete_from
-        return since is not None and (self._has_stored_versions or self._is_over(since))
+        return self._is_listed
 
     def possible_versions(self, service: str) -> frozenset[str] | None:
         """Return the versions that began what a caller may still take up.
 
-        None if this entry has started too recently to tell, and found no version set
-        in the store.
+        None while this entry has not listed the store's keys.
         """
         return frozenset(self._current(service)) if self.is_complete else None
 
--- a/src/lagoontide/platform/fields.py
+++ b/src/lagoontide/platform/fields.py
@@ -30,6 +30,7 @@
 URGENCY = b"X-Lagoontide-Request-Urgency"
 INPUTS = b"X-Lagoontide-Inputs"
 LAST_EVENT = b"Last-Event-Id"
+RESUMES = b"Resumes"
 # Prompt tokens and output tokens, in that order.
 TOKEN_COUNTS = b"X-Lagoontide-Token-Counts"
 PROMPT_PREFIX = b"X-Lagoontide-Prompt-Prefix"
@@ -120,6 +121,7 @@
             piece_counts=_int_list_field(fields, PIECES),
             piece_key=_field_text(fields, PIECE_KEY) or "",
             last_event_id=_int_field(fields, LAST_EVENT),
+            resumes=_decode_resumes(fields),
         )
 
     def encode_request(
@@ -199,6 +201,14 @@
     return values == [b"1"]
 
 
+def _decode_resumes(fields: Fields) -> str | None:
+    """Return the request that began a stream; None if not exactly one is named."""
+    values = [value.strip() for value in field_values(fields, RESUMES.lower())]
+    if len(values) != 1 or not 0 < len(values[0]) <= MAX_REQUEST_ID_CHARS:
+        return None
+    return values[0].decode("latin-1")
+
+
 def _decode_cold(fields: Fields) -> float | None:
     """Return the seconds for which a target stays cold; None if that is unreadable."""
     values = [value.strip() for value in field_values(fields, COLD.lower())]
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -31,6 +31,10 @@
             first.state.origins.begin("r1", "engine", "v1")
             register(small.store, "eng-new", "v2")
             await wait_until(lambda: second.state.origins.find("r1", "engine"))
+            stored = second.store_view.origins
+            await wait_until(
+                lambda: stored.versions and len(stored.versions["engine"]) == 2
+            )
             await small.kill_entries()
             small.store.delete(TARGETS_PREFIX + "eng-new")
             await small.start_entries()
