Soak: check that silent targets cost no request its answer

Targets that fall silent and go on were among the faults, but beside others that excuse a broken answer, so nothing could be concluded from one.

A phase of its own now has silences, changes of configuration, reloads, stops and store troubles only. There every request that was passed on has to get an answer, and one that ends with its connection, a 500 or a 502 is reported as LOST. The phase is off by default. A test ends answers of silent targets and has the checker find it.

--- a/src/lagoontide/bench/soak/callers.py
+++ b/src/lagoontide/bench/soak/callers.py
@@ -52,7 +52,7 @@
     name: str = "r"
     kinds: Sequence[Kind] = KINDS
     asked: list[Asked] = field(default_factory=list)
-    _kept: list[TargetConn] = field(default_factory=list)
+    _kept: list[tuple[Address, TargetConn]] = field(default_factory=list)
     _tasks: TaskSet = field(default_factory=TaskSet)
     _numbers: Iterator[int] = field(default_factory=count)
 
@@ -68,7 +68,7 @@
     def close(self) -> None:
         """Close the kept connections."""
         while self._kept:
-            self._kept.pop().close()
+            self._kept.pop()[1].close()
 
     async def _ask(self) -> None:
         item = Asked(
@@ -83,24 +83,25 @@
         conn: TargetConn | None = None
         try:
             async with asyncio.timeout(patience):
-                conn = await self._connect()
+                conn = await self._connect(item)
                 await self._exchange(conn, item)
         except TimeoutError:
             item.has_left = True
         except (OSError, InvalidResponse):
             item.is_whole = False
         finally:
+            item.ended_at = asyncio.get_running_loop().time()
             if conn is not None:
                 self._rest(conn, item)
 
-    async def _connect(self) -> TargetConn:
+    async def _connect(self, item: Asked) -> TargetConn:
         while self._kept:
-            conn = self._kept.pop(self.rng.randrange(len(self._kept)))
+            item.entry, conn = self._kept.pop(self.rng.randrange(len(self._kept)))
             if conn.is_usable:
                 return conn
             conn.close()
-        host, port = self.rng.choice(self.addresses())
-        return TargetConn(await connect_tcp(host, port, CONNECT_S))
+        item.entry = self.rng.choice(self.addresses())
+        return TargetConn(await connect_tcp(*item.entry, CONNECT_S))
 
     async def _exchange(self, conn: TargetConn, item: Asked) -> None:
         fields = [
@@ -126,6 +127,6 @@
 
     def _rest(self, conn: TargetConn, item: Asked) -> None:
         if item.is_whole and len(self._kept) < MOST_KEPT and conn.prepare_reuse():
-            self._kept.append(conn)
+            self._kept.append((item.entry, conn))
         else:
             conn.close()
--- a/src/lagoontide/bench/soak/entries.py
+++ b/src/lagoontide/bench/soak/entries.py
@@ -75,9 +75,16 @@
 
 @dataclass(slots=True)
 class EntryProcesses:
-    """All entries; only these processes are ever signalled."""
+    """All entries; only these processes are ever signalled.
+
+    Attributes
+    ----------
+    stopped_at : dict
+        Loop times at which ``plan`` told entries to stop, by address.
+    """
 
     entries: list[EntryProcess]
+    stopped_at: dict[tuple[str, int], list[float]] = field(default_factory=dict)
     _pauses: list[asyncio.TimerHandle] = field(default_factory=list)
 
     @classmethod
@@ -130,6 +137,17 @@
             self._pauses.append(resume)
         return f"{entry.name} {number.name}"
 
+    def plan(self, rng: random.Random) -> str:
+        """Do planned work on one entry: stop it, or let it reload its settings."""
+        entry = rng.choice(self.entries)
+        number = rng.choice([signal.SIGTERM, signal.SIGHUP])
+        if number is signal.SIGTERM and not entry.is_hurt:
+            entry.is_hurt = True
+            times = self.stopped_at.setdefault((entry.host, ENTRY_PORTS[0]), [])
+            times.append(asyncio.get_running_loop().time())
+        entry.send(number)
+        return f"{entry.name} {number.name}"
+
     def heal(self) -> None:
         """Let paused entries go on."""
         for entry in self.entries:
--- a/src/lagoontide/bench/soak/faults.py
+++ b/src/lagoontide/bench/soak/faults.py
@@ -54,13 +54,13 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
         steps = [
-            self._trouble_store,
+            self.trouble_store,
             self._compact,
             self._spoil_target,
             self._spoil_target,
             self._take_target_away,
             self._limit_target,
-            self._change_configuration,
+            self.change_configuration,
             self._revoke,
             *([self._harm_link] * bool(self.proxies)),
             *(lambda hurt=hurt: hurt(self.rng) for hurt in self.hurts),
@@ -99,7 +99,8 @@
         wait = self.rng.uniform(*LASTS_S)
         self._ends.append(asyncio.get_running_loop().call_later(wait, heal))
 
-    def _trouble_store(self) -> str:
+    def trouble_store(self) -> str:
+        """Trouble one endpoint of the store for some time."""
         endpoint = self.rng.choice(self.store_endpoints)
         endpoint.trouble = self.rng.choice(list(StoreFault))
         self._later(lambda: setattr(endpoint, "trouble", StoreFault.NONE))
@@ -114,6 +115,7 @@
         target.fault = self.rng.choice(list(TargetFault))
         target.faults_left = self.rng.randint(1, 4)
         target.events_before_fault = self.rng.randint(0, 4)
+        target.draw_silence(self.rng)
         return f"target {target.fault}"
 
     def _take_target_away(self) -> str:
@@ -170,7 +172,8 @@
             if limit.target == target.name:
                 limit.until = min(limit.until, now)
 
-    def _change_configuration(self) -> str:
+    def change_configuration(self) -> str:
+        """Write a newer configuration."""
         self._version += self.rng.randint(1, 4)
         write_configuration(self.store, self._version, self.valid_keys())
         return "configuration"
@@ -181,7 +184,7 @@
             return ""
         key = self.rng.choice(left)
         self.changes.revoked_at[key] = asyncio.get_running_loop().time()
-        return self._change_configuration() + ", a key taken away"
+        return self.change_configuration() + ", a key taken away"
 
     def _harm_link(self) -> str:
         proxy = self.rng.choice(self.proxies)
--- a/src/lagoontide/bench/soak/inside.py
+++ b/src/lagoontide/bench/soak/inside.py
@@ -3,8 +3,9 @@
 import random
 
 from lagoontide.bench.soak.faults import Faults
-from lagoontide.bench.soak.play import KEYS, play
+from lagoontide.bench.soak.play import KEYS, SILENCES_SEED_OFFSET, play
 from lagoontide.bench.soak.result import SoakResult
+from lagoontide.bench.soak.silences import Silences
 from lagoontide.platform.standins.deployment import (
     start_deployment,
     write_configuration,
@@ -14,8 +15,16 @@
 __all__ = ["soak_inside"]
 
 
-async def soak_inside(seed: int, seconds: float, entries: int = 2) -> SoakResult:
-    """Run entries on stand-ins under faults, and return what was found."""
+async def soak_inside(
+    seed: int, seconds: float, entries: int = 2, silent_s: float = 0.0
+) -> SoakResult:
+    """Run entries on stand-ins under faults, and return what was found.
+
+    Parameters
+    ----------
+    silent_s : float
+        Seconds with silent targets and configuration changes before the other faults.
+    """
     async with start_deployment(entries) as small:
         write_configuration(small.store, 2, KEYS)
         faults = Faults(
@@ -30,4 +39,9 @@
         def addresses() -> list[tuple[str, int]]:
             return [(HOST, port) for port in small.ports]
 
-        return await play(seed, seconds, addresses, faults)
+        silences = Silences(
+            addresses, faults, random.Random(seed + SILENCES_SEED_OFFSET)
+        )
+        return await play(
+            seed, seconds, addresses, faults, silences=silences, silent_s=silent_s
+        )
--- a/src/lagoontide/bench/soak/play.py
+++ b/src/lagoontide/bench/soak/play.py
@@ -11,8 +11,9 @@
 from lagoontide.bench.soak.records import NEW_ROUTE_KINDS
 from lagoontide.bench.soak.restores import Restores
 from lagoontide.bench.soak.result import SoakResult
+from lagoontide.bench.soak.silences import Silences
 
-__all__ = ["KEYS", "play"]
+__all__ = ["KEYS", "SILENCES_SEED_OFFSET", "play"]
 
 KEYS = ["key-one", "key-two", "key-three"]
 RATE = 60.0
@@ -25,6 +26,7 @@
 # Set the numbers drawn for crashes and restores apart from those of the other faults.
 CRASHES_SEED_OFFSET = 1_000_000
 RESTORES_SEED_OFFSET = 2_000_000
+SILENCES_SEED_OFFSET = 3_000_000
 
 
 async def play(
@@ -34,6 +36,8 @@
     faults: Faults,
     heal: Callable[[], None] = lambda: None,
     settle: float = 0.0,
+    silences: Silences | None = None,
+    silent_s: float = 0.0,
 ) -> SoakResult:
     """Send requests under faults, then some in calm seconds, and check all.
 
@@ -43,7 +47,12 @@
         Ends what ``faults`` does not end by itself.
     settle : float
         Seconds that entries which were started again need besides.
+    silences : Silences, optional
+        Runs first, for ``silent_s`` seconds.
     """
+    if silences is not None and silent_s:
+        await silences.run(silent_s)
+        await asyncio.sleep(settle)
     callers = Callers(addresses, list(KEYS), RATE, random.Random(seed))
     crashes = Crashes(
         addresses,
@@ -92,6 +101,7 @@
     calm.close()
     added.close()
     asked = [*callers.asked, *calm.asked, *crashes.asked, *added.asked]
+    asked += silences.asked if silences is not None else []
     return SoakResult(
         seed=seed,
         requests=len(asked),
@@ -103,5 +113,6 @@
             *check(asked, faults.targets, faults.changes),
             *check_crashes(faults.targets, healed_at),
             *check_new_route(added.asked),
+            *(silences.check() if silences is not None else ()),
         ],
     )
--- a/src/lagoontide/bench/soak/records.py
+++ b/src/lagoontide/bench/soak/records.py
@@ -86,6 +86,10 @@
         Whether the answer looked complete.
     has_left : bool
         Whether the caller gave up.
+    entry : tuple
+        Address of the entry that it was sent to.
+    ended_at : float
+        Loop time at which it was answered or broken off.
     """
 
     id: str
@@ -97,6 +101,8 @@
     is_sealed: bool = False
     is_whole: bool = False
     has_left: bool = False
+    entry: tuple[str, int] = ("", 0)
+    ended_at: float = 0.0
 
     @property
     def is_crashing(self) -> bool:
--- a/src/lagoontide/bench/soak/run.py
+++ b/src/lagoontide/bench/soak/run.py
@@ -10,9 +10,10 @@
 
 from lagoontide.bench.soak.entries import EntryProcesses
 from lagoontide.bench.soak.faults import Faults
-from lagoontide.bench.soak.play import KEYS, play
+from lagoontide.bench.soak.play import KEYS, SILENCES_SEED_OFFSET, play
 from lagoontide.bench.soak.proxy import Proxy
 from lagoontide.bench.soak.result import SoakResult
+from lagoontide.bench.soak.silences import Silences
 from lagoontide.platform.standins.deployment import make_targets, write_configuration
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.store import StoreEndpoint, StoreStandin
@@ -26,20 +27,30 @@
 SERVED_AFTER = 0.9
 
 
-def run_soak(seed: int, seconds: float, processes: int, folder: str) -> int:
+def run_soak(
+    seed: int, seconds: float, processes: int, folder: str, silent_s: float = 0.0
+) -> int:
     """Run a soak, print what it found, and return the exit code."""
     with contextlib.ExitStack() as stack:
         where = folder or stack.enter_context(tempfile.TemporaryDirectory())
         Path(where).mkdir(parents=True, exist_ok=True)
-        result = asyncio.run(soak_processes(seed, seconds, processes, Path(where)))
+        result = asyncio.run(
+            soak_processes(seed, seconds, processes, Path(where), silent_s)
+        )
     print(msgspec.json.encode(result).decode())
     return 1 if result.violations else 0
 
 
 async def soak_processes(
-    seed: int, seconds: float, processes: int, folder: Path
+    seed: int, seconds: float, processes: int, folder: Path, silent_s: float = 0.0
 ) -> SoakResult:
-    """Run entries as processes under faults, and return what was found."""
+    """Run entries as processes under faults, and return what was found.
+
+    Parameters
+    ----------
+    silent_s : float
+        Seconds with silent targets and planned work before the other faults.
+    """
     store = StoreStandin()
     async with contextlib.AsyncExitStack() as stack:
         write_configuration(store, 1, KEYS)
@@ -61,8 +72,22 @@
             KEYS,
             hurts=[fleet.hurt, fleet.hurt],
         )
+        silences = Silences(
+            fleet.addresses,
+            faults,
+            random.Random(seed + SILENCES_SEED_OFFSET),
+            [fleet.plan],
+            fleet.stopped_at,
+        )
         result = await play(
-            seed, seconds, fleet.addresses, faults, fleet.heal, SETTLE_S
+            seed,
+            seconds,
+            fleet.addresses,
+            faults,
+            fleet.heal,
+            SETTLE_S,
+            silences,
+            silent_s,
         )
         result.violations += [
             f"EXIT: {entry.name} ended by itself with {code}"
--- a/src/lagoontide/cli.py
+++ b/src/lagoontide/cli.py
@@ -57,11 +57,12 @@
         seconds: float = 20.0,
         processes: int = 4,
         folder: str = "",
+        silent_s: float = 0.0,
     ) -> None:
         """Run entries as processes under faults, and check the guarantees."""
         from lagoontide.bench.soak.run import run_soak
 
-        sys.exit(run_soak(seed, seconds, processes, folder))
+        sys.exit(run_soak(seed, seconds, processes, folder, silent_s))
 
     def local(
         self,
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform's targets: plain services, engines and stages."""
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -25,6 +26,7 @@
     TOKEN_COUNTS,
 )
 from lagoontide.platform.pieces import FREE_PATH, REPORT_PATH, RUN_PATH
+from lagoontide.platform.standins.events import make_event, send_late
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.responses import json_response
 from lagoontide.platform.standins.runs import (
@@ -40,6 +42,7 @@
 __all__ = ["TargetStandin"]
 
 SLOTS = 8
+SILENCE_S = (0.3, 2.0)
 
 
 @dataclass(slots=True)
@@ -213,6 +216,11 @@
             self.id = f"{self.name}~{len(self.crashed_at)}"
         self.register(self._store, self._zone, self._born + 1)
 
+    def draw_silence(self, rng: random.Random) -> None:
+        """Draw where and for how long it is silent if it is."""
+        self.silent_at = rng.choice(list(SilentAt))
+        self.silence = rng.uniform(*SILENCE_S)
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         self._restarts.cancel()
@@ -317,12 +325,11 @@
         for number in range(first, total + 1):
             await asyncio.sleep(self.work)
             is_due = number - first == self.events_before_fault
-            name = b"id: %d\n" % number if self.sends_event_ids else b""
-            event = b"%sdata: token %d\n\n" % (name, number)
-            if is_silent:
-                await self._send_late(reply, event, is_due)
+            event = make_event(number, self.sends_event_ids)
+            if is_silent and is_due:
+                await send_late(reply, event, self.silence, self.silent_at)
                 continue
-            if fault is not TargetFault.NONE and is_due:
+            if fault is not TargetFault.NONE and not is_silent and is_due:
                 if fault is TargetFault.STALLS:
                     await asyncio.sleep(3600)
                 await reply.send_data(b"id: %d\nda" % number)
@@ -330,19 +337,6 @@
             await reply.send_data(event)
         await reply.finish()
 
-    async def _send_late(
-        self, reply: ResponseWriter, event: bytes, is_due: bool
-    ) -> None:
-        """Send an event, silent before or within it if it is due."""
-        if is_due and self.silent_at is SilentAt.BETWEEN:
-            await asyncio.sleep(self.silence)
-        if is_due and self.silent_at is SilentAt.WITHIN:
-            middle = len(event) // 2
-            await reply.send_data(event[:middle])
-            await asyncio.sleep(self.silence)
-            event = event[middle:]
-        await reply.send_data(event)
-
     async def _begin_and_crash(
         self, reply: ResponseWriter, response_fields: Fields
     ) -> None:
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -9,6 +9,8 @@
 from lagoontide.bench.soak.checker import check
 from lagoontide.bench.soak.inside import soak_inside
 from lagoontide.bench.soak.records import EVENTS, KINDS, Asked, Work
+from lagoontide.errors import TargetFailed
+from lagoontide.forward.attempt import TargetResponse
 from lagoontide.forward.call import Call
 from lagoontide.forward.fields import ResponseMetadata
 from lagoontide.forward.outcome import NotRun, SendTracker
@@ -95,6 +97,33 @@
     pytest.fail(f"no {rule} found in {len(SEEDS)} seeds")
 
 
+def _end_silent_answers(patch):
+    read = TargetResponse.body
+
+    async def body(self, max_bytes=None):
+        chunks = read(self, max_bytes)
+        while True:
+            try:
+                async with asyncio.timeout(0.25):
+                    chunk = await anext(chunks)
+            except StopAsyncIteration:
+                return
+            except TimeoutError:
+                raise TargetFailed("silent", step="body", peer=self.target.id) from None
+            yield chunk
+
+    patch.setattr(TargetResponse, "body", body)
+
+
+def test_the_checker_finds_answers_that_end_as_their_target_is_silent(monkeypatch):
+    _end_silent_answers(monkeypatch)
+    for seed in SEEDS:
+        result = asyncio.run(soak_inside(seed, 0.5, silent_s=SECONDS))
+        if any(line.startswith("LOST") for line in result.violations):
+            return
+    pytest.fail(f"no LOST found in {len(SEEDS)} seeds")
+
+
 STREAM = next(kind for kind in KINDS if kind.work is Work.STREAM and not kind.inputs)
 
 
