--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import xxhash
+from loguru import logger
 
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.fields import InvalidField, RequestMetadata
@@ -12,6 +13,7 @@
 from lagoontide.forward.observe import Observer
 from lagoontide.forward.outcome import (
     Answered,
+    EndReason,
     NotRun,
     Outcome,
     Rejected,
@@ -25,6 +27,7 @@
 from lagoontide.forward.unary import forward_unary
 from lagoontide.http1.messages import Fields, Response, field_value
 from lagoontide.http1.server import Request, ResponseWriter
+from lagoontide.logs import format_traceback
 from lagoontide.routes.records import Account, RouteKind
 from lagoontide.routes.route_table import RouteTable, pick_service
 
@@ -80,10 +83,41 @@
             else:
                 outcome = resolved
             await _send_outcome(outcome, reply)
+        except (Exception, asyncio.CancelledError) as exc:
+            if reply.is_ended_by(exc):
+                outcome = self._outcome_of_cancellation(call, reply)
+                raise
+            outcome = self._outcome_of_error(call, reply, exc)
+            await _send_outcome(outcome, reply)
         finally:
             seconds = asyncio.get_running_loop().time() - started_at
             self._observer.record_outcome(req, call, outcome, seconds)
 
+    def _outcome_of_cancellation(
+        self, call: Call | None, reply: ResponseWriter
+    ) -> Outcome | None:
+        """Return the outcome of a request whose connection ends; None if it is lost."""
+        if reply.is_disconnected or call is None:
+            return None
+        return _ended(call, reply, "the entry stops", EndReason.DRAIN)
+
+    def _outcome_of_error(
+        self, call: Call | None, reply: ResponseWriter, exc: BaseException
+    ) -> Outcome:
+        """Log an unexpected exception and return the outcome of its request."""
+        logger.bind(
+            request=call.metadata.request_id if call else "",
+            config_version=call.config_version if call else "",
+            target=call.last_target if call else "",
+            traceback=format_traceback(exc),
+        ).error("request failed unexpectedly: {!r:.200}", exc)
+        reason, end = "internal error", EndReason.INTERNAL_ERROR
+        if call is not None:
+            return _ended(call, reply, reason, end, pick_retry_after(self._rng))
+        if reply.is_started:
+            return Relayed(is_complete=False, reason=reason, end=end)
+        return NotRun(reason, pick_retry_after(self._rng), end)
+
     def _make_call(self, req: Request) -> Call | Rejected | NotRun:
         """Return the call for a request, or the outcome if it cannot be forwarded."""
         route_table = self._state.route_table
@@ -130,6 +164,7 @@
             deadline=req.received_at + timeout - RESPONSE_MARGIN_S,
             objective_at=req.received_at + route.objective - prior_wait,
             is_client_retry=prior_wait > 0,
+            config_version=route_table.version,
         )
 
     async def _forward(self, call: Call, reply: ResponseWriter) -> Outcome:
@@ -152,12 +187,15 @@
                 finally:
                     self._timeouts.discard(wait)
         except TimeoutError:
-            if reply.is_started:
-                return Relayed(is_complete=False, reason="time is up")
-            return call.send_tracker.failure_outcome("time is up", is_timeout=True)
+            if not wait.expired():
+                raise
+            is_drain = self._drain_deadline < call.deadline
+            end = EndReason.DRAIN if is_drain else EndReason.DEADLINE
+            return _ended(call, reply, "time is up", end, is_timeout=True)
         except InputsFailed as exc:
             if reply.is_started:
-                return Relayed(is_complete=False, reason=str(exc))
+                end = EndReason.NO_SUCCESSOR
+                return Relayed(is_complete=False, reason=str(exc), end=end)
             after = exc.retry_after or pick_retry_after(self._rng)
             return call.send_tracker.failure_outcome(str(exc), after)
         finally:
@@ -171,6 +209,20 @@
         return await forward_unary(self._state, call, reply, self._rng)
 
 
+def _ended(
+    call: Call,
+    reply: ResponseWriter,
+    reason: str,
+    end: EndReason,
+    retry_after: float | None = None,
+    is_timeout: bool = False,
+) -> Relayed | NotRun | Unknown:
+    """Return the outcome of a request that ends without a complete answer."""
+    if reply.is_started:
+        return Relayed(is_complete=False, reason=reason, end=end)
+    return call.send_tracker.failure_outcome(reason, retry_after, is_timeout, end)
+
+
 async def _send_outcome(outcome: Outcome, reply: ResponseWriter) -> None:
     match outcome:
         case Answered(response):
