--- a/src/lagoontide/bench/soak/entries.py
+++ b/src/lagoontide/bench/soak/entries.py
@@ -141,7 +141,9 @@
         """Do planned work on one entry: stop it, or let it reload its settings."""
         entry = rng.choice(self.entries)
         number = rng.choice([signal.SIGTERM, signal.SIGHUP])
-        if number is signal.SIGTERM and not entry.is_hurt:
+        if number is signal.SIGTERM:
+            if entry.is_hurt:
+                return f"{entry.name} is stopping"
             entry.is_hurt = True
             times = self.stopped_at.setdefault((entry.host, ENTRY_PORTS[0]), [])
             times.append(asyncio.get_running_loop().time())
