--- a/src/lagoontide/platform/standins/events.py
+++ b/src/lagoontide/platform/standins/events.py
@@ -8,10 +8,10 @@
 __all__ = ["make_event", "send_late"]
 
 
-def make_event(number: int, has_id: bool = True) -> bytes:
+def make_event(number: int, version: str, has_id: bool = True) -> bytes:
     """Return the event of a number, with or without an ``id:`` line."""
     name = b"id: %d\n" % number if has_id else b""
-    return b"%sdata: token %d\n\n" % (name, number)
+    return b"%sdata: %s token %d\n\n" % (name, version.encode(), number)
 
 
 async def send_late(
--- a/src/lagoontide/platform/standins/runs.py
+++ b/src/lagoontide/platform/standins/runs.py
@@ -61,13 +61,14 @@
     slots: int,
     born: int = 1,
     state: str = "ready",
+    version: str = "v1",
 ) -> bytes:
     """Return the value of a target's key in the store."""
     entry = {
         "service": service,
         "address": address,
         "zone": zone,
-        "version": "v1",
+        "version": version,
         "slots": slots,
         "state": state,
         "seq": 1,
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -87,6 +87,10 @@
         The same for a piece, given as in the call.
     restart_after : float
         Seconds from a crash to the start of the next incarnation.
+    version : str
+        Version of its software, which it writes into its events.
+    next_version : str
+        Version of the next incarnation; empty for the same.
     keeps_id : bool
         Whether the next incarnation has the same id.
     crashed_at : list of float
@@ -129,6 +133,8 @@
     result_handles: set[str] = field(default_factory=set)
     calls: list[int] = field(default_factory=list)
     address: str = ""
+    version: str = "v1"
+    next_version: str = ""
     advertised_address: str = ""
     _handle_ids: Any = field(default_factory=lambda: count(1))
     _listener: Listener | None = None
@@ -186,7 +192,9 @@
     def entry(self, zone: str, born: int = 1, state: str = "ready") -> bytes:
         """Return the value of this target's key in the store."""
         address = self.advertised_address or self.address
-        return encode_registration(self.service, address, zone, SLOTS, born, state)
+        return encode_registration(
+            self.service, address, zone, SLOTS, born, state, self.version
+        )
 
     def crash(self) -> None:
         """End abruptly and start again later, as another incarnation."""
@@ -203,6 +211,7 @@
         self.on_crash()
         await asyncio.sleep(self.restart_after)
         self.result_handles.clear()
+        self.version = self.next_version or self.version
         self.on_restart()
         await self.listen(host, int(port))
         self._is_down = False
@@ -325,7 +334,7 @@
         for number in range(first, total + 1):
             await asyncio.sleep(self.work)
             is_due = number - first == self.events_before_fault
-            event = make_event(number, self.sends_event_ids)
+            event = make_event(number, self.version, self.sends_event_ids)
             if is_silent and is_due:
                 await send_late(reply, event, self.silence, self.silent_at)
                 continue
