--- a/src/lagoontide/bench/soak/checker.py
+++ b/src/lagoontide/bench/soak/checker.py
@@ -1,5 +1,6 @@
 """The promises, checked from what callers got and what targets ran."""
 
+import re
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -11,6 +12,7 @@
 
 NOT_RUN = frozenset((408, 421, 429, 503))
 SUCCESS = 200
+VERSION = re.compile(rb"^data: (\S+) token ", re.MULTILINE)
 NO_ROUTE = 404
 # Bounds of the users' settings, with the stretch for an entry whose store is in
 # trouble (RULES, In touch).
@@ -105,6 +107,9 @@
             got = [line for line in item.body.split(b"\n") if line[:3] == b"id:"]
             if got != wanted:
                 yield f"ORDER: {item.id} got events {got}"
+            versions = sorted(set(VERSION.findall(item.body)))
+            if len(versions) > 1:
+                yield f"ORDER: {item.id} got events of versions {versions}"
 
 
 def _check_targets(
--- a/src/lagoontide/bench/soak/crashes.py
+++ b/src/lagoontide/bench/soak/crashes.py
@@ -15,6 +15,7 @@
 RATE = 12.0
 PAUSE_S = (0.7, 2.5)
 RESTART_S = (0.3, 2.0)
+VERSIONS = ("v1", "v2", "v3")
 # After this many crashes under one part, and the time in which entries learn of them,
 # at most MOST_LATER more requests with it may reach targets (issue 34).
 CRASHES = 5
@@ -34,6 +35,11 @@
     """Crashes targets, and sends requests that do so beside others like them.
 
     It draws from numbers of its own, so that the other faults of a seed stay the same.
+
+    Attributes
+    ----------
+    changes_versions : bool
+        Whether targets that crash at random may start again at another version.
     """
 
     addresses: Callable[[], list[Address]]
@@ -42,6 +48,7 @@
     rng: random.Random
     asked: list[Asked] = field(default_factory=list)
     crashed: int = 0
+    changes_versions: bool = False
 
     async def run(self, seconds: float) -> None:
         """Send requests and crash targets for some time."""
@@ -78,6 +85,8 @@
             if target.is_up:
                 target.restart_after = self.rng.uniform(*RESTART_S)
                 target.keeps_id = self.rng.random() < 0.3
+                if self.changes_versions:
+                    target.next_version = self.rng.choice(VERSIONS)
                 target.crash()
                 self.crashed += 1
 
--- a/src/lagoontide/bench/soak/inside.py
+++ b/src/lagoontide/bench/soak/inside.py
@@ -16,7 +16,11 @@
 
 
 async def soak_inside(
-    seed: int, seconds: float, entries: int = 2, silent_s: float = 0.0
+    seed: int,
+    seconds: float,
+    entries: int = 2,
+    silent_s: float = 0.0,
+    changes_versions: bool = False,
 ) -> SoakResult:
     """Run entries on stand-ins under faults, and return what was found.
 
@@ -24,6 +28,8 @@
     ----------
     silent_s : float
         Seconds with silent targets and configuration changes before the other faults.
+    changes_versions : bool
+        Whether targets that crash may start again at another version.
     """
     async with start_deployment(entries) as small:
         write_configuration(small.store, 2, KEYS)
@@ -43,5 +49,11 @@
             addresses, faults, random.Random(seed + SILENCES_SEED_OFFSET)
         )
         return await play(
-            seed, seconds, addresses, faults, silences=silences, silent_s=silent_s
+            seed,
+            seconds,
+            addresses,
+            faults,
+            silences=silences,
+            silent_s=silent_s,
+            changes_versions=changes_versions,
         )
--- a/src/lagoontide/bench/soak/play.py
+++ b/src/lagoontide/bench/soak/play.py
@@ -38,6 +38,7 @@
     settle: float = 0.0,
     silences: Silences | None = None,
     silent_s: float = 0.0,
+    changes_versions: bool = False,
 ) -> SoakResult:
     """Send requests under faults, then some in calm seconds, and check all.
 
@@ -49,6 +50,8 @@
         Seconds that entries which were started again need besides.
     silences : Silences, optional
         Runs first, for ``silent_s`` seconds.
+    changes_versions : bool
+        Whether targets start again at other versions.
     """
     if silences is not None and silent_s:
         await silences.run(silent_s)
@@ -59,6 +62,7 @@
         faults.targets,
         faults.valid_keys,
         random.Random(seed + CRASHES_SEED_OFFSET),
+        changes_versions=changes_versions,
     )
     restores = Restores(faults, random.Random(seed + RESTORES_SEED_OFFSET))
     healed_at = asyncio.get_running_loop().time()
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -136,3 +136,15 @@
     )
     assert check([whole], [], checker.Changes()) == []
     assert [line[:5] for line in check([joined], [], checker.Changes())] == ["ORDER"]
+
+
+def test_the_checker_finds_a_stream_of_two_versions():
+    body = b"".join(
+        b"id: %d\ndata: v%d token %d\n\n" % (n, 1 + (n > 3), n)
+        for n in range(1, EVENTS + 1)
+    )
+    joined = Asked("r", STREAM, "key", 0.0, 200, body, is_sealed=True, is_whole=True)
+    found = check([joined], [], checker.Changes())
+    assert [line[:5] for line in found] == ["ORDER"]
+    whole = replace(joined, body=body.replace(b"v2", b"v1"))
+    assert check([whole], [], checker.Changes()) == []
