--- a/src/lagoontide/bench/soak/silences.py
+++ b/src/lagoontide/bench/soak/silences.py
@@ -54,6 +54,8 @@
         callers = Callers(self.addresses, keys, RATE, rng, "s", asked=self.asked)
         await asyncio.gather(callers.run(seconds), self._disturb(seconds))
         callers.close()
+        # This cuts links, so that it comes after the last answer.
+        self.faults.heal()
 
     def check(self) -> list[str]:
         """Return the requests that were lost, one line each."""
@@ -72,7 +74,6 @@
         while loop.time() < ends_at:
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
             self.faults.done.append(self.rng.choice(steps)())
-        self.faults.heal()
 
     def _silence(self) -> str:
         chosen = self.rng.choice(self.faults.targets)
