--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform's targets: plain services, engines and stages."""
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -25,6 +26,7 @@
     TOKEN_COUNTS,
 )
 from lagoontide.platform.pieces import FREE_PATH, REPORT_PATH, RUN_PATH
+from lagoontide.platform.standins.events import make_event, send_late
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.responses import json_response
 from lagoontide.platform.standins.runs import (
@@ -40,6 +42,7 @@
 __all__ = ["TargetStandin"]
 
 SLOTS = 8
+SILENCE_S = (0.3, 2.0)
 
 
 @dataclass(slots=True)
@@ -84,6 +87,10 @@
         The same for a piece, given as in the call.
     restart_after : float
         Seconds from a crash to the start of the next incarnation.
+    version : str
+        Version of its software, which it writes into its events.
+    next_version : str
+        Version of the next incarnation; empty for the same.
     keeps_id : bool
         Whether the next incarnation has the same id.
     crashed_at : list of float
@@ -126,6 +133,8 @@
     result_handles: set[str] = field(default_factory=set)
     calls: list[int] = field(default_factory=list)
     address: str = ""
+    version: str = "v1"
+    next_version: str = ""
     advertised_address: str = ""
     _handle_ids: Any = field(default_factory=lambda: count(1))
     _listener: Listener | None = None
@@ -183,7 +192,9 @@
     def entry(self, zone: str, born: int = 1, state: str = "ready") -> bytes:
         """Return the value of this target's key in the store."""
         address = self.advertised_address or self.address
-        return encode_registration(self.service, address, zone, SLOTS, born, state)
+        return encode_registration(
+            self.service, address, zone, SLOTS, born, state, self.version
+        )
 
     def crash(self) -> None:
         """End abruptly and start again later, as another incarnation."""
@@ -200,6 +211,7 @@
         self.on_crash()
         await asyncio.sleep(self.restart_after)
         self.result_handles.clear()
+        self.version = self.next_version or self.version
         self.on_restart()
         await self.listen(host, int(port))
         self._is_down = False
@@ -213,6 +225,11 @@
             self.id = f"{self.name}~{len(self.crashed_at)}"
         self.register(self._store, self._zone, self._born + 1)
 
+    def draw_silence(self, rng: random.Random) -> None:
+        """Draw where and for how long it is silent if it is."""
+        self.silent_at = rng.choice(list(SilentAt))
+        self.silence = rng.uniform(*SILENCE_S)
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         self._restarts.cancel()
@@ -317,12 +334,11 @@
         for number in range(first, total + 1):
             await asyncio.sleep(self.work)
             is_due = number - first == self.events_before_fault
-            name = b"id: %d\n" % number if self.sends_event_ids else b""
-            event = b"%sdata: token %d\n\n" % (name, number)
-            if is_silent:
-                await self._send_late(reply, event, is_due)
+            event = make_event(number, self.version, self.sends_event_ids)
+            if is_silent and is_due:
+                await send_late(reply, event, self.silence, self.silent_at)
                 continue
-            if fault is not TargetFault.NONE and is_due:
+            if fault is not TargetFault.NONE and not is_silent and is_due:
                 if fault is TargetFault.STALLS:
                     await asyncio.sleep(3600)
                 await reply.send_data(b"id: %d\nda" % number)
@@ -330,19 +346,6 @@
             await reply.send_data(event)
         await reply.finish()
 
-    async def _send_late(
-        self, reply: ResponseWriter, event: bytes, is_due: bool
-    ) -> None:
-        """Send an event, silent before or within it if it is due."""
-        if is_due and self.silent_at is SilentAt.BETWEEN:
-            await asyncio.sleep(self.silence)
-        if is_due and self.silent_at is SilentAt.WITHIN:
-            middle = len(event) // 2
-            await reply.send_data(event[:middle])
-            await asyncio.sleep(self.silence)
-            event = event[middle:]
-        await reply.send_data(event)
-
     async def _begin_and_crash(
         self, reply: ResponseWriter, response_fields: Fields
     ) -> None:
