Drain requests until the last sixth of a short grace period

Callers of requests at work got 504, or a reset within their answer, 0.8 s before the end of the grace period whatever its length: with 4 s that is before its last sixth, in which alone requests may be ended. The margins are now shares of the grace period with the old values as their maxima; from 5 s on nothing changes.

--- a/tests/gateway/test_early_ends.py
+++ b/tests/gateway/test_early_ends.py
@@ -8,6 +8,7 @@
 from lagoontide.forward import forwarder as forwarder_module
 from lagoontide.forward.outcome import EndReason
 from lagoontide.gateway.metrics import GatewayMetrics
+from lagoontide.gateway.stop import stop_gracefully
 from lagoontide.http1.client import InvalidResponse
 from lagoontide.http1.messages import ResponseHead
 from lagoontide.platform.standins.deployment import send, start_deployment
@@ -15,6 +16,15 @@
 from tests.support.waiting import wait_for
 
 COUNTER = 'lagoontide_answers_ended_early_total{reason="%s"}'
+GRACE_S = 3.0
+LONG_ROUTE = {
+    "name": "once",
+    "host": "a.example",
+    "prefix": "/once/",
+    "kind": "unsafe",
+    "service": "plain",
+    "timeout_ms": 10_000,
+}
 STREAM = [(b"X-Lagoontide-Token-Counts", b"10,6")]
 
 
@@ -170,6 +180,26 @@
     run(scenario)
 
 
+# Guards against requests that a short grace period ends long before it is over.
+def test_drain_ends_requests_in_the_last_sixth_of_the_grace_period_only():
+    async def scenario(small, ends):
+        set_fault(small, "plain", TargetFault.STALLS)
+        loop = asyncio.get_running_loop()
+        request = send(small.ports[0], "/once/a", "r1", deadline_ms=10_000)
+        small.configure(2, routes=[LONG_ROUTE])
+        await wait_for(lambda: small.gateways[0].state.route_table.version == 2)
+        sent = asyncio.ensure_future(request)
+        await wait_for(lambda: small.gateways[0].callers.in_flight)
+        stopped_at = loop.time()
+        stopping = asyncio.ensure_future(stop_gracefully(small.gateways[0], GRACE_S))
+        assert (await sent).status == 504
+        assert GRACE_S * 5 / 6 <= loop.time() - stopped_at < GRACE_S
+        ends.check_only(EndReason.DRAIN)
+        await stopping
+
+    run(scenario)
+
+
 def test_broken_off_target_is_the_reason_of_a_cut_stream():
     async def scenario(small, ends):
         set_fault(small, "engine", TargetFault.RUNS_AND_CUTS)
--- a/tests/gateway/test_silence_matrix.py
+++ b/tests/gateway/test_silence_matrix.py
@@ -15,11 +15,7 @@
 import msgspec
 import pytest
 
-from lagoontide.gateway.stop import (
-    ANSWER_MARGIN_S,
-    GRACE_MARGIN_S,
-    stop_gracefully,
-)
+from lagoontide.gateway.stop import drain_times, stop_gracefully
 from lagoontide.http1.client import InvalidResponse, TargetConn
 from lagoontide.http1.messages import RequestHead
 from lagoontide.http1.tcp import connect_tcp
@@ -110,7 +106,7 @@
 # When a request may end at the earliest because its time is up, if not at its deadline.
 ENDS_AT = {
     "timeouts shortened": SHORTENED_TIMEOUT_S,
-    "SIGTERM, short grace": SHORT_GRACE_S - GRACE_MARGIN_S - ANSWER_MARGIN_S,
+    "SIGTERM, short grace": drain_times(SHORT_GRACE_S)[0],
 }
 
 
