Wait in a drain for requests that are still being read

A caller whose request was not yet read in whole when the last handler ended got a reset without an answer: the drain waited for handlers only and the process exited. It now waits for all connections on which a request has begun, up to the same time. Found by reading; the new test failed before (the drain was over after 1.5 s).

--- a/src/lagoontide/gateway/stop.py
+++ b/src/lagoontide/gateway/stop.py
@@ -56,7 +56,7 @@
     gateway.callers.close_idle()
     # The store may not answer, so this runs while requests drain, not afterwards.
     deregistration = asyncio.create_task(gateway.registration.unregister())
-    while gateway.callers.in_flight and loop.time() < exit_at:
+    while gateway.callers.busy_connection_count and loop.time() < exit_at:
         await asyncio.sleep(POLL_INTERVAL_S)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout_at(exit_at):
--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -150,6 +150,11 @@
         """Number of open connections."""
         return len(self._tasks)
 
+    @property
+    def busy_connection_count(self) -> int:
+        """Number of connections on which a request is being read or answered."""
+        return len(self._tasks) - len(self._idle)
+
     async def start(self, host: str, port: int) -> int:
         """Start listening; return the port."""
         loop = asyncio.get_running_loop()
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -293,6 +293,31 @@
     run_scenario(scenario)
 
 
+# Guards against requests that end without an answer, as the entry exits while it reads
+# them.
+def test_stop_answers_a_request_that_it_was_still_reading():
+    async def scenario(small):
+        tcp = await connect_tcp("127.0.0.1", small.ports[0], 1.0)
+        head = (
+            b"POST /once/a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n"
+            b"X-Lagoontide-Request-Id: r1\r\nAuthorization: Bearer key-one\r\n\r\n"
+        )
+        await tcp.write(head + b"a")
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(
+            stop_gracefully(small.gateways[0], GRACE_PERIOD_S)
+        )
+        # The entry has stopped accepting connections by now.
+        await asyncio.sleep(GRACE_PERIOD_S / 2 + 0.2)
+        assert not stopping.done()
+        await tcp.write(b"b")
+        assert (await tcp.read()).startswith(b"HTTP/1.1 200 ")
+        assert await stopping
+        tcp.close()
+
+    run_scenario(scenario)
+
+
 def test_stop_closes_idle_connections():
     async def scenario(small):
         tcp = await connect_tcp("127.0.0.1", small.ports[0], 1.0)
