--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -19,7 +19,7 @@
 from lagoontide.forward.guard import RequestWithheld
 from lagoontide.forward.handover import HandedOver, make_stall_timer
 from lagoontide.forward.inputs import Inputs
-from lagoontide.forward.outcome import Answered, Outcome, Relayed
+from lagoontide.forward.outcome import Answered, EndReason, Outcome, Relayed
 from lagoontide.forward.resumption import record_begin, record_end
 from lagoontide.forward.retry_after import pick_limited_retry_after
 from lagoontide.forward.selection import candidates, wait_for_turn
@@ -162,7 +162,7 @@
         if not call.can_retry():
             break
     if progress.is_started:
-        return Relayed(is_complete=False, reason=reason)
+        return Relayed(is_complete=False, reason=reason, end=_end_reason(call))
     if withheld is not None:
         after = withheld.retry_after
     else:
@@ -170,6 +170,13 @@
     return call.send_tracker.failure_outcome(reason, after)
 
 
+def _end_reason(call: Call) -> EndReason:
+    """Return why a stream that has begun ends before it is complete."""
+    if call.can_retry():
+        return EndReason.NO_SUCCESSOR
+    return EndReason.TARGET_BROKE_OFF
+
+
 def choose_engine(
     state: ForwardingState,
     call: Call,
