Remake the inputs of a stream before its silent engine is left

Callers of streams with stages got a reset in the middle of their answer, or 502 or 504, when their engine was silent for a second and the stages could not be run again: their targets hung, were full or gone. The engine would have gone on.

Cause: a successor counted as certain once its turn and a unit of the retry budget were reserved. But the results of the stages are freed as soon as the engine has read them; they were made again only after the silent engine had been given up.

Now the timer has them made while the request stays at the silent engine, and reserves the successor once they are ready. If the engine goes on, they are freed or their stages cancelled, as after every event. A preparation that fails is repeated three times at most; it ends nothing.

--- a/src/lagoontide/forward/handover.py
+++ b/src/lagoontide/forward/handover.py
@@ -90,22 +90,35 @@
     call: Call,
     wait: asyncio.Timeout,
     choose: Callable[[], Choice | None],
+    prepare: Callable[[], bool] = lambda: True,
 ) -> StallTimer:
-    """Return the timer of a send; ``choose`` returns an untried target, or None."""
+    """Return the timer of a send.
+
+    Parameters
+    ----------
+    choose : callable
+        Returns an untried target, or None.
+    prepare : callable
+        Starts to make what a successor needs; returns whether it is ready.
+    """
     return StallTimer(
         wait,
-        lambda: _reserve_successor(state, call, choose),
+        lambda: _reserve_successor(state, call, choose, prepare),
         lambda choice: _release_successor(state, call, choice),
     )
 
 
 def _reserve_successor(
-    state: ForwardingState, call: Call, choose: Callable[[], Choice | None]
+    state: ForwardingState,
+    call: Call,
+    choose: Callable[[], Choice | None],
+    prepare: Callable[[], bool],
 ) -> Choice | None:
     """Reserve a target that a request may be handed over to, or return None.
 
-    Its turn and a unit of the retry budget are taken, so that nothing but a failure of
-    the successor itself can end the request after its target was given up.
+    Its turn and a unit of the retry budget are taken once its inputs are made, so that
+    nothing but a failure of the successor itself can end the request after its target
+    was given up.
     """
     if not call.can_retry(after=1) or state.budget.left(call.service) < 1.0:
         return None
@@ -114,7 +127,7 @@
         return None
     if not state.pools.pool_of(choice.target).has_room or state.guard.is_suspect(call):
         return None
-    if not state.rate_shares.take(choice.target):
+    if not prepare() or not state.rate_shares.take(choice.target):
         return None
     state.budget.take(call.service)
     return replace(choice, has_turn=True)
--- a/src/lagoontide/forward/inputs.py
+++ b/src/lagoontide/forward/inputs.py
@@ -28,6 +28,9 @@
     async def ready(self) -> tuple[str, ...]:
         """Wait for the results and return their handles; raises InputsFailed."""
 
+    def prepare(self) -> bool:
+        """Start to remake results that were released; return whether all are ready."""
+
     def renew(self) -> None:
         """Discard the results, some of which are gone, so that they are remade."""
 
@@ -54,6 +57,10 @@
         """See Inputs."""
         return ()
 
+    def prepare(self) -> bool:
+        """See Inputs."""
+        return True
+
     def renew(self) -> None:
         """See Inputs."""
 
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -237,7 +237,9 @@
     try:
         with record_losses(state.health, target):
             async with asyncio.timeout(None) as wait:
-                timer = make_stall_timer(state, call, wait, choose_successor)
+                timer = make_stall_timer(
+                    state, call, wait, choose_successor, inputs.prepare
+                )
                 if call.can_retry(after=1):
                     timer.start(_first_event_timeout(call))
                 try:
--- a/src/lagoontide/pieces/inputs.py
+++ b/src/lagoontide/pieces/inputs.py
@@ -24,7 +24,7 @@
 __all__ = ["StageInputs"]
 
 # Maximum number of times that inputs which a stage finds lost are made again, per
-# request. It does not limit ``renew``.
+# request, and that a failed preparation is repeated. It does not limit ``renew``.
 MAX_RENEWALS = 3
 # Smaller transfers cross failure domains rather than wait for a target in the
 # preferred one.
@@ -68,6 +68,7 @@
         )
         self._tasks: dict[int, asyncio.Task[tuple[str, ...]]] = {}
         self._renewals = 0
+        self._failed_preparations = 0
         self._background = TaskSet()
 
     def admit(self) -> None:
@@ -98,6 +99,7 @@
 
     async def ready(self) -> tuple[str, ...]:
         """See Inputs."""
+        self._discard_failed()
         results = await asyncio.gather(*map(self._stage_task, self._graph.final_stages))
         elapsed = self._loop.time() - self._started_at
         # A request admitted as late waits behind all others, so only a duration below
@@ -108,6 +110,16 @@
         self._expected = 0.0
         return tuple(handle for handles in results for handle in handles)
 
+    def prepare(self) -> bool:
+        """See Inputs."""
+        if any(map(_has_failed, self._tasks.values())):
+            if self._failed_preparations == MAX_RENEWALS:
+                return False
+            self._failed_preparations += 1
+            self._discard_failed()
+        tasks = [self._stage_task(index) for index in self._graph.final_stages]
+        return all(map(_has_result, tasks))
+
     def renew(self) -> None:
         """See Inputs."""
         for index in self._graph.final_stages:
@@ -118,7 +130,7 @@
         bytes_found: dict[str, float] = {}
         for index in self._graph.final_stages:
             task = self._tasks.get(index)
-            if task is None or not task.done() or task.cancelled() or task.exception():
+            if task is None or not _has_result(task):
                 continue
             for handle in task.result():
                 domain = self._dispatcher.domain_of(handle)
@@ -238,6 +250,11 @@
     def _is_stage_done(self, index: int) -> bool:
         return index in self._tasks and self._tasks[index].done()
 
+    def _discard_failed(self) -> None:
+        for index, task in tuple(self._tasks.items()):
+            if _has_failed(task):
+                self._discard(index)
+
     def _discard(self, index: int) -> None:
         task = self._tasks.pop(index, None)
         if task is None:
@@ -245,7 +262,7 @@
         if not task.done():
             task.cancel()
             return
-        if task.cancelled() or task.exception() is not None or not task.result():
+        if not _has_result(task) or not task.result():
             return
         self._background.start(self._free(task.result()))
 
@@ -256,3 +273,11 @@
             logger.bind(request=self._call.metadata.request_id).info(
                 "failed to free results: {}", exc
             )
+
+
+def _has_result(task: asyncio.Task[tuple[str, ...]]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is None
+
+
+def _has_failed(task: asyncio.Task[tuple[str, ...]]) -> bool:
+    return task.done() and not _has_result(task)
--- /dev/null
+++ b/tests/gateway/test_staged_handover.py
@@ -0,0 +1,111 @@
+"""Streams with stages whose engine falls silent, and what the handover depends on."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from lagoontide.platform.standins.deployment import (
+    make_configuration,
+    send,
+    start_deployment,
+)
+from lagoontide.platform.standins.runs import SilentAt, TargetFault
+from tests.support.waiting import wait_for
+
+EVENTS = 6
+SILENCE_S = 1.6
+DEADLINE_MS = 5000
+STAGE_FIELDS = [
+    (b"X-Lagoontide-Token-Counts", b"1200,%d" % EVENTS),
+    (b"X-Lagoontide-Pieces", b"2,2"),
+    (b"X-Lagoontide-Piece-Key", b"key"),
+]
+
+
+def make_resumable(small):
+    """Return the routes of the deployment; streams with stages may be resumed."""
+    routes = msgspec.json.decode(make_configuration(2))["routes"]
+    for route in routes:
+        route["timeout_ms"] = DEADLINE_MS
+        if route["name"] == "staged":
+            route |= {"resume_streams": True, "max_attempts": 2}
+    return routes
+
+
+def silence_engines(small, silent_at, count):
+    for target in small.targets_of("engine")[:count]:
+        target.fault, target.faults_left = TargetFault.SILENT, 1
+        target.silence, target.silent_at = SILENCE_S, silent_at
+
+
+def hang_stages(small):
+    for target in small.targets_of("stage"):
+        target.work = 3600.0
+
+
+async def ask_staged(small, beside):
+    """Send a request; act once an engine runs it; return its answer and runs."""
+    engines = small.targets_of("engine")
+    asked = asyncio.ensure_future(
+        send(
+            small.ports[0],
+            "/staged/a",
+            "r1",
+            extra=STAGE_FIELDS,
+            deadline_ms=DEADLINE_MS,
+        )
+    )
+    await wait_for(lambda: asked.done() or any(item.runs["r1"] for item in engines))
+    beside(small)
+    answer = await asked
+    return answer, sum(item.runs["r1"] for item in engines)
+
+
+def run(scenario):
+    async def with_deployment():
+        async with start_deployment() as small:
+            small.configure(2, routes=make_resumable(small))
+            state = small.gateways[0].state
+            await wait_for(lambda: state.route_table.version == 2)
+            await scenario(small)
+
+    asyncio.run(with_deployment())
+
+
+def check_whole(answer):
+    ids = [line for line in answer.body.split(b"\n") if line.startswith(b"id:")]
+    assert answer.status == 200
+    assert ids == [b"id: %d" % number for number in range(1, EVENTS + 1)]
+
+
+# Guards against streams that end early as their engine is silent for a second and the
+# inputs of another one cannot be made (LOST).
+@pytest.mark.parametrize("silent_at", SilentAt)
+def test_stream_stays_at_its_silent_engine_while_inputs_cannot_be_made(silent_at):
+    async def scenario(small):
+        silence_engines(small, silent_at, count=2)
+        answer, runs = await ask_staged(small, hang_stages)
+        check_whole(answer)
+        assert runs == 1
+
+    run(scenario)
+
+
+# Guards against streams with stages that never leave an engine that hangs.
+@pytest.mark.parametrize("silent_at", SilentAt)
+def test_stream_leaves_its_silent_engine_once_inputs_are_made(silent_at):
+    async def scenario(small):
+        silence_engines(small, silent_at, count=2)
+        for target in small.targets_of("engine"):
+            target.silence = 3600.0
+
+        def spare_others(small):
+            for target in small.targets_of("engine"):
+                target.faults_left = 0
+
+        answer, runs = await ask_staged(small, spare_others)
+        check_whole(answer)
+        assert runs == 2
+
+    run(scenario)
--- a/tests/pieces/test_inputs.py
+++ b/tests/pieces/test_inputs.py
@@ -10,10 +10,12 @@
 from lagoontide.forward.inputs import InputsFailed
 from lagoontide.pieces.calibration import Calibration
 from lagoontide.pieces.demand import Demand, Need
-from lagoontide.pieces.inputs import StageInputs
+from lagoontide.pieces.inputs import MAX_RENEWALS, StageInputs
 from lagoontide.pieces.messages import OrderDone
+from lagoontide.pieces.records import Failure
 from lagoontide.routes.records import Account, Route, RouteKind, Service, Stage
 from tests.pieces.examples import WORK
+from tests.support.waiting import wait_for
 
 DISPATCHER = SimpleNamespace(target_equivalents=lambda service: 2)
 
@@ -130,3 +132,49 @@
 
     before, after = asyncio.run(main())
     assert after < before
+
+
+# Guards against streams that end early as their engine is silent and the inputs of
+# another one fail to be made (LOST).
+def test_failed_preparation_is_repeated_and_ends_nothing():
+    replies = [OrderDone(failure=Failure.ERROR), OrderDone(tuple("abcd"))]
+
+    async def make(order):
+        return replies.pop(0)
+
+    async def main():
+        demand = Demand(asyncio.get_running_loop().time)
+        dispatcher = SimpleNamespace(
+            target_equivalents=lambda service: 2, make=make, domain_of=lambda item: "z"
+        )
+        inputs = make_inputs(demand, 0, None, dispatcher=dispatcher)
+        inputs.admit()
+        assert not inputs.prepare()
+        await wait_for(inputs.prepare)
+        assert await inputs.ready() == tuple("abcd")
+        assert replies == []
+
+    asyncio.run(main())
+
+
+def test_preparation_that_goes_on_failing_is_given_up():
+    calls = []
+
+    async def make(order):
+        calls.append(order)
+        return OrderDone(failure=Failure.ERROR)
+
+    async def main():
+        demand = Demand(asyncio.get_running_loop().time)
+        dispatcher = SimpleNamespace(target_equivalents=lambda service: 2, make=make)
+        inputs = make_inputs(demand, 0, None, dispatcher=dispatcher)
+        for _ in range(10 * MAX_RENEWALS):
+            assert not inputs.prepare()
+            await asyncio.sleep(0)
+        assert len(calls) == 1 + MAX_RENEWALS
+        # Once the engine is lost, there is nothing to stay for.
+        with pytest.raises(InputsFailed):
+            await inputs.ready()
+        assert len(calls) == 2 + MAX_RENEWALS
+
+    asyncio.run(main())
