Go on with a request whose silent target was left for one that refuses

Callers of streams got a reset in the middle of their answer, and callers of repeatable requests 502, when their target was silent for a second and the successor that they were handed over to did not take them: it was full, refused the connection or had begun to drain. The silent target would have gone on.

A reservation holds a turn, a unit of the budget and a connection of this entry, but not a place at the successor; a refusal with no other target left ended the request.

Now such a request, which no target has failed, tries again until its deadline, also at the targets that it tried before, with growing pauses as each refusal takes a unit of the retry budget. It still runs at no more than max_attempts targets. A successor that breaks off ends it as before.

Evidence: 10 cases of tests/gateway/test_silent_targets.py, with successors that refuse requests or connections, fail without the change and pass with it.

--- a/src/lagoontide/forward/handover.py
+++ b/src/lagoontide/forward/handover.py
@@ -8,10 +8,13 @@
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.targets.choose import Choice
 
-__all__ = ["HandedOver", "StallTimer", "make_stall_timer"]
+__all__ = ["HandedOver", "Retake", "StallTimer", "make_stall_timer"]
 
 # A request that stays at its silent target looks for a successor again after this.
 RETRY_INTERVAL_S = 0.1
+# Longest pause of a request whose successors refuse it; each refusal takes a unit of
+# the retry budget.
+MAX_PAUSE_S = 1.0
 
 Reserve = Callable[[], Choice | None]
 
@@ -26,6 +29,22 @@
         self.successor = successor
 
 
+class Retake:
+    """Pauses of a request that left a silent target, while other targets refuse it.
+
+    The silent target would have gone on, so that the request tries again until its
+    deadline, at that target as well.
+    """
+
+    def __init__(self) -> None:
+        self._pause = RETRY_INTERVAL_S
+
+    async def pause(self) -> None:
+        """Wait before the next send, longer each time."""
+        await asyncio.sleep(self._pause)
+        self._pause = min(2 * self._pause, MAX_PAUSE_S)
+
+
 class StallTimer:
     """Ends the wait for a silent target once a successor is reserved.
 
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -17,7 +17,7 @@
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.event_relay import EventRelay, Progress
 from lagoontide.forward.guard import RequestWithheld
-from lagoontide.forward.handover import HandedOver, make_stall_timer
+from lagoontide.forward.handover import HandedOver, Retake, make_stall_timer
 from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
@@ -99,6 +99,7 @@
     reason = "no target"
     withheld: RequestWithheld | None = None
     successor: Choice | None = None
+    retake: Retake | None = None
 
     def choose() -> Choice | None:
         return choose_engine(state, call, tried, rng, inputs.bytes_by_domain())
@@ -113,7 +114,11 @@
             if choice is None and not is_retry:
                 choice = await wait_for_turn(state, call, tried)
             if choice is None or (is_retry and not state.budget.take(call.service)):
-                break
+                if retake is None:
+                    break
+                await retake.pause()
+                tried.clear()
+                continue
         target = choice.target
         tried.add(target.id)
         ready = len(state.directory.ready(call.service))
@@ -140,7 +145,9 @@
                 tried.discard(target.id)
                 inputs.renew()
             if call.send_tracker.sends >= MAX_SENDS_ON_REFUSAL:
-                break
+                if retake is None:
+                    break
+                await retake.pause()
             continue
         except TargetFailed as exc:
             reason = str(exc)
@@ -152,7 +159,9 @@
                 # Without event ids the point to resume from is unknown.
                 break
             if isinstance(exc, HandedOver):
-                successor = exc.successor
+                successor, retake = exc.successor, Retake()
+            else:
+                retake = None
         else:
             return outcome
         if not call.can_retry():
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -15,7 +15,7 @@
 )
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.guard import RequestWithheld
-from lagoontide.forward.handover import HandedOver, make_stall_timer
+from lagoontide.forward.handover import HandedOver, Retake, make_stall_timer
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
 from lagoontide.forward.selection import candidates, wait_for_turn
@@ -84,6 +84,7 @@
     reason = "no target"
     withheld: RequestWithheld | None = None
     successor: Choice | None = None
+    retake: Retake | None = None
 
     def choose() -> Choice | None:
         return choose_lowest_cost(
@@ -102,7 +103,11 @@
             if choice is None and not is_retry:
                 choice = await wait_for_turn(state, call, tried)
             if choice is None or (is_retry and not state.budget.take(call.service)):
-                break
+                if retake is None:
+                    break
+                await retake.pause()
+                tried.clear()
+                continue
         target = choice.target
         tried.add(target.id)
         ready = len(state.directory.ready(call.service))
@@ -122,7 +127,9 @@
             reason = str(exc)
             log.info("request did not run at the target: {}", exc)
             if call.send_tracker.sends >= MAX_SENDS_ON_REFUSAL:
-                break
+                if retake is None:
+                    break
+                await retake.pause()
             continue
         except TargetFailed as exc:
             reason = str(exc)
@@ -131,7 +138,9 @@
             if reply.is_started:
                 return Relayed(is_complete=False, reason=reason)
             if isinstance(exc, HandedOver):
-                successor = exc.successor
+                successor, retake = exc.successor, Retake()
+            else:
+                retake = None
         else:
             if isinstance(answer, Relayed) or not is_server_error(
                 answer.response.status
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -110,3 +110,54 @@
         assert sorted(runs for _, runs in answers) == [1, 1, 1, 2]
 
     run(scenario)
+
+
+REFUSALS = (TargetFault.FULL, TargetFault.NONE)
+
+
+async def refuse_elsewhere(small, service, refusal):
+    """Let the targets of a service that run nothing refuse requests or connections."""
+    targets = small.targets_of(service)
+    await wait_for(lambda: any(target.log for target in targets))
+    for target in targets:
+        if not target.log:
+            target.fault = refusal
+            if refusal is TargetFault.NONE:
+                await target.close()
+
+
+# Guards against streams that end early as the target that they move to, from a silent
+# one, refuses them (LOST).
+@pytest.mark.parametrize("refusal", REFUSALS)
+@pytest.mark.parametrize("silent_at", SilentAt)
+def test_stream_goes_on_if_the_successor_of_its_silent_target_refuses(
+    silent_at, refusal
+):
+    async def scenario(small):
+        make_silent(small, "engine", silent_at)
+        for target in small.targets_of("engine"):
+            target.faults_left = 1 if refusal is TargetFault.NONE else 2
+        asked = asyncio.ensure_future(ask(small, "/events/a", "engine", "r1"))
+        await refuse_elsewhere(small, "engine", refusal)
+        answer, runs = await asked
+        ids = [line for line in answer.body.split(b"\n") if line.startswith(b"id:")]
+        assert answer.status == 200
+        assert ids == [b"id: %d" % number for number in range(1, EVENTS + 1)]
+        assert runs == 2
+
+    run(scenario)
+
+
+# The same for other requests.
+@pytest.mark.parametrize("refusal", REFUSALS)
+def test_request_is_answered_if_the_successor_of_its_silent_target_refuses(refusal):
+    async def scenario(small):
+        make_silent(small, "plain")
+        for target in small.targets_of("plain"):
+            target.faults_left = 1
+        asked = asyncio.ensure_future(ask(small, "/safe/a", "plain", "r1"))
+        await refuse_elsewhere(small, "plain", refusal)
+        answer, runs = await asked
+        assert (answer.status, answer.body, runs) == (200, b"done:x", 2)
+
+    run(scenario)
