Call stage targets again soon after all of them were silent

Callers of requests with stages got 503 at their deadline when all targets of a stage were silent for two seconds, though these answered again long before.

Cause: a call to a silent stage target is given up after eight times its expected duration, and the target's back-off doubles with each such call, up to 2 s. It outlasted the silence, also where no other target could make the pieces.

Now a target stays in back-off for 0.3 s at most while all of them are. The longer back-off holds as before while another target may get calls.

--- a/src/lagoontide/pieces/target_tracker.py
+++ b/src/lagoontide/pieces/target_tracker.py
@@ -23,6 +23,9 @@
 FULL_TTL_S = 0.15
 MIN_BACKOFF_S = 0.15
 MAX_BACKOFF_S = 2.0
+# The same while all targets are in back-off, so that work goes on soon after the first
+# of them answers again.
+MAX_COMMON_BACKOFF_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +72,9 @@
     consecutive_failures : int
         Consecutive failures.
     backoff_until : float
-        Clock time until which the target gets no calls.
+        Clock time until which the target gets no calls while others may get some.
+    common_backoff_until : float
+        The same if all targets are in back-off.
     last_call_at : float
         Clock time at which the last call started.
     busy_until : float
@@ -87,6 +92,7 @@
     has_answered: bool = False
     consecutive_failures: int = 0
     backoff_until: float = 0.0
+    common_backoff_until: float = 0.0
     last_call_at: float = 0.0
     busy_until: float = 0.0
 
@@ -141,6 +147,7 @@
             MIN_BACKOFF_S * 2 ** max(0, self.consecutive_failures - 1), MAX_BACKOFF_S
         )
         self.backoff_until = now + delay
+        self.common_backoff_until = now + min(delay, MAX_COMMON_BACKOFF_S)
 
 
 class TargetTracker:
@@ -187,12 +194,14 @@
         """
         now = self._clock()
         typical = self.median_slowness()
+        open_to_calls = [item for item in self._ready if item.backoff_until <= now] or [
+            item for item in self._ready if item.common_backoff_until <= now
+        ]
         return sorted(
             (
                 tracked
-                for tracked in self._ready
+                for tracked in open_to_calls
                 if tracked.calls < slots
-                and tracked.backoff_until <= now
                 and self.rate_shares.wait(tracked.target) == 0.0
                 and (
                     tracked.slowness <= SLOW_RATIO * typical
--- a/tests/pieces/test_owner.py
+++ b/tests/pieces/test_owner.py
@@ -3,13 +3,19 @@
 import asyncio
 from collections import Counter
 
+import pytest
 from msgspec.structs import replace
 
 from lagoontide.errors import TargetFailed, TargetUnreachable
 from lagoontide.pieces.messages import Order
 from lagoontide.pieces.owner import INPUT_FETCH_S, ShardOwner
 from lagoontide.pieces.records import Failure, PieceResult
-from lagoontide.pieces.target_tracker import MAX_BACKOFF_S, MIN_BACKOFF_S, TrackedTarget
+from lagoontide.pieces.target_tracker import (
+    MAX_BACKOFF_S,
+    MIN_BACKOFF_S,
+    TargetTracker,
+    TrackedTarget,
+)
 from lagoontide.routes.records import PieceSettings
 from lagoontide.targets.records import Target, TargetState
 from tests.support.limits import make_shares
@@ -276,3 +282,32 @@
     tracked.observe_duration_ratio(1.0)
     tracked.back_off(0.0, has_failed=False)
     assert tracked.backoff_until == MIN_BACKOFF_S
+
+
+# Guards against requests that are refused at their deadline as all targets of a stage
+# were silent for a second or two, and were then left alone for as long again.
+@pytest.mark.parametrize("silence", [0.5, 1.0, 1.5, 2.0, 2.5])
+def test_order_is_made_soon_after_all_targets_were_silent(silence):
+    async def scenario(owner, calls, fetched):
+        loop = asyncio.get_running_loop()
+        calls.silent = {target.id for target in TARGETS}
+        loop.call_later(silence, calls.silent.clear)
+        # There is a second left once the targets answer again.
+        done = await owner.submit(make_order("r", left=silence + 1.0), "me")
+        assert len(done.handles) == 2
+
+    run_scenario(scenario)
+
+
+def test_target_in_backoff_is_left_alone_while_others_answer():
+    clock = [0.0]
+    shares = make_shares(clock=lambda: clock[0])
+    tracker = TargetTracker(lambda: clock[0], shares)
+    tracker.update(TARGETS)
+    first, second = tracker.ready()
+    for _ in range(5):
+        first.back_off(0.0, has_failed=True)
+    clock[0] = MAX_BACKOFF_S - 0.01
+    assert tracker.free(1) == [second]
+    second.back_off(clock[0], has_failed=True)
+    assert tracker.free(1) == [first]
