Stop the timer of a silent target as a long answer begins

Callers of repeatable requests whose answer is over 1 MiB could get a reset in the middle of it when it began to arrive as the request was due to move to another target.

Cause: a successor is reserved in one pass of the event loop and the wait for the target ends in the next. An answer that began in between was broken off, and the reservation was not given back. Streams stop their timer before they begin; buffered answers did not.

Evidence: one of the cases of tests/forward/test_handover.py, where the answer begins two passes before the wait ends, fails without the change and passes with it.

--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -15,7 +15,12 @@
 )
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.guard import RequestWithheld
-from lagoontide.forward.handover import HandedOver, Retake, make_stall_timer
+from lagoontide.forward.handover import (
+    HandedOver,
+    Retake,
+    StallTimer,
+    make_stall_timer,
+)
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
 from lagoontide.forward.selection import candidates, wait_for_turn
@@ -34,6 +39,7 @@
     "describe_choice",
     "forward_unary",
     "is_server_error",
+    "read_response",
 ]
 
 # A refusal after this many sends in total ends the request.
@@ -210,7 +216,7 @@
             try:
                 response = await start_attempt(state, call, target, options)
                 try:
-                    return await _read_response(response, reply)
+                    return await read_response(response, reply, timer)
                 finally:
                     response.close()
             finally:
@@ -229,8 +235,8 @@
     )
 
 
-async def _read_response(
-    response: TargetResponse, reply: ResponseWriter
+async def read_response(
+    response: TargetResponse, reply: ResponseWriter, timer: StallTimer
 ) -> Answered | Relayed:
     """Buffer a short response; relay a long one as it arrives."""
     head = response.head
@@ -247,6 +253,8 @@
     async for data in chunks:
         body += data
         if len(body) > MAX_BUFFERED_BYTES:
+            # From here on the request can no longer move.
+            timer.stop()
             await reply.start(
                 ResponseHead(
                     head.status, end_to_end_fields(head.fields), length=head.length
--- /dev/null
+++ b/tests/forward/test_handover.py
@@ -0,0 +1,87 @@
+"""Timers of silent targets, and answers that arrive as they expire."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from lagoontide.forward.handover import StallTimer
+from lagoontide.forward.unary import MAX_BUFFERED_BYTES, read_response
+from lagoontide.http1.messages import ResponseHead
+from lagoontide.targets.choose import Choice
+from lagoontide.targets.records import Target, TargetState
+
+SUCCESSOR = Choice(Target("t1", "s", "h", 1, "z", TargetState.READY), 0.0, "test")
+
+
+class FakeResponse:
+    """A response whose long body begins once ``has_data`` is done."""
+
+    def __init__(self, has_data):
+        self.head = ResponseHead(200, length=2 * MAX_BUFFERED_BYTES)
+        self.metadata = SimpleNamespace(is_encoded=False, is_sealed=True)
+        self.target = SimpleNamespace(id="t0")
+        self._has_data = has_data
+
+    async def body(self, max_bytes):
+        await self._has_data
+        for _ in range(4):
+            yield bytes(MAX_BUFFERED_BYTES // 2)
+            await asyncio.sleep(0)
+
+    def close(self, is_complete=False):
+        pass
+
+
+class FakeReply:
+    """Counts the bytes of an answer; writes never wait."""
+
+    def __init__(self):
+        self.is_started = False
+        self.size = 0
+
+    async def start(self, head):
+        self.is_started = True
+
+    async def send_data(self, data):
+        self.size += len(data)
+
+    async def finish(self):
+        pass
+
+
+# Guards against long answers that break off as they begin in the same moment in which
+# a successor is reserved (LOST).
+@pytest.mark.parametrize("passes", range(6))
+def test_long_answer_that_begins_as_its_timer_expires_is_whole_or_not_begun(
+    passes,
+):
+    async def main():
+        loop = asyncio.get_running_loop()
+        has_data, reply, released = loop.create_future(), FakeReply(), []
+
+        def reserve():
+            return None if reply.is_started else SUCCESSOR
+
+        try:
+            async with asyncio.timeout(None) as wait:
+                timer = StallTimer(wait, reserve, released.append)
+                loop.call_soon(has_data.set_result, None)
+                expire_after(loop, timer, passes)
+                await read_response(FakeResponse(has_data), reply, timer)
+        except TimeoutError:
+            assert not reply.is_started
+            assert released == []
+        else:
+            assert reply.size == 2 * MAX_BUFFERED_BYTES
+            assert released in ([], [SUCCESSOR])
+
+    asyncio.run(main())
+
+
+def expire_after(loop, timer, passes):
+    """Let a timer expire after some passes of the event loop."""
+    if passes == 0:
+        timer.start(0.0)
+    else:
+        loop.call_soon(expire_after, loop, timer, passes - 1)
