Give a stage call to a target at work at least 2.5 seconds

Callers of requests with stages got 503, 504 or a reset at their deadline when the targets of a stage were silent for two seconds: their short calls were given up and made again, over and over, though the targets reported that they worked.

Cause: a call ended after eight times its expected duration. For calls of 10 ms that is 0.1 s, before the call even counts as late and its target is asked whether it works, so that the question never decided anything.

Now the timeout is 2.5 s at least. A late call is still made at another target as well, and is still given up once its target reports no work or doesn't answer.

Evidence: the 3 cases of test_call_to_a_target_at_work_outlasts_its_silence fail without the change and pass with it.

--- a/src/lagoontide/pieces/hedging.py
+++ b/src/lagoontide/pieces/hedging.py
@@ -13,8 +13,10 @@
 # pieces are then made at another target as well.
 HEDGE_RATIO = 1.7
 HEDGE_MIN_S = 0.1
-# Timeout of a call, as a multiple of its expected duration.
+# Timeout of a call, as a multiple of its expected duration. A sound target may be
+# silent for a second or two and go on.
 TIMEOUT_RATIO = 8.0
+MIN_TIMEOUT_S = 2.5
 # Interval at which the target of a late call is asked whether it is busy.
 BUSY_POLL_S = 0.4
 # An answer that was sent just before the report of an idle target may be in transit.
@@ -40,7 +42,8 @@
     on_late : callable
         Called once when the call is late.
     """
-    call = asyncio.ensure_future(client.make(target, pieces, TIMEOUT_RATIO * expected))
+    timeout = max(TIMEOUT_RATIO * expected, MIN_TIMEOUT_S)
+    call = asyncio.ensure_future(client.make(target, pieces, timeout))
     try:
         if await _is_done_within(call, HEDGE_RATIO * expected + HEDGE_MIN_S):
             return call.result()
--- a/tests/pieces/test_owner.py
+++ b/tests/pieces/test_owner.py
@@ -311,3 +311,34 @@
     assert tracker.free(1) == [second]
     second.back_off(clock[0], has_failed=True)
     assert tracker.free(1) == [first]
+
+
+class TimedTargets(FakeTargets):
+    """Fake targets whose calls end at their timeout."""
+
+    async def make(self, target, pieces, timeout):
+        try:
+            async with asyncio.timeout(timeout):
+                return await super().make(target, pieces, timeout)
+        except TimeoutError as exc:
+            raise TargetFailed("no answer", step="make", peer=target.id) from exc
+
+
+# Guards against calls that are given up, and pieces made again and again, while their
+# targets are silent for two seconds but report that they work.
+@pytest.mark.parametrize("seconds", [0.5, 1.0, 2.0])
+def test_call_to_a_target_at_work_outlasts_its_silence(seconds):
+    async def scenario():
+        calls = TimedTargets()
+        calls.seconds = seconds
+        owner = ShardOwner(
+            "s", WORK, calls, lambda: TARGETS, lambda handles: None, make_shares()
+        )
+        try:
+            done = await owner.submit(make_order("r", left=seconds + 1.0), "me")
+        finally:
+            owner.close()
+        assert len(done.handles) == 2
+        assert len(calls.batches) <= len(TARGETS)
+
+    asyncio.run(scenario())
