--- a/src/lagoontide/forward/handover.py
+++ b/src/lagoontide/forward/handover.py
@@ -8,10 +8,13 @@
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.targets.choose import Choice
 
-__all__ = ["HandedOver", "StallTimer", "make_stall_timer"]
+__all__ = ["HandedOver", "Retake", "StallTimer", "make_stall_timer"]
 
 # A request that stays at its silent target looks for a successor again after this.
 RETRY_INTERVAL_S = 0.1
+# Longest pause of a request whose successors refuse it; each refusal takes a unit of
+# the retry budget.
+MAX_PAUSE_S = 1.0
 
 Reserve = Callable[[], Choice | None]
 
@@ -26,6 +29,22 @@
         self.successor = successor
 
 
+class Retake:
+    """Pauses of a request that left a silent target, while other targets refuse it.
+
+    The silent target would have gone on, so that the request tries again until its
+    deadline, at that target as well.
+    """
+
+    def __init__(self) -> None:
+        self._pause = RETRY_INTERVAL_S
+
+    async def pause(self) -> None:
+        """Wait before the next send, longer each time."""
+        await asyncio.sleep(self._pause)
+        self._pause = min(2 * self._pause, MAX_PAUSE_S)
+
+
 class StallTimer:
     """Ends the wait for a silent target once a successor is reserved.
 
@@ -90,22 +109,35 @@
     call: Call,
     wait: asyncio.Timeout,
     choose: Callable[[], Choice | None],
+    prepare: Callable[[], bool] = lambda: True,
 ) -> StallTimer:
-    """Return the timer of a send; ``choose`` returns an untried target, or None."""
+    """Return the timer of a send.
+
+    Parameters
+    ----------
+    choose : callable
+        Returns an untried target, or None.
+    prepare : callable
+        Starts to make what a successor needs; returns whether it is ready.
+    """
     return StallTimer(
         wait,
-        lambda: _reserve_successor(state, call, choose),
+        lambda: _reserve_successor(state, call, choose, prepare),
         lambda choice: _release_successor(state, call, choice),
     )
 
 
 def _reserve_successor(
-    state: ForwardingState, call: Call, choose: Callable[[], Choice | None]
+    state: ForwardingState,
+    call: Call,
+    choose: Callable[[], Choice | None],
+    prepare: Callable[[], bool],
 ) -> Choice | None:
     """Reserve a target that a request may be handed over to, or return None.
 
-    Its turn and a unit of the retry budget are taken, so that nothing but a failure of
-    the successor itself can end the request after its target was given up.
+    Its turn and a unit of the retry budget are taken once its inputs are made, so that
+    nothing but a failure of the successor itself can end the request after its target
+    was given up.
     """
     if not call.can_retry(after=1) or state.budget.left(call.service) < 1.0:
         return None
@@ -114,7 +146,7 @@
         return None
     if not state.pools.pool_of(choice.target).has_room or state.guard.is_suspect(call):
         return None
-    if not state.rate_shares.take(choice.target):
+    if not prepare() or not state.rate_shares.take(choice.target):
         return None
     state.budget.take(call.service)
     return replace(choice, has_turn=True)
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -17,7 +17,7 @@
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.event_relay import EventRelay, Progress
 from lagoontide.forward.guard import RequestWithheld
-from lagoontide.forward.handover import HandedOver, make_stall_timer
+from lagoontide.forward.handover import HandedOver, Retake, make_stall_timer
 from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answered, EndReason, Outcome, Relayed
 from lagoontide.forward.resumption import record_begin, record_end
@@ -100,6 +100,7 @@
     reason = "no target"
     withheld: RequestWithheld | None = None
     successor: Choice | None = None
+    retake: Retake | None = None
 
     def choose() -> Choice | None:
         return choose_engine(state, call, tried, rng, inputs.bytes_by_domain())
@@ -114,7 +115,11 @@
             if choice is None and not is_retry:
                 choice = await wait_for_turn(state, call, tried)
             if choice is None or (is_retry and not state.budget.take(call.service)):
-                break
+                if retake is None:
+                    break
+                await retake.pause()
+                tried.clear()
+                continue
         target = choice.target
         tried.add(target.id)
         record_begin(state, call, target.version)
@@ -142,7 +147,9 @@
                 tried.discard(target.id)
                 inputs.renew()
             if call.send_tracker.sends >= MAX_SENDS_ON_REFUSAL:
-                break
+                if retake is None:
+                    break
+                await retake.pause()
             continue
         except TargetFailed as exc:
             reason = str(exc)
@@ -154,7 +161,9 @@
                 # Without event ids the point to resume from is unknown.
                 break
             if isinstance(exc, HandedOver):
-                successor = exc.successor
+                successor, retake = exc.successor, Retake()
+            else:
+                retake = None
         else:
             if outcome == Relayed(is_complete=True):
                 record_end(state, call)
@@ -248,7 +257,9 @@
     try:
         with record_losses(state.health, target):
             async with asyncio.timeout(None) as wait:
-                timer = make_stall_timer(state, call, wait, choose_successor)
+                timer = make_stall_timer(
+                    state, call, wait, choose_successor, inputs.prepare
+                )
                 if call.can_retry(after=1):
                     timer.start(_first_event_timeout(call))
                 try:
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -15,7 +15,12 @@
 )
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.guard import RequestWithheld
-from lagoontide.forward.handover import HandedOver, make_stall_timer
+from lagoontide.forward.handover import (
+    HandedOver,
+    Retake,
+    StallTimer,
+    make_stall_timer,
+)
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
 from lagoontide.forward.retry_after import pick_limited_retry_after
 from lagoontide.forward.selection import candidates, wait_for_turn
@@ -34,6 +39,7 @@
     "describe_choice",
     "forward_unary",
     "is_server_error",
+    "read_response",
 ]
 
 # A refusal after this many sends in total ends the request.
@@ -84,6 +90,7 @@
     reason = "no target"
     withheld: RequestWithheld | None = None
     successor: Choice | None = None
+    retake: Retake | None = None
 
     def choose() -> Choice | None:
         return choose_lowest_cost(
@@ -102,7 +109,11 @@
             if choice is None and not is_retry:
                 choice = await wait_for_turn(state, call, tried)
             if choice is None or (is_retry and not state.budget.take(call.service)):
-                break
+                if retake is None:
+                    break
+                await retake.pause()
+                tried.clear()
+                continue
         target = choice.target
         tried.add(target.id)
         ready = len(state.directory.ready(call.service))
@@ -122,7 +133,9 @@
             reason = str(exc)
             log.info("request did not run at the target: {}", exc)
             if call.send_tracker.sends >= MAX_SENDS_ON_REFUSAL:
-                break
+                if retake is None:
+                    break
+                await retake.pause()
             continue
         except TargetFailed as exc:
             reason = str(exc)
@@ -131,7 +144,9 @@
             if reply.is_started:
                 return Relayed(is_complete=False, reason=reason)
             if isinstance(exc, HandedOver):
-                successor = exc.successor
+                successor, retake = exc.successor, Retake()
+            else:
+                retake = None
         else:
             if isinstance(answer, Relayed) or not is_server_error(
                 answer.response.status
@@ -201,7 +216,7 @@
             try:
                 response = await start_attempt(state, call, target, options)
                 try:
-                    return await _read_response(response, reply)
+                    return await read_response(response, reply, timer)
                 finally:
                     response.close()
             finally:
@@ -220,8 +235,8 @@
     )
 
 
-async def _read_response(
-    response: TargetResponse, reply: ResponseWriter
+async def read_response(
+    response: TargetResponse, reply: ResponseWriter, timer: StallTimer
 ) -> Answered | Relayed:
     """Buffer a short response; relay a long one as it arrives."""
     head = response.head
@@ -238,6 +253,8 @@
     async for data in chunks:
         body += data
         if len(body) > MAX_BUFFERED_BYTES:
+            # From here on the request can no longer move.
+            timer.stop()
             await reply.start(
                 ResponseHead(
                     head.status, end_to_end_fields(head.fields), length=head.length
