Do not count a resumed stream's first event for its second target

The first event came from the target before, so that the second one's time was negative; the choice took it for the fastest. Found by reading; the new test failed before (-0.015 s).

--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -278,9 +278,10 @@
                     await relay.run()
                 finally:
                     timer.stop()
-            state.health.record_response(
-                target, progress.first_event_at - started_at, False
-            )
+            # The first event of a resumed stream came from the target before.
+            if progress.first_event_at > started_at:
+                taken = progress.first_event_at - started_at
+                state.health.record_response(target, taken, False)
             return Relayed(is_complete=True)
     except TimeoutError:
         state.health.record_loss(target)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -173,6 +173,23 @@
     run(scenario, versions)
 
 
+# Guards against a resumed stream that makes its second target seem to answer before it
+# was asked.
+def test_resumed_streams_leave_no_negative_response_times():
+    async def scenario(small, served):
+        health = small.gateways[0].state.health
+        directory = small.gateways[0].state.directory
+        begun = await begin_streams(served, small.ports[0])
+        await take_up_all(served, small.ports[0], begun)
+        for target in served.engines:
+            target.fault, target.faults_left = TargetFault.RUNS_AND_CUTS, 1
+            await ask(small.ports[0], f"{target.id}-resumed")
+        for target in served.engines:
+            assert health.record_of(directory.get(target.id)).mean_seconds >= 0.0
+
+    run(scenario, TWO)
+
+
 # Guards against a broken stream that goes on at another version as its own has no other
 # target: its caller sees that it is cut.
 def test_broken_stream_ends_visibly_without_another_target_of_its_version():
