Send nothing to a target until the time that its 503 asks for is over

A target that turns a request away with 503 may add `Retry-After`: it wants nothing from that entry for so long. Callers saw further 503s of such a target, and the target got requests on: with one pause of 1.5 s or 3 s, from 15 to 230 between half a second after its answer and the end (plain requests, streams and stage calls on stand-ins). When all targets of a service asked for a pause, callers were sent to them all the same.

Cause: the field was only passed on to the caller.

It is read from every 503 of a request or a stage call, refusals and plain errors, and kept in `Pauses`, a part of `RateLimits` as `ColdTargets` is. `RateShares.wait` answers for shares and pauses together, so that selection, stage calls, probes of stage targets and successors of handovers need no question of their own. Reserved and borrowed turns are checked again before they are sent; results are freed and memory is queried after the pause. Loans ask for the share alone, as a pause concerns only the entry that was told.

The value is decimal seconds above 0, at most 300 s; anything else says nothing. The latest end wins. If all targets pause, callers are rejected at once with the earliest end, also by the owner of stage targets.

--- a/src/lagoontide/forward/attempt.py
+++ b/src/lagoontide/forward/attempt.py
@@ -19,6 +19,7 @@
 __all__ = [
     "InputsGone",
     "SendOptions",
+    "TargetPauses",
     "TargetResponse",
     "record_losses",
     "start_attempt",
@@ -32,6 +33,10 @@
     """The target did not run the request because stage results are missing."""
 
 
+class TargetPauses(TargetFailed):
+    """The target has asked for no requests for a while; this one may have run."""
+
+
 @dataclass(frozen=True, slots=True)
 class SendOptions:
     """Values that may differ between the sends of one request.
@@ -144,6 +149,9 @@
         if exc.step == "connect":
             health.record_loss(target)
         raise
+    except TargetPauses:
+        # A penalty would outlast the pause.
+        raise
     except TargetFailed:
         health.record_loss(target)
         raise
@@ -177,6 +185,10 @@
         raise TargetUnreachable(
             "target no longer accepts work", step="connect", peer=target.id
         )
+    if state.rate_limits.pauses.left(target):
+        # The pause has begun since the choice, or since a turn was reserved.
+        response.close()
+        raise TargetUnreachable("target pauses", step="limit", peer=target.id)
     number = call.send_tracker.register_send()
     is_open = False
     try:
@@ -223,6 +235,7 @@
         state.rate_limits.observe(
             response.target, answered.rate_limit, answered.unreadable_rate_limit
         )
+        state.rate_limits.pauses.observe(response.target, answered.pause, "request")
 
 
 def _raise_refusal(state: ForwardingState, response: TargetResponse) -> NoReturn:
--- a/src/lagoontide/forward/fields.py
+++ b/src/lagoontide/forward/fields.py
@@ -108,6 +108,8 @@
         Text of the rate limit if it is invalid.
     is_leaving : bool
         Whether the target says that it is leaving.
+    pause : float or None
+        Seconds for which the target asks for no requests; None if it does not.
     """
 
     request_id: str | None
@@ -120,6 +122,7 @@
     unreadable_rate_limit: str = ""
     cold_left: float | None = None
     is_leaving: bool = False
+    pause: float | None = None
 
 
 class FieldCodec(Protocol):
--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -178,7 +178,7 @@
             return refusal
         if is_beyond_limits(self._state, call):
             after = pick_limited_retry_after(self._state, call, self._rng)
-            return NotRun("all targets at their rate limits", after)
+            return NotRun("all targets at their rate limits or pausing", after)
         inputs = self._make_inputs(call) if call.route.stages else NoInputs()
         try:
             inputs.admit()
--- a/src/lagoontide/forward/retry_after.py
+++ b/src/lagoontide/forward/retry_after.py
@@ -27,10 +27,13 @@
 
     If all targets are at their rate limits, it is the time until this entry may send
     again. An entry without a share does not know that; the caller reaches another.
+    If all pause, it is the earliest end, however late.
     """
-    wait = state.rate_shares.shortest_wait(ready_targets(state, call))
+    ready = ready_targets(state, call)
+    wait = state.rate_shares.shortest_wait(ready)
     if not 0.0 < wait < math.inf:
         return pick_retry_after(rng)
-    latest = MAX_TIME_SHARE * call.time_left
+    is_limited = bool(state.rate_limits.pauses.awake(ready))
+    latest = MAX_TIME_SHARE * call.time_left if is_limited else math.inf
     after = min(wait * rng.uniform(*WAIT_JITTER_RANGE), latest)
     return round(max(after, RETRY_AFTER_RANGE_S[0]), 2)
--- a/src/lagoontide/forward/selection.py
+++ b/src/lagoontide/forward/selection.py
@@ -61,8 +61,13 @@
 
 
 def is_beyond_limits(state: ForwardingState, call: Call) -> bool:
-    """Return whether all targets are limited, with no turn for a call in time."""
-    ready = ready_targets(state, call)
+    """Return whether all targets pause, or are limited with no turn in time."""
+    known = ready_targets(state, call)
+    ready = state.rate_limits.pauses.awake(known)
+    if known and not ready:
+        wait = state.rate_shares.shortest_wait(known)
+        call.choices.append(f"all {len(known)} targets pause: next in {wait:.2f} s")
+        return True
     wait = state.rate_shares.shortest_wait(ready)
     if not ready or wait <= _max_wait(call):
         return False
@@ -83,9 +88,9 @@
 
     Returns None if there is no target, or no turn in time.
     """
-    untried = [
-        target for target in ready_targets(state, call) if target.id not in tried
-    ]
+    # The end of a pause is not waited for.
+    ready = state.rate_limits.pauses.awake(ready_targets(state, call))
+    untried = [target for target in ready if target.id not in tried]
     if not untried:
         return None
     shares = state.rate_shares
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -10,6 +10,7 @@
 from lagoontide.forward.attempt import (
     InputsGone,
     SendOptions,
+    TargetPauses,
     TargetResponse,
     record_losses,
     start_attempt,
@@ -288,7 +289,8 @@
     response.close(is_complete=True)
     status = response.head.status
     if is_started or (is_server_error(status) and call.can_retry(after=1)):
-        raise TargetFailed(
+        kind = TargetPauses if response.metadata.pause else TargetFailed
+        raise kind(
             f"error response with status {status}", step="head", peer=response.target.id
         )
     return Answered(Response(status, end_to_end_fields(response.head.fields), body))
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -45,6 +45,7 @@
 # A longer response is taken to be endless and is aborted.
 MAX_RESPONSE_BYTES = 256 << 20
 MIN_SERVER_ERROR_STATUS = 500
+UNAVAILABLE_STATUS = 503
 # A repeatable request is sent to another target after this multiple of the typical
 # response time, but not before this share of its objective.
 ATTEMPT_TIMEOUT_FACTOR = 4.0
@@ -177,7 +178,11 @@
             )
     finally:
         state.loads.end(target)
-    failed = isinstance(answer, Answered) and is_server_error(answer.response.status)
+    status = answer.response.status if isinstance(answer, Answered) else 0
+    if status == UNAVAILABLE_STATUS and state.rate_limits.pauses.left(target):
+        # A penalty would outlast the pause.
+        return answer
+    failed = is_server_error(status)
     state.health.record_response(target, loop.time() - started_at, failed)
     return answer
 
--- a/src/lagoontide/mesh/turn_loans.py
+++ b/src/lagoontide/mesh/turn_loans.py
@@ -118,5 +118,5 @@
         target = self._directory.get(message.target)
         wait = MAX_REFUSAL_S
         if target is not None and target.born == message.born:
-            wait = 0.0 if self._shares.lend(target) else self._shares.wait(target)
+            wait = 0.0 if self._shares.lend(target) else self._shares.share_wait(target)
         await send(TurnReply(min(wait, MAX_REFUSAL_S)))
--- a/src/lagoontide/pieces/owner.py
+++ b/src/lagoontide/pieces/owner.py
@@ -164,9 +164,11 @@
         self._expire_orders(now)
         self._tracker.update(self._ready())
         for tracked in self._tracker.ready():
-            if not tracked.is_memory_queried:
+            if not (tracked.is_memory_queried or self._tracker.pause_left(tracked)):
                 # A previous owner may have left results there.
                 self._result_memory.query_free_memory(tracked, self.cfg)
+        if (left := self._tracker.all_paused_for()) > 0.0:
+            self._reject_waiting(left)
         while self._orders:
             groups = [pending.group for pending in self._orders.values()]
             waiting = self.waiting
@@ -377,6 +379,13 @@
                 done = OrderDone(failure=Failure.QUARANTINED, retry_after=ceil(wait))
                 self._close_order(pending, done)
 
+    def _reject_waiting(self, retry_after: float) -> None:
+        for key, pending in tuple(self._orders.items()):
+            if pending.group.waiting:
+                del self._orders[key]
+                done = OrderDone(failure=Failure.NO_ROOM, retry_after=retry_after)
+                self._close_order(pending, done)
+
     def _expire_orders(self, now: float) -> None:
         needed = self.cfg.call_time
         for key, pending in tuple(self._orders.items()):
--- a/src/lagoontide/pieces/result_memory.py
+++ b/src/lagoontide/pieces/result_memory.py
@@ -56,6 +56,7 @@
 
     def close(self) -> None:
         """Cancel all calls."""
+        self._pending.clear()
         self._tasks.cancel()
 
     def _batch_window(self, address: str) -> float:
@@ -68,8 +69,13 @@
         return LIMITED_FREE_BATCH_WINDOW_S
 
     def _flush(self, address: str) -> None:
-        handles = self._pending.pop(address)
+        if address not in self._pending:
+            return
         tracked = self._tracker.by_address(address)
+        if tracked is not None and (left := self._tracker.pause_left(tracked)):
+            self._loop.call_later(left, self._flush, address)
+            return
+        handles = self._pending.pop(address)
         if tracked is None:
             # The results are gone with the target.
             logger.debug("{} results gone with target {}", len(handles), address)
--- a/src/lagoontide/pieces/target_tracker.py
+++ b/src/lagoontide/pieces/target_tracker.py
@@ -177,6 +177,14 @@
         """Return the number of ready targets."""
         return len(self._ready)
 
+    def pause_left(self, tracked: TrackedTarget) -> float:
+        """Return the seconds until a target's pause ends; 0 if it does not pause."""
+        return self.rate_shares.limits.pauses.left(tracked.target)
+
+    def all_paused_for(self) -> float:
+        """Return the seconds until the first pause ends if all pause; else 0."""
+        return min(map(self.pause_left, self._ready), default=0.0)
+
     def free(self, slots: int) -> list[TrackedTarget]:
         """Return the targets that can take a call, the fastest first.
 
--- a/src/lagoontide/platform/fields.py
+++ b/src/lagoontide/platform/fields.py
@@ -21,7 +21,12 @@
     field_values,
 )
 
-__all__ = ["PlatformFieldCodec", "decode_leaving", "decode_rate_limit"]
+__all__ = [
+    "PlatformFieldCodec",
+    "decode_leaving",
+    "decode_pause",
+    "decode_rate_limit",
+]
 
 REQUEST_ID = b"X-Lagoontide-Request-Id"
 DEADLINE = b"X-Lagoontide-Deadline-Ms"
@@ -41,6 +46,7 @@
 RATE_LIMIT = b"Server-Limit"
 COLD = b"X-Lagoontide-Cold-Ms"
 LEAVING = b"Server-Leaving"
+RETRY_AFTER = b"Retry-After"
 AUTHORIZATION = b"Authorization"
 BEARER_PREFIX = "bearer "
 
@@ -74,6 +80,7 @@
         RATE_LIMIT,
         COLD,
         LEAVING,
+        RETRY_AFTER,
         b"Cache-Control",
         b"Connection",
         b"Content-Encoding",
@@ -81,7 +88,6 @@
         b"Content-Type",
         b"Date",
         b"Keep-Alive",
-        b"Retry-After",
         b"Server",
         b"Transfer-Encoding",
     )
@@ -89,6 +95,7 @@
 # Bounds the log lines about other fields: one for each name, up to this many.
 MAX_UNKNOWN_FIELDS = 50
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 INPUTS_GONE_STATUS = 409
 MS_PER_S = 1000.0
 MAX_REQUEST_ID_CHARS = 200
@@ -165,6 +172,7 @@
             unreadable_rate_limit=unreadable,
             cold_left=_decode_cold(fields),
             is_leaving=decode_leaving(fields),
+            pause=decode_pause(head.status, fields),
         )
 
     def _log_unknown_fields(self, fields: Fields) -> None:
@@ -201,6 +209,18 @@
     return values == [b"1"]
 
 
+def decode_pause(status: int, fields: Fields) -> float | None:
+    """Return the seconds for which a response asks for no requests, or None.
+
+    A 503 does so by one decimal number above 0; any other value says nothing.
+    """
+    values = [value.strip() for value in field_values(fields, RETRY_AFTER.lower())]
+    if status != UNAVAILABLE_STATUS or len(values) != 1:
+        return None
+    text = values[0].decode("latin-1")
+    return (float(text) or None) if DECIMAL_NUMBER.fullmatch(text) else None
+
+
 def _decode_resumes(fields: Fields) -> str | None:
     """Return the request that began a stream; None if not exactly one is named."""
     values = [value.strip() for value in field_values(fields, RESUMES.lower())]
--- a/src/lagoontide/platform/pieces.py
+++ b/src/lagoontide/platform/pieces.py
@@ -15,6 +15,7 @@
     NOT_RUN,
     TARGET,
     decode_leaving,
+    decode_pause,
     decode_rate_limit,
 )
 from lagoontide.targets.directory import Directory
@@ -197,6 +198,8 @@
             pool.release(conn, is_reusable)
         if answer.status != MISDIRECTED_STATUS:
             self._rate_shares.limits.observe(target, *decode_rate_limit(answer.fields))
+            pause = decode_pause(answer.status, answer.fields)
+            self._rate_shares.limits.pauses.observe(target, pause, "stage call")
             if decode_leaving(answer.fields):
                 self._directory.mark_leaving(target, "its answer says so")
         return answer
--- a/src/lagoontide/targets/rate_limits.py
+++ b/src/lagoontide/targets/rate_limits.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from lagoontide.targets.cold import ColdTargets
+from lagoontide.targets.pauses import Pauses
 from lagoontide.targets.records import Target
 
 __all__ = ["LimitReport", "RateLimit", "RateLimits"]
@@ -51,12 +52,18 @@
         Returns the seconds of a monotonic clock.
     cold : ColdTargets, optional
         Targets that take fewer requests as they are cold.
+
+    Attributes
+    ----------
+    pauses : Pauses
+        Targets that have asked this entry for no requests for a while.
     """
 
     def __init__(
         self, clock: Callable[[], float], cold: ColdTargets | None = None
     ) -> None:
         self.cold = ColdTargets(clock) if cold is None else cold
+        self.pauses = Pauses(clock)
         self._clock = clock
         self._records: dict[tuple[str, int], RateLimit] = {}
         self._unreadable_logged_at: dict[tuple[str, int], float] = {}
@@ -68,8 +75,8 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no target has named a limit lately, or is cold."""
-        return not self._records and self.cold.is_empty
+        """Whether no target has named a limit lately, is cold or pauses."""
+        return not self._records and self.cold.is_empty and self.pauses.is_empty
 
     def observe(self, target: Target, rate: float | None, unreadable: str = "") -> None:
         """Record the limit in a response of a target.
@@ -140,6 +147,7 @@
         """Drop limits that have ended, and those of targets without a given key."""
         kept = set(keep)
         self.cold.keep_only(kept)
+        self.pauses.drop_ended()
         oldest = self._clock() - ENDED_ADVERTISED_S
         for key, record in tuple(self._records.items()):
             if key not in kept or (record.rate is None and record.observed_at < oldest):
--- a/src/lagoontide/targets/rate_shares.py
+++ b/src/lagoontide/targets/rate_shares.py
@@ -92,6 +92,10 @@
 
         0 if it may do so now; infinity if it has no share of the target's limit.
         """
+        return max(self.share_wait(target), self.limits.pauses.wait(target))
+
+    def share_wait(self, target: Target) -> float:
+        """Return the same by the share alone, which holds for loans too."""
         bucket = self._bucket(target)
         return 0.0 if bucket is None else bucket.wait()
 
@@ -114,12 +118,9 @@
 
     def take(self, target: Target) -> bool:
         """Count a request and return True, or return False if it may not be sent."""
-        bucket = self._bucket(target)
-        if bucket is None:
-            return True
-        if bucket.wait() > 0.0:
+        if self.wait(target) > 0.0:
             return False
-        bucket.tokens -= 1.0
+        self.charge(target)
         return True
 
     def lend(self, target: Target) -> bool:
@@ -150,6 +151,7 @@
         """Count a request that is sent regardless; later ones wait for it."""
         if (bucket := self._bucket(target)) is not None:
             bucket.tokens -= 1.0
+        self.limits.pauses.charge(target)
 
     def refund(self, target: Target) -> None:
         """Return the count of a request that was charged but not sent."""
