Soak: release versions in series, and kill all entries beside them

Targets behind proxies register once, with the proxy's address, as a registration that changes is no part of a start.

--- a/src/lagoontide/bench/soak/entries.py
+++ b/src/lagoontide/bench/soak/entries.py
@@ -150,6 +150,13 @@
         entry.send(number)
         return f"{entry.name} {number.name}"
 
+    def kill_all(self) -> str:
+        """Kill all entries at once."""
+        for entry in self.entries:
+            entry.is_hurt = True
+            entry.send(signal.SIGKILL)
+        return "all entries SIGKILL"
+
     def heal(self) -> None:
         """Let paused entries go on."""
         for entry in self.entries:
--- a/src/lagoontide/bench/soak/faults.py
+++ b/src/lagoontide/bench/soak/faults.py
@@ -35,6 +35,10 @@
         Further faults; each does one and returns what it did.
     done : list of str
         What was done, for the report.
+    removed : list of TargetStandin
+        Targets that were in service and have ended.
+    targets_kept : int
+        Targets of each service that do not leave.
     """
 
     store: StoreStandin
@@ -46,6 +50,8 @@
     hurts: Sequence[Hurt] = ()
     changes: Changes = field(default_factory=Changes)
     done: list[str] = field(default_factory=list)
+    removed: list[TargetStandin] = field(default_factory=list)
+    targets_kept: int = TARGETS_KEPT
     _version: int = 1
     _ends: list[asyncio.TimerHandle] = field(default_factory=list)
 
@@ -125,7 +131,7 @@
             for item in self.targets
             if item.service == target.service and item.name not in self.changes.left_at
         ]
-        if target not in others or len(others) <= TARGETS_KEPT:
+        if target not in others or len(others) <= self.targets_kept:
             return ""
         target.register(self.store, state="draining")
         self.changes.left_at[target.name] = asyncio.get_running_loop().time()
--- a/src/lagoontide/bench/soak/play.py
+++ b/src/lagoontide/bench/soak/play.py
@@ -9,11 +9,12 @@
 from lagoontide.bench.soak.crashes import Crashes, check_crashes, could_run
 from lagoontide.bench.soak.faults import Faults
 from lagoontide.bench.soak.records import NEW_ROUTE_KINDS
+from lagoontide.bench.soak.releases import Releases
 from lagoontide.bench.soak.restores import Restores
 from lagoontide.bench.soak.result import SoakResult
 from lagoontide.bench.soak.silences import Silences
 
-__all__ = ["KEYS", "SILENCES_SEED_OFFSET", "play"]
+__all__ = ["KEYS", "RELEASES_SEED_OFFSET", "SILENCES_SEED_OFFSET", "play"]
 
 KEYS = ["key-one", "key-two", "key-three"]
 RATE = 60.0
@@ -27,6 +28,7 @@
 CRASHES_SEED_OFFSET = 1_000_000
 RESTORES_SEED_OFFSET = 2_000_000
 SILENCES_SEED_OFFSET = 3_000_000
+RELEASES_SEED_OFFSET = 4_000_000
 
 
 async def play(
@@ -39,6 +41,7 @@
     silences: Silences | None = None,
     silent_s: float = 0.0,
     changes_versions: bool = False,
+    releases: Releases | None = None,
 ) -> SoakResult:
     """Send requests under faults, then some in calm seconds, and check all.
 
@@ -52,6 +55,8 @@
         Runs first, for ``silent_s`` seconds.
     changes_versions : bool
         Whether targets start again at other versions.
+    releases : Releases, optional
+        Releases beside the other faults.
     """
     if silences is not None and silent_s:
         await silences.run(silent_s)
@@ -71,7 +76,9 @@
         faults.run(seconds),
         crashes.run(seconds),
         restores.run(seconds),
+        *([releases.run(seconds)] if releases is not None else []),
     )
+    targets = [*faults.targets, *faults.removed]
     if faults.disturbs_entries:
         healed_at = asyncio.get_running_loop().time() + settle
     heal()
@@ -96,9 +103,7 @@
     )
     # Nobody is served while the only target of a service is down after a crash.
     servable = [
-        item
-        for item in calm.asked
-        if could_run(item, faults.targets, faults.changes.left_at)
+        item for item in calm.asked if could_run(item, targets, faults.changes.left_at)
     ]
     first = [item for item in servable if item.sent_at < calm_at + CALM_S]
     callers.close()
@@ -114,8 +119,8 @@
         faults=len(faults.done) + crashes.crashed + restores.done,
         crashing_runs=crashes.crashing_runs(),
         violations=[
-            *check(asked, faults.targets, faults.changes),
-            *check_crashes(faults.targets, healed_at),
+            *check(asked, targets, faults.changes),
+            *check_crashes(targets, healed_at),
             *check_new_route(added.asked),
             *(silences.check() if silences is not None else ()),
         ],
--- a/src/lagoontide/bench/soak/run.py
+++ b/src/lagoontide/bench/soak/run.py
@@ -10,8 +10,14 @@
 
 from lagoontide.bench.soak.entries import EntryProcesses
 from lagoontide.bench.soak.faults import Faults
-from lagoontide.bench.soak.play import KEYS, SILENCES_SEED_OFFSET, play
+from lagoontide.bench.soak.play import (
+    KEYS,
+    RELEASES_SEED_OFFSET,
+    SILENCES_SEED_OFFSET,
+    play,
+)
 from lagoontide.bench.soak.proxy import Proxy
+from lagoontide.bench.soak.releases import Releases
 from lagoontide.bench.soak.result import SoakResult
 from lagoontide.bench.soak.silences import Silences
 from lagoontide.platform.standins.deployment import make_targets, write_configuration
@@ -28,21 +34,33 @@
 
 
 def run_soak(
-    seed: int, seconds: float, processes: int, folder: str, silent_s: float = 0.0
+    seed: int,
+    seconds: float,
+    processes: int,
+    folder: str,
+    silent_s: float = 0.0,
+    has_releases: bool = False,
 ) -> int:
     """Run a soak, print what it found, and return the exit code."""
     with contextlib.ExitStack() as stack:
         where = folder or stack.enter_context(tempfile.TemporaryDirectory())
         Path(where).mkdir(parents=True, exist_ok=True)
         result = asyncio.run(
-            soak_processes(seed, seconds, processes, Path(where), silent_s)
+            soak_processes(
+                seed, seconds, processes, Path(where), silent_s, has_releases
+            )
         )
     print(msgspec.json.encode(result).decode())
     return 1 if result.violations else 0
 
 
 async def soak_processes(
-    seed: int, seconds: float, processes: int, folder: Path, silent_s: float = 0.0
+    seed: int,
+    seconds: float,
+    processes: int,
+    folder: Path,
+    silent_s: float = 0.0,
+    has_releases: bool = False,
 ) -> SoakResult:
     """Run entries as processes under faults, and return what was found.
 
@@ -50,6 +68,8 @@
     ----------
     silent_s : float
         Seconds with silent targets and planned work before the other faults.
+    has_releases : bool
+        Whether versions are released in series, and all entries killed at times.
     """
     store = StoreStandin()
     async with contextlib.AsyncExitStack() as stack:
@@ -79,6 +99,15 @@
             [fleet.plan],
             fleet.stopped_at,
         )
+        releases = None
+        if has_releases:
+            faults.targets_kept = 2
+
+            async def start(target: TargetStandin) -> None:
+                links.extend(await _open_targets(store, [target], stack))
+
+            rng = random.Random(seed + RELEASES_SEED_OFFSET)
+            releases = Releases(faults, rng, start, fleet.kill_all)
         result = await play(
             seed,
             seconds,
@@ -88,6 +117,7 @@
             SETTLE_S,
             silences,
             silent_s,
+            releases=releases,
         )
         result.violations += [
             f"EXIT: {entry.name} ended by itself with {code}"
@@ -120,7 +150,7 @@
 ) -> list[Proxy]:
     links = []
     for target in targets:
-        await target.start(store)
+        await target.listen()
         host, _, port = target.address.rpartition(":")
         link = Proxy(host, int(port))
         target.advertised_address = f"{HOST}:{await link.start()}"
--- a/src/lagoontide/cli.py
+++ b/src/lagoontide/cli.py
@@ -58,11 +58,12 @@
         processes: int = 4,
         folder: str = "",
         silent_s: float = 0.0,
+        releases: bool = False,
     ) -> None:
         """Run entries as processes under faults, and check the guarantees."""
         from lagoontide.bench.soak.run import run_soak
 
-        sys.exit(run_soak(seed, seconds, processes, folder, silent_s))
+        sys.exit(run_soak(seed, seconds, processes, folder, silent_s, releases))
 
     def local(
         self,
