Soak: keep the port of a target that is down

A proxy that refuses connections now keeps its port bound; the test failed before. The holder of the ports was not identified, and the stand-ins' own ports are not kept yet.

--- a/src/lagoontide/bench/soak/proxy.py
+++ b/src/lagoontide/bench/soak/proxy.py
@@ -1,6 +1,8 @@
 """A proxy on the loopback that harms what passes through it."""
 
 import asyncio
+import contextlib
+import socket
 from enum import StrEnum
 
 from lagoontide.platform.standins.ports import HOST
@@ -36,6 +38,7 @@
         self.port = 0
         self._upstream = host, port
         self._server: asyncio.Server | None = None
+        self._held: socket.socket | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks = TaskSet()
 
@@ -45,6 +48,7 @@
         return self.port
 
     async def _listen(self, port: int) -> None:
+        self._release_port()
         self._server = await asyncio.start_server(self._serve, HOST, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -52,14 +56,30 @@
         """Refuse new connections and reset the others, as if the upstream had ended."""
         if self._server is not None:
             self._server.close()
+        self._hold_port()
         self.cut()
 
     def resume(self) -> None:
         """Listen again, at the same port."""
         self._tasks.start(self._listen(self.port))
 
+    def _hold_port(self) -> None:
+        """Keep the port bound but not listening, so that no other socket gets it."""
+        self._release_port()
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):
+            held.bind((HOST, self.port))
+        self._held = held
+
+    def _release_port(self) -> None:
+        if self._held is not None:
+            self._held.close()
+            self._held = None
+
     async def close(self) -> None:
         """Stop, cutting all connections."""
+        self._release_port()
         if self._server is not None:
             self._server.close()
         self.cut()
