--- a/src/lagoontide/bench/soak/crashes.py
+++ b/src/lagoontide/bench/soak/crashes.py
@@ -64,11 +64,10 @@
         await callers.run(seconds)
         callers.close()
 
-    def crashing_runs(self) -> int:
+    @staticmethod
+    def crashing_runs(targets: Iterable[TargetStandin]) -> int:
         """Return how many runs made targets crash."""
-        return sum(
-            is_crashing_run(run) for target in self.targets for run in target.log
-        )
+        return sum(is_crashing_run(run) for target in targets for run in target.log)
 
     def _callers(self, name: str) -> Callers:
         rng = random.Random(self.rng.random())
--- a/src/lagoontide/bench/soak/play.py
+++ b/src/lagoontide/bench/soak/play.py
@@ -117,7 +117,7 @@
         served=share_served(callers.asked),
         served_after=min(share_served(first), share_served(servable)),
         faults=len(faults.done) + crashes.crashed + restores.done,
-        crashing_runs=crashes.crashing_runs(),
+        crashing_runs=crashes.crashing_runs(targets),
         violations=[
             *check(asked, targets, faults.changes),
             *check_crashes(targets, healed_at),
