Penalties of targets that get no requests fade

Callers of an entry were served by fewer targets than were there: a target that had been slow or had failed for a moment was not asked again by that entry while the others had room, so that nothing showed that it had recovered; its penalty even grew (1.45 to 2.7) as the others became faster.

Cause: the penalty was a function of old samples only. Without a new response, half of it is left after 4 s. The four cases of test_target_that_was_slow_or_failed_is_asked_again failed before (never asked within 120 s).

--- a/src/lagoontide/targets/health.py
+++ b/src/lagoontide/targets/health.py
@@ -22,6 +22,9 @@
 # it is weighted.
 FAILURE_RATE_TOLERANCE = 0.1
 EXCESS_FAILURE_WEIGHT = 8.0
+# A target that gets no requests for its penalty shows no change either: without a
+# response for this long, half of the penalty is left.
+PENALTY_HALF_LIFE_S = 4.0
 
 
 @dataclass(slots=True)
@@ -41,6 +44,8 @@
         available.
     samples : int
         Number of responses.
+    observed_at : float
+        Clock time of the last response or loss.
     """
 
     mean_seconds: float = 0.0
@@ -48,6 +53,7 @@
     losses: int = 0
     backoff_until: float = 0.0
     samples: int = 0
+    observed_at: float = 0.0
 
 
 class Health:
@@ -72,6 +78,7 @@
         record = self._records[target.key]
         record.losses = 0
         record.samples += 1
+        record.observed_at = self._clock()
         record.backoff_until = 0.0
         record.failure_rate += FAILURE_SAMPLE_WEIGHT * (
             has_failed - record.failure_rate
@@ -87,6 +94,7 @@
         """Record a request without a complete response."""
         record = self._records[target.key]
         record.losses += 1
+        record.observed_at = self._clock()
         record.failure_rate += FAILURE_SAMPLE_WEIGHT * (1.0 - record.failure_rate)
         if record.losses >= BACKOFF_AFTER_LOSSES:
             backoff = MIN_BACKOFF_S * 2 ** (record.losses - BACKOFF_AFTER_LOSSES)
@@ -116,17 +124,21 @@
     def penalties(self, targets: Sequence[Target]) -> dict[str, float]:
         """Return the factor by which each target's cost is raised, by id.
 
-        It is 1 for a target that is no slower and no less reliable than the median.
+        It is 1 for a target that is no slower and no less reliable than the median,
+        and approaches 1 while nothing new is known of a target.
         """
         if not targets:
             return {}
+        now = self._clock()
         median_time = self.median_time(targets, 0.0)
         median_failures = median(
             [self.record_of(target).failure_rate for target in targets]
         )
         return {
-            target.id: _penalty(self.record_of(target), median_time, median_failures)
-            for target in targets
+            target.id: _penalty(record, median_time, median_failures, now)
+            for target, record in zip(
+                targets, map(self.record_of, targets), strict=True
+            )
         }
 
     def keep_only(self, keep: Iterable[tuple[str, int]]) -> None:
@@ -135,9 +147,13 @@
             del self._records[key]
 
 
-def _penalty(record: HealthRecord, median_time: float, median_failures: float) -> float:
+def _penalty(
+    record: HealthRecord, median_time: float, median_failures: float, now: float
+) -> float:
     slowness = 1.0
     if median_time > 0 and record.samples >= MIN_SAMPLES:
         slowness = max(1.0, record.mean_seconds / median_time)
     excess = max(0.0, record.failure_rate - median_failures - FAILURE_RATE_TOLERANCE)
-    return slowness * (1.0 + EXCESS_FAILURE_WEIGHT * excess)
+    penalty = slowness * (1.0 + EXCESS_FAILURE_WEIGHT * excess)
+    half_lives = max(0.0, now - record.observed_at) / PENALTY_HALF_LIFE_S
+    return 1.0 + (penalty - 1.0) * 0.5**half_lives
--- /dev/null
+++ b/tests/targets/test_health.py
@@ -0,0 +1,63 @@
+"""Penalties of targets that seem slow or unreliable, as one entry sees them."""
+
+import itertools
+import random
+
+import pytest
+
+from lagoontide.targets.choose import choose_lowest_cost
+from lagoontide.targets.health import Health
+from lagoontide.targets.load import Loads
+from lagoontide.targets.records import Target, TargetState
+
+
+class Clock:
+    now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class Scene:
+    """Three targets, of which the first was slow or failed some time ago."""
+
+    def __init__(self, usual=0.05, first=0.05, has_failed=False):
+        self.clock = Clock()
+        self.health = Health(self.clock)
+        self.targets = [
+            Target(f"t{n}", "s", "h", n, "z1", TargetState.READY) for n in range(3)
+        ]
+        for target, _ in itertools.product(self.targets, range(8)):
+            self.health.record_response(target, usual, False)
+        for _ in range(8):
+            self.health.record_response(self.targets[0], first, has_failed)
+
+    def choose(self):
+        """Return the target of a request that is alone."""
+        loads, rng = Loads(self.clock), random.Random(1)
+        choice = choose_lowest_cost(self.targets, loads, self.health, "z1", rng)
+        return choice.target
+
+    def seconds_avoided(self):
+        """Return the seconds until the first target gets a request again."""
+        for tenths in range(1200):
+            self.clock.now = 100.0 + tenths / 10
+            if any(self.choose() is self.targets[0] for _ in range(8)):
+                return tenths / 10
+            for target in self.targets[1:]:
+                self.health.record_response(target, 0.05, False)
+        return float("inf")
+
+
+# Guards against targets that are never asked again after a time in which they were slow,
+# as only a response shows that they no longer are.
+@pytest.mark.parametrize(
+    ("first", "has_failed"), [(0.1, False), (0.5, False), (0.05, True), (5.0, True)]
+)
+def test_target_that_was_slow_or_failed_is_asked_again(first, has_failed):
+    assert 1.0 < Scene(0.05, first, has_failed).seconds_avoided() < 60.0
+
+
+def test_target_that_is_slow_now_is_avoided():
+    scene = Scene(0.05, 0.1)
+    assert all(scene.choose() is not scene.targets[0] for _ in range(32))
