Response times that differ by milliseconds are no penalty

Requests of an entry went to one or two of three equally fast targets while the machine was busy: means of 2 and 3 ms gave penalties of 1.3 to 2.7. Cause: the penalty was the bare ratio of response times, and these hold the lateness of the entry that measures them. Both sides of the ratio now have 10 ms added. test_targets_share_requests_if_response_times_differ_by_milliseconds failed before.

--- a/src/lagoontide/targets/health.py
+++ b/src/lagoontide/targets/health.py
@@ -25,6 +25,9 @@
 # A target that gets no requests for its penalty shows no change either: without a
 # response for this long, half of the penalty is left.
 PENALTY_HALF_LIFE_S = 4.0
+# A response time holds the lateness of the process that measures it, which is of this
+# order while the process is busy.
+MEASURING_LATENESS_S = 0.01
 
 
 @dataclass(slots=True)
@@ -152,7 +155,11 @@
 ) -> float:
     slowness = 1.0
     if median_time > 0 and record.samples >= MIN_SAMPLES:
-        slowness = max(1.0, record.mean_seconds / median_time)
+        slowness = max(
+            1.0,
+            (record.mean_seconds + MEASURING_LATENESS_S)
+            / (median_time + MEASURING_LATENESS_S),
+        )
     excess = max(0.0, record.failure_rate - median_failures - FAILURE_RATE_TOLERANCE)
     penalty = slowness * (1.0 + EXCESS_FAILURE_WEIGHT * excess)
     half_lives = max(0.0, now - record.observed_at) / PENALTY_HALF_LIFE_S
--- a/tests/targets/test_health.py
+++ b/tests/targets/test_health.py
@@ -49,8 +49,8 @@
         return float("inf")
 
 
-# Guards against targets that are never asked again after a time in which they were slow,
-# as only a response shows that they no longer are.
+# Guards against targets that are never asked again after a time in which they were
+# slow, as only a response shows that they no longer are.
 @pytest.mark.parametrize(
     ("first", "has_failed"), [(0.1, False), (0.5, False), (0.05, True), (5.0, True)]
 )
@@ -61,3 +61,10 @@
 def test_target_that_is_slow_now_is_avoided():
     scene = Scene(0.05, 0.1)
     assert all(scene.choose() is not scene.targets[0] for _ in range(32))
+
+
+# Guards against targets that get no requests as their response times differ by less
+# than the lateness of the entry that measures them.
+def test_targets_share_requests_if_response_times_differ_by_milliseconds():
+    scene = Scene(0.001, 0.002)
+    assert any(scene.choose() is scene.targets[0] for _ in range(32))
