Test of cold targets: the last phase takes 6 s instead of 2

Traced: the target was cold no longer at any entry, and each entry's draws gave it 14 to 29 of them, fewer if one entry takes it for slow after a late first response.

--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -234,6 +234,11 @@
             await asyncio.sleep(CONTACT_S)
             before = len(cold.arrived_at)
             await ask_for(small, 2.0, "/safe/a", [])
-            assert len(cold.arrived_at) - before > 15
+            # More than a cold target may get in this time.
+            assert len(cold.arrived_at) - before > 1.5 * 2.0 * 2.0 + 5
+            await ask_for(small, 4.0, "/safe/a", [])
+            # The share of 15 in 80, over a time in which one entry that takes it for
+            # slow for a moment does not decide.
+            assert len(cold.arrived_at) - before > 3 * 15
 
     asyncio.run(main())
