A request with the method CONNECT no longer hangs its entry

One caller could end the service of an entry for all others: a 2xx answer of a target to CONNECT turns the connection into a tunnel for the HTTP library, and the loop that reads the body repeated its answer "paused" for ever, without a suspension in which anything else could run.

CONNECT is answered 501 now, and a response that opens a tunnel is invalid.

--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -124,6 +124,8 @@
         route_table = self._state.route_table
         if route_table is None:
             return NotRun("no configuration yet", pick_retry_after(self._rng))
+        if req.head.method == b"CONNECT":
+            return Rejected(501, "tunnels are not supported")
         try:
             metadata = self._state.field_codec.decode_request(req.head)
             path = req.head.path.decode("ascii")
--- a/src/lagoontide/http1/client.py
+++ b/src/lagoontide/http1/client.py
@@ -139,6 +139,10 @@
                     raise InvalidResponse(
                         "connection closed before the end of the response body"
                     )
+                case event:
+                    # A response that makes a tunnel of the connection has no end.
+                    self._is_broken = True
+                    raise InvalidResponse(f"unexpected {event!r} in a response body")
 
     async def read_full_body(self, max_bytes: int) -> bytes:
         """Return the complete body, of up to ``max_bytes`` bytes; see ``read_body``."""
--- a/tests/gateway/test_early_ends.py
+++ b/tests/gateway/test_early_ends.py
@@ -260,3 +260,17 @@
 
 def test_silence_is_no_reason():
     assert not any("silen" in reason or "stall" in reason for reason in EndReason)
+
+
+# Guards against a single request that ends the service of all other callers.
+@pytest.mark.parametrize("path", ["/safe/a", "/once/a", "/events/a", "/staged/a"])
+def test_connect_is_rejected_and_the_entry_goes_on(path):
+    async def scenario(small, ends):
+        answer = await send(small.ports[0], path, "r1", method="CONNECT", body=b"")
+        assert answer.status == 501
+        assert not any(target.arrived_at for target in small.targets)
+        answer = await send(small.ports[0], "/safe/a", "r2")
+        assert answer.status == 200
+        assert ends.lines() == []
+
+    run(scenario)
