A successor is given back if its request ends as it is reserved

With each caller that left, or deadline that came, in the pass of the event loop between the reservation of a successor and the end of the wait for the silent target, a turn at the successor's rate limit and a unit of the retry budget were lost: neither the end of the wait nor the handover returned them. The timer now owns the reservation until it has passed it on, and gives it back when it is closed.

The new test failed with the timer as it was (nothing given back).

--- a/src/lagoontide/forward/handover.py
+++ b/src/lagoontide/forward/handover.py
@@ -93,7 +93,17 @@
     def handed_over(self, *, step: str, peer: str) -> HandedOver:
         """Return the error of a wait that has ended for the successor."""
         assert self.successor is not None
-        return HandedOver(self.successor, step=step, peer=peer)
+        successor, self.successor = self.successor, None
+        return HandedOver(successor, step=step, peer=peer)
+
+    def close(self) -> None:
+        """Give a successor back to which the request was not handed over.
+
+        It ended otherwise while it was, as when its caller left.
+        """
+        if self.successor is not None:
+            self._release(self.successor)
+            self.successor = None
 
     def _hand_over(self) -> None:
         self._handle = None
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -255,12 +255,11 @@
         return None if is_unknown else choose()
 
     release_timer = loop.call_later(INPUT_FETCH_S, inputs.release)
+    wait = asyncio.timeout(None)
+    timer = make_stall_timer(state, call, wait, choose_successor, inputs.prepare)
     try:
         with record_losses(state.health, target):
-            async with asyncio.timeout(None) as wait:
-                timer = make_stall_timer(
-                    state, call, wait, choose_successor, inputs.prepare
-                )
+            async with wait:
                 if call.can_retry(after=1):
                     timer.start(_first_event_timeout(call))
                 try:
@@ -288,6 +287,7 @@
         state.health.record_loss(target)
         raise timer.handed_over(step="stream", peer=target.id) from None
     finally:
+        timer.close()
         release_timer.cancel()
         if response is not None:
             response.close()
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -213,9 +213,10 @@
     def choose_successor() -> Choice | None:
         return None if reply.is_started else choose()
 
+    wait = asyncio.timeout(None)
+    timer = make_stall_timer(state, call, wait, choose_successor)
     try:
-        async with asyncio.timeout(None) as wait:
-            timer = make_stall_timer(state, call, wait, choose_successor)
+        async with wait:
             if call.can_retry(after=1):
                 timer.start(_attempt_timeout(state, call))
             try:
@@ -228,6 +229,8 @@
                 timer.stop()
     except TimeoutError:
         raise timer.handed_over(step="wait", peer=target.id) from None
+    finally:
+        timer.close()
 
 
 def _attempt_timeout(state: ForwardingState, call: Call) -> float:
--- a/tests/forward/test_handover.py
+++ b/tests/forward/test_handover.py
@@ -85,3 +85,48 @@
         timer.start(0.0)
     else:
         loop.call_soon(expire_after, loop, timer, passes - 1)
+
+
+# Guards against turns and retry budget that are lost for good with each caller that
+# leaves in the moment in which its request is handed over.
+def test_successor_is_given_back_if_the_caller_leaves_as_it_is_reserved():
+    async def main():
+        loop = asyncio.get_running_loop()
+        wait, released = asyncio.timeout(None), []
+        timer = StallTimer(wait, lambda: SUCCESSOR, released.append)
+
+        async def send():
+            try:
+                async with wait:
+                    timer.start(0.01)
+                    try:
+                        await loop.create_future()
+                    finally:
+                        timer.stop()
+            finally:
+                timer.close()
+
+        sent = asyncio.ensure_future(send())
+        while timer.successor is None:
+            await asyncio.sleep(0)
+        sent.cancel()
+        await asyncio.wait([sent])
+        assert sent.cancelled()
+        assert released == [SUCCESSOR]
+
+    asyncio.run(main())
+
+
+def test_successor_is_kept_by_the_request_that_is_handed_over_to_it():
+    async def main():
+        wait, released = asyncio.timeout(None), []
+        timer = StallTimer(wait, lambda: SUCCESSOR, released.append)
+        with pytest.raises(TimeoutError):
+            async with wait:
+                timer.start(0.01)
+                await asyncio.sleep(1.0)
+        assert timer.handed_over(step="x", peer="t0").successor is SUCCESSOR
+        timer.close()
+        assert released == []
+
+    asyncio.run(main())
