Stage targets that pause no longer count as capacity in admission

While some targets of a stage pause, requests were admitted as if these took work. Their pieces then waited at the owner, behind more work than the others could do, rather than being rejected at once with a Retry-After.

OrderDispatcher.target_equivalents counted each target without a rate limit as one. It leaves out those that pause now, where this entry owns their shard and so makes the calls to them: a pause concerns one entry alone, and the owner of another shard has its own. If all targets of the service pause, all are still counted: the order then reaches the owner, which rejects it with the time to the earliest end.

Open: an entry that does not own the shard does not know of the pauses of the owner, and admits as before until the calibration has seen the longer waits.

Evidence: test_targets_that_pause_do_not_count_in_admission (4 of 1) and test_pauses_count_in_admission_by_the_shard_of_their_target (40 of 13) failed before. test_targets_count_in_admission_if_all_pause and test_pauses_do_not_count_in_admission_ where_another_entry_is_the_owner hold the two limits of the change.

--- a/src/lagoontide/pieces/dispatcher.py
+++ b/src/lagoontide/pieces/dispatcher.py
@@ -121,10 +121,10 @@
         """Return how many targets without a rate limit would do as much work.
 
         A target whose limit is due to be confirmed counts in full: its limit may have
-        ended, which only a call can show.
+        ended, which only a call can show. One that pauses does not count.
         """
         settings = self._service_of(service).piece_settings
-        targets = self.targets(service)
+        targets = self._without_pausing(service)
         if settings is None:
             return len(targets)
         call = settings.call_time + settings.batch * settings.piece_time
@@ -138,6 +138,29 @@
             for rate in rates
         )
 
+    def _without_pausing(self, service: str) -> tuple[Target, ...]:
+        """Return the targets of a service, without those that pause for their owner.
+
+        Pauses are known of targets that this entry calls. If all pause, all are
+        returned: the owner rejects orders with the time to the earliest end.
+        """
+        targets = self.targets(service)
+        pauses = self._rate_shares.limits.pauses
+        if pauses.is_empty:
+            return targets
+        shards = shard_count(len(targets))
+        own = {
+            shard
+            for shard in range(shards)
+            if self.owner_name(service, shard) == self._peers.name
+        }
+        awake = tuple(
+            target
+            for target in targets
+            if not pauses.left(target) or shard_of(target, shards) not in own
+        )
+        return awake or targets
+
     def domain_of(self, handle: str) -> str:
         """Return the failure domain of a result; empty if its target is unknown."""
         target = self._directory.at_address(self._client.address_of(handle))
--- a/tests/pieces/test_dispatcher.py
+++ b/tests/pieces/test_dispatcher.py
@@ -5,6 +5,7 @@
 from lagoontide.pieces.dispatcher import FORGET_PEER_DELAY_S, OrderDispatcher
 from lagoontide.pieces.messages import FreeResults, Order, OrderDone
 from lagoontide.pieces.records import Failure
+from lagoontide.pieces.shards import shard_of
 from lagoontide.routes.records import Service
 from lagoontide.targets.directory import Directory
 from lagoontide.targets.records import Target, TargetState
@@ -228,3 +229,63 @@
         return ""
 
     assert asyncio.run(main()) == "PeerError"
+
+
+def pause(dispatcher, *names, seconds=5.0):
+    for target in dispatcher.targets("s"):
+        if target.id in names:
+            pauses = dispatcher._rate_shares.limits.pauses
+            pauses.observe(target, seconds, "stage call")
+
+
+# Guards against requests that are admitted for targets that take no work, and then
+# wait at the owner until they are late.
+def test_targets_that_pause_do_not_count_in_admission():
+    async def main():
+        dispatcher, _ = make_dispatcher(Peers())
+        assert dispatcher.target_equivalents("s") == 4.0
+        pause(dispatcher, "t0", "t1", "t2", seconds=0.1)
+        assert dispatcher.target_equivalents("s") == 1.0
+        await asyncio.sleep(0.11)
+        assert dispatcher.target_equivalents("s") == 4.0
+
+    asyncio.run(main())
+
+
+# Guards against a Retry-After that is not the end of the pause: if all pause, the owner
+# rejects the order with it.
+def test_targets_count_in_admission_if_all_pause():
+    async def main():
+        dispatcher, _ = make_dispatcher(Peers())
+        pause(dispatcher, "t0", "t1", "t2", "t3", seconds=5.0)
+        assert dispatcher.target_equivalents("s") == 4.0
+        done = await dispatcher.make(ORDER)
+        assert done.failure is Failure.NO_ROOM
+        assert 4.5 < done.retry_after <= 5.0
+
+    asyncio.run(main())
+
+
+# Guards against targets that count for nothing as they pause for an entry that does not
+# call them: the owner of their shard is another one, which has its own pauses.
+def test_pauses_do_not_count_in_admission_where_another_entry_is_the_owner():
+    async def main():
+        dispatcher, _ = make_dispatcher(Leaving("a"))
+        assert dispatcher.owner_name("s") == "a"
+        pause(dispatcher, "t0")
+        assert dispatcher.target_equivalents("s") == 4.0
+
+    asyncio.run(main())
+
+
+def test_pauses_count_in_admission_by_the_shard_of_their_target():
+    async def main():
+        dispatcher, _ = make_dispatcher(Peers("a"), domains=40)
+        targets = dispatcher.targets("s")
+        own = {shard for shard in range(3) if dispatcher.owner_name("s", shard) == "me"}
+        assert len(own) in (1, 2)
+        called = [target.id for target in targets if shard_of(target, 3) in own]
+        pause(dispatcher, *(target.id for target in targets))
+        assert dispatcher.target_equivalents("s") == 40.0 - len(called)
+
+    asyncio.run(main())
