Pieces no longer wait for a domain whose stage targets pause

A request whose inputs lie in one failure domain lost up to the time to its objective there: its pieces were held for that domain although its target had asked, by Retry-After, for no calls, while targets of other domains were idle.

TargetTracker.domain_capacities left out targets that are slow or in back-off, and counted one that pauses as free at once. Pieces are only held for a domain that has capacity, so that leaving out targets that pause ends the wait.

Evidence: test_pieces_do_not_wait_for_a_domain_whose_targets_pause failed before (1.03 s with an objective of 1 s, 0.3 s allowed) and passes.

--- a/src/lagoontide/pieces/target_tracker.py
+++ b/src/lagoontide/pieces/target_tracker.py
@@ -222,7 +222,7 @@
     def domain_capacities(self, size: int) -> dict[str, DomainCapacity]:
         """Return the capacity of each failure domain, by name.
 
-        Targets that are slow or in back-off do not count.
+        Targets that are slow, in back-off or pause do not count.
 
         Parameters
         ----------
@@ -235,6 +235,8 @@
         for tracked in self._ready:
             if tracked.backoff_until > now or tracked.slowness > SLOW_RATIO * typical:
                 continue
+            if self.pause_left(tracked):
+                continue
             name = tracked.target.failure_domain
             free_at = max(now, tracked.busy_until) if tracked.calls else now
             current = capacities.get(name, DomainCapacity(free_at, 0))
--- a/tests/pieces/test_owner.py
+++ b/tests/pieces/test_owner.py
@@ -342,3 +342,17 @@
         assert len(calls.batches) <= len(TARGETS)
 
     asyncio.run(scenario())
+
+
+# Guards against pieces that wait, until their objective is nearly over, for a target
+# that pauses in the domain of their inputs, while others are idle.
+def test_pieces_do_not_wait_for_a_domain_whose_targets_pause():
+    async def scenario(owner, calls, fetched):
+        shares = owner._tracker.rate_shares
+        shares.limits.pauses.observe(TARGETS[0], 5.0, "stage call")
+        started_at = asyncio.get_running_loop().time()
+        done = await owner.submit(make_order("r", near="z0"), "me")
+        assert len(done.handles) == 2
+        assert asyncio.get_running_loop().time() - started_at < 0.3
+
+    run_scenario(scenario)
