Stand-ins of targets keep their port while they are down

Cause: a crashed stand-in closed its only socket, so that another socket or an outgoing connection could be given the port. A stand-in and the proxies of the soak now reserve the ports that they choose (reserve_ports) until they are closed: one socket stays bound and never listens, so that connections are refused while the target is down, and no moment is left in which the port is free. The proxies held theirs only while refusing.

--- a/src/lagoontide/bench/soak/proxy.py
+++ b/src/lagoontide/bench/soak/proxy.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import contextlib
-import socket
 from enum import StrEnum
 
-from lagoontide.platform.standins.ports import HOST
+from lagoontide.platform.standins.ports import HOST, reserve_ports
 from lagoontide.tasks import TaskSet
 
 __all__ = ["Harm", "Proxy"]
@@ -38,50 +37,34 @@
         self.port = 0
         self._upstream = host, port
         self._server: asyncio.Server | None = None
-        self._held: socket.socket | None = None
+        self._ports = contextlib.ExitStack()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks = TaskSet()
 
     async def start(self) -> int:
-        """Listen; return the port."""
-        await self._listen(0)
+        """Listen; return the port, which stays its own until it is closed."""
+        self.port = reserve_ports(self._ports, 1)[0]
+        await self._listen()
         return self.port
 
-    async def _listen(self, port: int) -> None:
-        self._release_port()
-        self._server = await asyncio.start_server(self._serve, HOST, port)
-        self.port = self._server.sockets[0].getsockname()[1]
+    async def _listen(self) -> None:
+        self._server = await asyncio.start_server(self._serve, HOST, self.port)
 
     def refuse(self) -> None:
         """Refuse new connections and reset the others, as if the upstream had ended."""
         if self._server is not None:
             self._server.close()
-        self._hold_port()
         self.cut()
 
     def resume(self) -> None:
         """Listen again, at the same port."""
-        self._tasks.start(self._listen(self.port))
-
-    def _hold_port(self) -> None:
-        """Keep the port bound but not listening, so that no other socket gets it."""
-        self._release_port()
-        held = socket.socket()
-        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        with contextlib.suppress(OSError):
-            held.bind((HOST, self.port))
-        self._held = held
-
-    def _release_port(self) -> None:
-        if self._held is not None:
-            self._held.close()
-            self._held = None
+        self._tasks.start(self._listen())
 
     async def close(self) -> None:
         """Stop, cutting all connections."""
-        self._release_port()
         if self._server is not None:
             self._server.close()
+        self._ports.close()
         self.cut()
 
     def cut(self) -> None:
--- a/src/lagoontide/platform/standins/ports.py
+++ b/src/lagoontide/platform/standins/ports.py
@@ -27,7 +27,9 @@
     ]
 
 
-def reserve_ports(stack: contextlib.ExitStack, number: int) -> list[int]:
+def reserve_ports(
+    stack: contextlib.ExitStack, number: int, host: str = HOST
+) -> list[int]:
     """Return ports that no other program is given while the stack is open.
 
     Each port stays bound to a socket that never listens. A listener that sets
@@ -37,5 +39,5 @@
     socks = [stack.enter_context(socket.socket()) for _ in range(number)]
     for sock in socks:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((HOST, 0))
+        sock.bind((host, 0))
     return [int(sock.getsockname()[1]) for sock in socks]
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform's targets: plain services, engines and stages."""
 
 import asyncio
+import contextlib
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -27,7 +28,7 @@
 )
 from lagoontide.platform.pieces import FREE_PATH, REPORT_PATH, RUN_PATH
 from lagoontide.platform.standins.events import make_event, send_late
-from lagoontide.platform.standins.ports import HOST
+from lagoontide.platform.standins.ports import HOST, reserve_ports
 from lagoontide.platform.standins.responses import json_response
 from lagoontide.platform.standins.runs import (
     Run,
@@ -137,6 +138,7 @@
     next_version: str = ""
     advertised_address: str = ""
     _handle_ids: Any = field(default_factory=lambda: count(1))
+    _ports: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
     _listener: Listener | None = None
     _active_calls: int = 0
     _store: StoreStandin | None = None
@@ -152,10 +154,10 @@
         self.register(store, zone, born)
 
     async def listen(self, host: str = HOST, port: int = 0) -> None:
-        """Start listening and set the address."""
+        """Start listening and set the address; a port that it chooses stays its own."""
+        port = port or reserve_ports(self._ports, 1, host)[0]
         self._listener = Listener(self._handle, HttpLimits)
-        bound_port = await self._listener.start(host, port)
-        self.address = f"{host}:{bound_port}"
+        self.address = f"{host}:{await self._listener.start(host, port)}"
 
     @property
     def name(self) -> str:
@@ -235,6 +237,7 @@
         self._restarts.cancel()
         if self._listener is not None:
             await self._listener.close()
+        self._ports.close()
 
     @property
     def _state_fields(self) -> Fields:
@@ -271,7 +274,7 @@
         if expected_id is not None and expected_id.decode() != self.id:
             await reply.send(Response(MISDIRECTED_STATUS, response_fields))
             return
-        if self._lacks_inputs(fields):
+        if self.needs_inputs and not field_value(fields, INPUTS.lower()):
             await reply.send(Response(409, [*response_fields, (NOT_RUN, b"1")]))
             return
         fault = self._next_fault()
@@ -389,9 +392,6 @@
         self.runs[f"{item['id']}/{item['stage']}/{item['piece']}"] += 1
         return {"handle": handle}
 
-    def _lacks_inputs(self, fields: Fields) -> bool:
-        return self.needs_inputs and not field_value(fields, INPUTS.lower())
-
     def _next_fault(self) -> TargetFault:
         if self.faults_left <= 0:
             return TargetFault.NONE
