The soak excuses targets that are still down at its end

Requests with the part that crashes targets go on in the calm seconds, and requests for a service whose only target is down then are not counted (could_run). The time in which a target was down was written only once it was back, so that one that was still down at the end excused nothing. It is written as the target crashes, without an end.

tests/bench/test_soak_crashes.py failed before: the request sent after the crash counted as one that could run.

--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -97,7 +97,7 @@
     crashed_at : list of float
         Event loop time of each crash.
     down : list of tuple
-        Event loop times between which it was down after a crash.
+        Event loop times between which it is down after a crash.
     on_crash, on_restart : callable
         Called once the target has stopped, and before it listens again.
     """
@@ -203,7 +203,9 @@
         if self._is_down:
             return
         self._is_down = True
-        self.crashed_at.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.crashed_at.append(now)
+        self.down.append((now, float("inf")))
         self._restarts.start(self._crash_and_restart())
 
     async def _crash_and_restart(self) -> None:
@@ -217,8 +219,7 @@
         self.on_restart()
         await self.listen(host, int(port))
         self._is_down = False
-        up_at = asyncio.get_running_loop().time()
-        self.down.append((self.crashed_at[-1], up_at))
+        self.down[-1] = self.crashed_at[-1], asyncio.get_running_loop().time()
         if self._store is None or self._state != "ready":
             return
         if not self.keeps_id:
