The soak does not count streams that its callers broke off as lost

Cause: callers break off a fifth of their resumable streams since take-ups were added, and the check of the silences, which is older, took such an end for the entry's. Callers now note that they broke off; every other end is checked as before.

--- a/src/lagoontide/bench/soak/callers.py
+++ b/src/lagoontide/bench/soak/callers.py
@@ -159,6 +159,7 @@
         async for data in conn.read_body():
             item.body += data
             if breaks_after and len(item.events) >= breaks_after:
+                item.has_broken_off = True
                 raise ConnectionResetError("the caller's connection breaks")
         item.is_whole = True
 
--- a/src/lagoontide/bench/soak/records.py
+++ b/src/lagoontide/bench/soak/records.py
@@ -98,6 +98,8 @@
         Whether the answer looked complete.
     has_left : bool
         Whether the caller gave up.
+    has_broken_off : bool
+        Whether the caller's own connection broke.
     entry : tuple
         Address of the entry that it was sent to.
     ended_at : float
@@ -119,6 +121,7 @@
     is_sealed: bool = False
     is_whole: bool = False
     has_left: bool = False
+    has_broken_off: bool = False
     entry: tuple[str, int] = ("", 0)
     ended_at: float = 0.0
     resumes: str = ""
--- a/src/lagoontide/bench/soak/silences.py
+++ b/src/lagoontide/bench/soak/silences.py
@@ -119,7 +119,11 @@
     elif item.is_whole:
         if item.status in SERVER_ERRORS:
             yield f"got {item.status}"
-    elif (runs or lasted > LOSS_SLACK_S) and lasted < ROUTE_TIMEOUT_S:
+    elif (
+        not item.has_broken_off
+        and (runs or lasted > LOSS_SLACK_S)
+        and lasted < ROUTE_TIMEOUT_S
+    ):
         yield "ended without an answer"
 
 
