The soak excuses requests while only a limited target is up

Of the requests that were not served 75 had ended with connection refused, all at one engine; it crashed in the calm seconds, on prompts that crash targets, and came back each time. The only other engine named a rate limit of 0.5/s all the while.

In the calm seconds one target of each service that has others names that limit, and the rule LIMIT keeps entries from sending it more. While the only other target was down, the requests still counted as ones that could run. They no longer do while every target of the service is down, has left, or names a limit that the checker holds entries to.

--- a/src/lagoontide/bench/soak/crashes.py
+++ b/src/lagoontide/bench/soak/crashes.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from lagoontide.bench.soak.callers import Address, Callers
+from lagoontide.bench.soak.checker import Changes
 from lagoontide.bench.soak.records import CRASHING_PART, PROMPT_KINDS, Asked, Work
 from lagoontide.platform.standins.runs import Run
 from lagoontide.platform.standins.targets import TargetStandin
@@ -90,19 +91,22 @@
                 self.crashed += 1
 
 
-def could_run(
-    item: Asked, targets: Iterable[TargetStandin], left_at: Mapping[str, float]
-) -> bool:
-    """Return whether any target of a request's service was up when it was sent.
+def could_run(item: Asked, targets: Iterable[TargetStandin], changes: Changes) -> bool:
+    """Return whether any target of a request's service could take it as it was sent.
 
-    Parameters
-    ----------
-    left_at : mapping
-        When targets left, by name.
+    One that is down, has left, or names a rate limit that the checker holds entries to
+    could not.
     """
+    left_at = changes.gone_at
+    limited = {
+        limit.target
+        for limit in changes.limits
+        if limit.since <= item.sent_at < limit.until
+    }
     service = "engine" if item.kind.work is Work.STREAM else "plain"
     return any(
         target.service == service
+        and target.name not in limited
         and left_at.get(target.name, item.sent_at) >= item.sent_at
         and not any(
             since <= item.sent_at < until + REGISTERED_S for since, until in target.down
