--- a/src/lagoontide/bench/soak/records.py
+++ b/src/lagoontide/bench/soak/records.py
@@ -98,6 +98,8 @@
         Whether the answer looked complete.
     has_left : bool
         Whether the caller gave up.
+    has_broken_off : bool
+        Whether the caller's own connection broke.
     entry : tuple
         Address of the entry that it was sent to.
     ended_at : float
@@ -106,6 +108,8 @@
         Id of the attempt that brought the first event; empty for a new request.
     last_event : int
         Number of the last event that earlier attempts brought.
+    time_left : float
+        Seconds to its deadline as it was sent; infinite if it names none.
     retry_after : float
         Seconds after which the entry told the caller to come back.
     """
@@ -119,10 +123,12 @@
     is_sealed: bool = False
     is_whole: bool = False
     has_left: bool = False
+    has_broken_off: bool = False
     entry: tuple[str, int] = ("", 0)
     ended_at: float = 0.0
     resumes: str = ""
     last_event: int = 0
+    time_left: float = float("inf")
     retry_after: float = 0.0
 
     @property
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform's targets: plain services, engines and stages."""
 
 import asyncio
+import contextlib
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -27,7 +28,7 @@
 )
 from lagoontide.platform.pieces import FREE_PATH, REPORT_PATH, RUN_PATH
 from lagoontide.platform.standins.events import make_event, send_late
-from lagoontide.platform.standins.ports import HOST
+from lagoontide.platform.standins.ports import HOST, reserve_ports
 from lagoontide.platform.standins.responses import json_response
 from lagoontide.platform.standins.runs import (
     Run,
@@ -96,7 +97,7 @@
     crashed_at : list of float
         Event loop time of each crash.
     down : list of tuple
-        Event loop times between which it was down after a crash.
+        Event loop times between which it is down after a crash.
     on_crash, on_restart : callable
         Called once the target has stopped, and before it listens again.
     """
@@ -137,6 +138,7 @@
     next_version: str = ""
     advertised_address: str = ""
     _handle_ids: Any = field(default_factory=lambda: count(1))
+    _ports: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
     _listener: Listener | None = None
     _active_calls: int = 0
     _store: StoreStandin | None = None
@@ -152,10 +154,10 @@
         self.register(store, zone, born)
 
     async def listen(self, host: str = HOST, port: int = 0) -> None:
-        """Start listening and set the address."""
+        """Start listening and set the address; a port that it chooses stays its own."""
+        port = port or reserve_ports(self._ports, 1, host)[0]
         self._listener = Listener(self._handle, HttpLimits)
-        bound_port = await self._listener.start(host, port)
-        self.address = f"{host}:{bound_port}"
+        self.address = f"{host}:{await self._listener.start(host, port)}"
 
     @property
     def name(self) -> str:
@@ -201,7 +203,9 @@
         if self._is_down:
             return
         self._is_down = True
-        self.crashed_at.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.crashed_at.append(now)
+        self.down.append((now, float("inf")))
         self._restarts.start(self._crash_and_restart())
 
     async def _crash_and_restart(self) -> None:
@@ -215,8 +219,7 @@
         self.on_restart()
         await self.listen(host, int(port))
         self._is_down = False
-        up_at = asyncio.get_running_loop().time()
-        self.down.append((self.crashed_at[-1], up_at))
+        self.down[-1] = self.crashed_at[-1], asyncio.get_running_loop().time()
         if self._store is None or self._state != "ready":
             return
         if not self.keeps_id:
@@ -235,6 +238,7 @@
         self._restarts.cancel()
         if self._listener is not None:
             await self._listener.close()
+        self._ports.close()
 
     @property
     def _state_fields(self) -> Fields:
@@ -271,7 +275,7 @@
         if expected_id is not None and expected_id.decode() != self.id:
             await reply.send(Response(MISDIRECTED_STATUS, response_fields))
             return
-        if self._lacks_inputs(fields):
+        if self.needs_inputs and not field_value(fields, INPUTS.lower()):
             await reply.send(Response(409, [*response_fields, (NOT_RUN, b"1")]))
             return
         fault = self._next_fault()
@@ -389,9 +393,6 @@
         self.runs[f"{item['id']}/{item['stage']}/{item['piece']}"] += 1
         return {"handle": handle}
 
-    def _lacks_inputs(self, fields: Fields) -> bool:
-        return self.needs_inputs and not field_value(fields, INPUTS.lower())
-
     def _next_fault(self) -> TargetFault:
         if self.faults_left <= 0:
             return TargetFault.NONE
