Callers whose bytes arrived while the entry was frozen are answered

Callers got 408, or their connection was closed without an answer, if the entry had been frozen for longer than what was left of the idle or head timeout, although their bytes had arrived in time and lay in the kernel's buffer. The second try of read() covered only bytes that the event loop had received in the same pass; after SIGCONT the timers run before the sockets are polled.

The timeouts now start again, once more for a moment, if they expire late.

--- a/src/lagoontide/http1/request_reader.py
+++ b/src/lagoontide/http1/request_reader.py
@@ -9,6 +9,7 @@
 
 from lagoontide.http1.messages import Fields, RequestHead, field_values
 from lagoontide.http1.tcp import TcpConn
+from lagoontide.timers import run_timeout
 
 __all__ = ["BadRequest", "HttpLimits", "Request", "RequestReader"]
 
@@ -140,7 +141,7 @@
     async def _read(self, timeout: float) -> bytes:
         """Return the next bytes; raises TimeoutError if none arrive in time."""
         try:
-            async with asyncio.timeout(timeout):
+            async with run_timeout(timeout):
                 return await self._tcp.read()
         except TimeoutError:
             if not self._tcp.has_unread:
