Stage calls answered while this entry was frozen are not late

Pieces were made twice, and sound stage targets were backed off, after an entry had been frozen: the calls that it had sent before were late, or timed out, although their answers had arrived.

Cause: the timers of the hedge and of the call ran on while the entry did not, and they run before the sockets are polled when it goes on. Both now allow for their own lateness.

The two cases of test_call_whose_answer_arrives_while_this_entry_is_frozen_is_not_late failed before: a hedge after 0.5 s, a lost call after 3 s.

--- a/src/lagoontide/pieces/hedging.py
+++ b/src/lagoontide/pieces/hedging.py
@@ -6,6 +6,7 @@
 from lagoontide.errors import TargetFailed
 from lagoontide.pieces.records import Piece, PieceClient, PieceResult
 from lagoontide.targets.records import Target
+from lagoontide.timers import is_done_within
 
 __all__ = ["HEDGE_RATIO", "make_hedged"]
 
@@ -45,13 +46,13 @@
     timeout = max(TIMEOUT_RATIO * expected, MIN_TIMEOUT_S)
     call = asyncio.ensure_future(client.make(target, pieces, timeout))
     try:
-        if await _is_done_within(call, HEDGE_RATIO * expected + HEDGE_MIN_S):
+        if await is_done_within(call, HEDGE_RATIO * expected + HEDGE_MIN_S):
             return call.result()
         on_late()
         while await client.is_busy(target):
-            if await _is_done_within(call, BUSY_POLL_S):
+            if await is_done_within(call, BUSY_POLL_S):
                 return call.result()
-        if not await _is_done_within(call, ARRIVAL_GRACE_S):
+        if not await is_done_within(call, ARRIVAL_GRACE_S):
             raise TargetFailed(
                 "call or answer lost: target reports no work or does not answer",
                 step="make",
@@ -60,10 +61,3 @@
         return call.result()
     finally:
         call.cancel()
-
-
-async def _is_done_within(
-    call: asyncio.Future[tuple[PieceResult, ...]], seconds: float
-) -> bool:
-    done, _ = await asyncio.wait({call}, timeout=seconds)
-    return bool(done)
--- a/src/lagoontide/platform/pieces.py
+++ b/src/lagoontide/platform/pieces.py
@@ -1,6 +1,5 @@
 """HTTP client for the platform's stage services."""
 
-import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -23,6 +22,7 @@
 from lagoontide.targets.pool import ConnPool
 from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target
+from lagoontide.timers import run_timeout
 
 __all__ = ["PlatformPieceClient"]
 
@@ -186,7 +186,7 @@
         conn = await pool.acquire(CONNECT_TIMEOUT_S)
         is_reusable = False
         try:
-            async with asyncio.timeout(timeout):
+            async with run_timeout(timeout):
                 answer = await conn.call(head, body)
             _check_not_duplicate(conn, path, answer.body)
             is_reusable = conn.prepare_reuse()
