Peers are not lost to an entry that did not run

An entry that had been frozen took all its peers for lost for some milliseconds, before it had read their statuses. Its callers' requests with stages waited: their orders were given up at the owners of stage targets and made once more elsewhere, and these owners were suspected for 2 s, so that two entries called the same stage targets.

Cause: the age of the last status ran on while the entry did not. The membership, the list of the hubs and their silence are now timed by a clock that stands still meanwhile: it is told of each round, and does not count the time by which the next one is late.

The two cases of test_entry_that_was_frozen_does_not_lose_its_peers failed before: both peers lost.

--- a/src/lagoontide/mesh/peers.py
+++ b/src/lagoontide/mesh/peers.py
@@ -19,6 +19,7 @@
 from lagoontide.mesh.roster import Roster
 from lagoontide.quarantine.records import CrashReport
 from lagoontide.store.revision_store import Revision
+from lagoontide.timers import RunClock
 from lagoontide.wire.conn import Conn
 from lagoontide.wire.pool import ConnPool
 from lagoontide.wire.router import Router
@@ -106,14 +107,16 @@
         self._on_sums = on_sums
         self._on_crashes = on_crashes
         self._loop = asyncio.get_running_loop()
+        # Only what peers do not send while this entry runs is their silence.
+        self._run_clock = RunClock(self._loop.time)
         self._peers: dict[str, _Peer] = {}
         self._addresses = AddressBook(self._loop.time)
         self._registered = registered
         self._is_cut_off = is_cut_off
         self._suspected_until: dict[str, float] = {}
         self._started_at = self._loop.time()
-        self.roster = Roster(self._loop.time)
-        self.hub_monitor = HubMonitor(self._loop.time)
+        self.roster = Roster(self._run_clock)
+        self.hub_monitor = HubMonitor(self._run_clock)
         self._hub = Hub(name, self.send, self._loop.time)
         self._cached_layout: tuple[int, Layout] = (0, Layout("", {}))
         self._follow_sent_at = 0.0
@@ -231,9 +234,9 @@
             self._follow_hubs(status.as_of)
             self._send_status(status)
             is_large = self._is_large_fleet()
-            await asyncio.sleep(
-                HUB_STATUS_INTERVAL_S if is_large else STATUS_INTERVAL_S
-            )
+            pause = HUB_STATUS_INTERVAL_S if is_large else STATUS_INTERVAL_S
+            self._run_clock.tick(pause)
+            await asyncio.sleep(pause)
 
     def broadcast_status(self) -> None:
         """Send this entry's status to peers now, out of turn."""
@@ -355,7 +358,7 @@
         return max(MIN_LOST_AFTER_S, LOST_AFTER_ROUNDS * rounds * STATUS_INTERVAL_S)
 
     def _expire_peers(self) -> None:
-        now = self._loop.time()
+        now = self._run_clock()
         silence_limit = self._silence_limit()
         for name, peer in tuple(self._peers.items()):
             silent = now - peer.heard_at
@@ -373,11 +376,10 @@
         self._pool.keep(f"tcp://{address}" for address in self._addresses)
 
     async def _handle_status(self, peer: str, status: Status, send: Send) -> None:
-        now = self._loop.time()
         known = self._peers.get(status.name)
         if known is None or known.is_lost:
             logger.bind(peer=status.name).info("peer found at {}", status.address)
-        self._peers[status.name] = _Peer(status, now)
+        self._peers[status.name] = _Peer(status, self._run_clock())
         self.add_addresses((status.address,))
         self._addresses.add_unconfirmed(status.peers)
         is_large = self._is_large_fleet()
--- a/src/lagoontide/timers.py
+++ b/src/lagoontide/timers.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-__all__ = ["RunTimer", "is_done_within", "run_timeout"]
+__all__ = ["RunClock", "RunTimer", "is_done_within", "run_timeout"]
 
 # A timer that fires later than this was held up by this process itself. What peers have
 # sent meanwhile is not read yet: after a stop signal, the event loop runs due timers
@@ -43,6 +44,35 @@
         self._handle = self._loop.call_later(left, self._fire)
 
 
+class RunClock:
+    """A monotonic clock that stands still while this process does not run.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the seconds of a monotonic clock that runs on.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._tick_due_at = math.inf
+        self._stopped_s = 0.0
+
+    def __call__(self) -> float:
+        """Return seconds."""
+        latest = self._tick_due_at + MAX_LATENESS_S
+        return min(self._clock(), latest) - self._stopped_s
+
+    def tick(self, next_in: float) -> None:
+        """Tell that this process runs, and in how many seconds the next call is due.
+
+        The time by which that is late is not counted.
+        """
+        now = self._clock()
+        self._stopped_s += max(0.0, now - self._tick_due_at - MAX_LATENESS_S)
+        self._tick_due_at = now + next_in
+
+
 @contextlib.asynccontextmanager
 async def run_timeout(seconds: float) -> AsyncIterator[None]:
     """Raise TimeoutError as ``asyncio.timeout`` does, by a ``RunTimer``."""
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+import pytest
+
 from lagoontide.mesh.addresses import MAX_RECIPIENTS
 from lagoontide.mesh.hub import digest_of
 from lagoontide.mesh.messages import Member, Status, Sums
 from lagoontide.mesh.peers import MAX_FULL_MESH_ENTRIES, MIN_LOST_AFTER_S, Mesh
 from lagoontide.mesh.registration import EntryRecord
 from lagoontide.store.revision_store import Revision
+from tests.support.freezing import freeze
 
 
 class Conn:
@@ -70,6 +73,27 @@
     asyncio.run(main())
 
 
+# Guards against an entry to which all its peers are lost, so that it orders stage work
+# once more, as it did not run itself: their statuses are not read yet (LOST).
+@pytest.mark.parametrize("frozen", [0.6, 3.0])
+def test_entry_that_was_frozen_does_not_lose_its_peers(frozen):
+    async def main():
+        mesh, _, lost = make_mesh()
+        register(mesh, 3)
+        running = asyncio.ensure_future(mesh.run())
+        await receive_statuses(mesh, "e1", "e2")
+        await asyncio.sleep(0.15)
+        freeze(frozen)
+        await asyncio.sleep(0.2)
+        assert lost == []
+        assert set(mesh.live()) == {"e0", "e1", "e2"}
+        await asyncio.sleep(MIN_LOST_AFTER_S)
+        assert lost == ["e1", "e2"]
+        running.cancel()
+
+    asyncio.run(main())
+
+
 def test_suspected_entry_is_not_live_in_a_large_fleet():
     async def main():
         mesh, _, _ = make_mesh()
