Replies of peers that arrived while this entry was frozen are read

Callers of an entry that had been frozen were refused with 503 in the next moment: their take-ups as the version that began the stream seemed to be unknown, others as no turn of a rate limit seemed to be lent (the target was then not asked for 1.5 s), or no trial.

Cause: the waits of 0.2 to 0.3 s for replies of other entries ran on while the entry did not, and ended before the replies were read. They now allow for their own lateness.

--- a/src/lagoontide/mesh/origin_peers.py
+++ b/src/lagoontide/mesh/origin_peers.py
@@ -7,6 +7,7 @@
 from lagoontide.errors import PeerError
 from lagoontide.origins.ledger import Origins
 from lagoontide.origins.messages import OriginReply, OriginRequest
+from lagoontide.timers import run_timeout
 from lagoontide.wire.conn import Conn
 from lagoontide.wire.router import Router
 from lagoontide.wire.server import Send
@@ -52,11 +53,12 @@
         message = OriginRequest(request_id, service)
         tasks = [asyncio.ensure_future(_ask(conn, message)) for conn in self._conns()]
         try:
-            for reply in asyncio.as_completed(tasks, timeout=ASK_TIMEOUT_S):
-                version = await reply
-                if version is not None:
-                    self._origins.learn({service: {version: [request_id]}})
-                    return version
+            async with run_timeout(ASK_TIMEOUT_S):
+                for reply in asyncio.as_completed(tasks):
+                    version = await reply
+                    if version is not None:
+                        self._origins.learn({service: {version: [request_id]}})
+                        return version
         except TimeoutError:
             pass
         finally:
--- a/src/lagoontide/wire/conn.py
+++ b/src/lagoontide/wire/conn.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from lagoontide.errors import PeerError, PeerTimeout, WireError
+from lagoontide.timers import run_timeout
 from lagoontide.wire.codec import Codec, Header
 from lagoontide.wire.sock import LoopSocket
 
@@ -91,7 +92,7 @@
             If no reply arrives in time.
         """
         try:
-            async with asyncio.timeout(timeout):
+            async with run_timeout(timeout):
                 return await self._replies.get()
         except TimeoutError:
             raise PeerTimeout(
--- a/tests/origins/test_origin_peers.py
+++ b/tests/origins/test_origin_peers.py
@@ -1,10 +1,13 @@
 """Origins of streams that other entries know."""
 
 import asyncio
+import socket
 
 from lagoontide.errors import PeerTimeout
 from lagoontide.mesh.origin_peers import ASK_TIMEOUT_S, MAX_PEERS, OriginPeers
 from lagoontide.origins.ledger import Origins
+from lagoontide.origins.messages import OriginReply
+from tests.support.freezing import freeze
 from tests.support.virtual import run_virtual
 
 
@@ -115,3 +118,27 @@
         assert sum(conn.calls for conn in conns.values()) == MAX_PEERS
 
     run(lambda: {f"e{place}": make_peer() for place in range(300)}, scenario)
+
+
+class ConnWithUnreadReply:
+    """A connection whose reply arrives while the event loop is frozen."""
+
+    async def ask(self, message, timeout):
+        reader, writer = socket.socketpair()
+        with reader, writer:
+            reader.setblocking(False)
+            asyncio.get_running_loop().call_soon(writer.send, b"x")
+            freeze(2 * ASK_TIMEOUT_S)
+            await asyncio.get_running_loop().sock_recv(reader, 1)
+        return OriginReply("v1")
+
+
+# Guards against take-ups that are refused as the peers' replies are not read yet: this
+# entry did not run.
+def test_reply_that_arrives_while_this_entry_is_frozen_is_read():
+    async def main():
+        origins = Origins(asyncio.get_running_loop().time)
+        peers = OriginPeers(origins, Peers({"e1": ConnWithUnreadReply()}))
+        return await peers.find_at_peers("r1", "engine")
+
+    assert asyncio.run(main()) == "v1"
