Answers that arrived while their entry was frozen are returned

Callers got 504 although the answer to their request had come in time: their deadline, or the timeout of the route, passed while the entry did not run, and it ended the request before it read what the target had sent. Streams were cut in the same way, also by the end of a drain.

A deadline that is noticed late now leaves 50 ms, once, to read what has arrived. One that had passed before the request was forwarded still ends it at once.

The two cases of test_answer_that_arrived_before_a_freeze_is_returned_after_the_deadline failed before (504 instead of 200).

--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -31,6 +31,7 @@
 from lagoontide.logs import format_traceback
 from lagoontide.routes.records import Account, RouteKind
 from lagoontide.routes.route_table import RouteTable, pick_service
+from lagoontide.timers import Deadline
 
 __all__ = ["Forwarder"]
 
@@ -61,15 +62,13 @@
         self._rng = rng
         self._prior_waits = PriorWaitEstimator()
         self._drain_deadline = float("inf")
-        self._timeouts: set[asyncio.Timeout] = set()
+        self._deadlines: set[Deadline] = set()
 
     def set_drain_deadline(self, deadline: float) -> None:
         """Limit the deadlines of current and later requests to a loop time."""
         self._drain_deadline = deadline
-        for wait in self._timeouts:
-            due = wait.when()
-            if due is None or due > deadline:
-                wait.reschedule(deadline)
+        for current in self._deadlines:
+            current.limit_to(deadline)
 
     async def handle(self, req: Request, reply: ResponseWriter) -> None:
         """Answer a request; see lagoontide.http1.server.Handler."""
@@ -184,14 +183,14 @@
         inputs = self._make_inputs(call) if call.route.stages else NoInputs()
         try:
             inputs.admit()
-            async with asyncio.timeout_at(
-                min(call.deadline, self._drain_deadline)
-            ) as wait:
-                self._timeouts.add(wait)
+            async with asyncio.timeout(None) as wait:
+                deadline = Deadline(wait, min(call.deadline, self._drain_deadline))
+                self._deadlines.add(deadline)
                 try:
                     return await self._forward_by_kind(call, reply, inputs)
                 finally:
-                    self._timeouts.discard(wait)
+                    deadline.cancel()
+                    self._deadlines.discard(deadline)
         except TimeoutError:
             if not wait.expired():
                 raise
--- a/src/lagoontide/timers.py
+++ b/src/lagoontide/timers.py
@@ -6,12 +6,14 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-__all__ = ["RunClock", "RunTimer", "is_done_within", "run_timeout"]
+__all__ = ["Deadline", "RunClock", "RunTimer", "is_done_within", "run_timeout"]
 
 # A timer that fires later than this was held up by this process itself. What peers have
 # sent meanwhile is not read yet: after a stop signal, the event loop runs due timers
 # before it polls the sockets.
 MAX_LATENESS_S = 0.02
+# What has arrived by a deadline at which this process did not run is read in this time.
+READ_S = 0.05
 # A process that is late for long is not waited for without end.
 MAX_EXTENSIONS = 8
 
@@ -44,6 +46,43 @@
         self._handle = self._loop.call_later(left, self._fire)
 
 
+class Deadline:
+    """Ends a wait at a loop time, once what has arrived by then was read.
+
+    Unlike a ``RunTimer`` it adds no time but for the reading.
+
+    Parameters
+    ----------
+    wait : asyncio.Timeout
+        The wait; it expires at the deadline.
+    """
+
+    def __init__(self, wait: asyncio.Timeout, at: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._wait = wait
+        self._is_late = False
+        # One that has passed already ends the wait at once.
+        self._handle = self._loop.call_at(max(at, self._loop.time()), self._fire)
+
+    def limit_to(self, at: float) -> None:
+        """Move the deadline to a loop time if that is earlier."""
+        if at < self._handle.when():
+            self._handle.cancel()
+            self._handle = self._loop.call_at(max(at, self._loop.time()), self._fire)
+
+    def cancel(self) -> None:
+        """Do not end the wait."""
+        self._handle.cancel()
+
+    def _fire(self) -> None:
+        now = self._loop.time()
+        if now - self._handle.when() > MAX_LATENESS_S and not self._is_late:
+            self._is_late = True
+            self._handle = self._loop.call_later(READ_S, self._fire)
+        else:
+            self._wait.reschedule(now)
+
+
 class RunClock:
     """A monotonic clock that stands still while this process does not run.
 
