--- /dev/null
+++ b/src/lagoontide/timers.py
@@ -0,0 +1,132 @@
+"""Timers that allow for the lateness of this process."""
+
+import asyncio
+import contextlib
+import math
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+__all__ = ["Deadline", "RunClock", "RunTimer", "is_done_within", "run_timeout"]
+
+# A timer that fires later than this was held up by this process itself. What peers have
+# sent meanwhile is not read yet: after a stop signal, the event loop runs due timers
+# before it polls the sockets.
+MAX_LATENESS_S = 0.02
+# What has arrived by a deadline at which this process did not run is read in this time.
+READ_S = 0.05
+# A process that is late for long is not waited for without end.
+MAX_EXTENSIONS = 8
+
+
+class RunTimer:
+    """Calls back after some seconds, not counting a delay of this process at the end.
+
+    A timer that fires late starts again for as long as it was late, and at most for its
+    whole time, so that what has arrived is read first.
+    """
+
+    def __init__(self, seconds: float, callback: Callable[[], None]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._seconds = max(0.0, seconds)
+        self._callback = callback
+        self._extensions_left = MAX_EXTENSIONS
+        self._handle = self._loop.call_later(self._seconds, self._fire)
+
+    def cancel(self) -> None:
+        """Do not call back."""
+        self._handle.cancel()
+
+    def _fire(self) -> None:
+        lateness = self._loop.time() - self._handle.when()
+        if lateness <= MAX_LATENESS_S or not self._extensions_left:
+            self._callback()
+            return
+        self._extensions_left -= 1
+        left = min(lateness, max(self._seconds, MAX_LATENESS_S))
+        self._handle = self._loop.call_later(left, self._fire)
+
+
+class Deadline:
+    """Ends a wait at a loop time, once what has arrived by then was read.
+
+    Unlike a ``RunTimer`` it adds no time but for the reading.
+
+    Parameters
+    ----------
+    wait : asyncio.Timeout
+        The wait; it expires at the deadline.
+    """
+
+    def __init__(self, wait: asyncio.Timeout, at: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._wait = wait
+        self._is_late = False
+        # One that has passed already ends the wait at once.
+        self._handle = self._loop.call_at(max(at, self._loop.time()), self._fire)
+
+    def limit_to(self, at: float) -> None:
+        """Move the deadline to a loop time if that is earlier."""
+        if at < self._handle.when():
+            self._handle.cancel()
+            self._handle = self._loop.call_at(max(at, self._loop.time()), self._fire)
+
+    def cancel(self) -> None:
+        """Do not end the wait."""
+        self._handle.cancel()
+
+    def _fire(self) -> None:
+        now = self._loop.time()
+        if now - self._handle.when() > MAX_LATENESS_S and not self._is_late:
+            self._is_late = True
+            self._handle = self._loop.call_later(READ_S, self._fire)
+        else:
+            self._wait.reschedule(now)
+
+
+class RunClock:
+    """A monotonic clock that stands still while this process does not run.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the seconds of a monotonic clock that runs on.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._tick_due_at = math.inf
+        self._stopped_s = 0.0
+
+    def __call__(self) -> float:
+        """Return seconds."""
+        latest = self._tick_due_at + MAX_LATENESS_S
+        return min(self._clock(), latest) - self._stopped_s
+
+    def tick(self, next_in: float) -> None:
+        """Tell that this process runs, and in how many seconds the next call is due.
+
+        The time by which that is late is not counted.
+        """
+        now = self._clock()
+        self._stopped_s += max(0.0, now - self._tick_due_at - MAX_LATENESS_S)
+        self._tick_due_at = now + next_in
+
+
+@contextlib.asynccontextmanager
+async def run_timeout(seconds: float) -> AsyncIterator[None]:
+    """Raise TimeoutError as ``asyncio.timeout`` does, by a ``RunTimer``."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as wait:
+        timer = RunTimer(seconds, lambda: wait.reschedule(loop.time()))
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
+async def is_done_within(future: asyncio.Future[Any], seconds: float) -> bool:
+    """Wait for a future, by a ``RunTimer``; it goes on if it is not done."""
+    with contextlib.suppress(TimeoutError):
+        async with run_timeout(seconds):
+            await asyncio.wait({future})
+    return future.done()
