A stream waits for inputs that fail for a moment after a silent target

Callers saw streams that were cut, or 502, within their deadline: their target was silent, the successor said that their inputs were gone, and a stage failed as they were made again. The silent target would have gone on. Such a failure now counts like a refusal by the successor: the request pauses and tries again until its deadline, at either target.

--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -19,7 +19,7 @@
 from lagoontide.forward.event_relay import EventRelay, Progress
 from lagoontide.forward.guard import RequestWithheld
 from lagoontide.forward.handover import HandedOver, Retake, make_stall_timer
-from lagoontide.forward.inputs import Inputs
+from lagoontide.forward.inputs import Inputs, InputsFailed
 from lagoontide.forward.outcome import Answered, EndReason, Outcome, Relayed
 from lagoontide.forward.resumption import record_begin, record_end
 from lagoontide.forward.retry_after import pick_limited_retry_after
@@ -102,12 +102,21 @@
     withheld: RequestWithheld | None = None
     successor: Choice | None = None
     retake: Retake | None = None
+    log = logger.bind(request=call.metadata.request_id)
 
     def choose() -> Choice | None:
         return choose_engine(state, call, tried, rng, inputs.bytes_by_domain())
 
     while True:
-        handles = await inputs.ready()
+        try:
+            handles = await inputs.ready()
+        except InputsFailed as exc:
+            if retake is None:
+                raise
+            reason = str(exc)
+            log.info("inputs of a successor failed: {}", exc)
+            await retake.pause()
+            continue
         call.record_step("inputs")
         is_retry = call.send_tracker.sends > 0
         choice, successor = successor, None
@@ -129,7 +138,7 @@
         options = SendOptions(
             _urgency_level(call), handles, progress.last_event_id, choice.has_turn
         )
-        log = logger.bind(request=call.metadata.request_id, target=target.id)
+        log = log.bind(target=target.id)
         try:
             async with state.guard.watch(call, target) as run:
                 outcome = await _relay_from_target(
--- a/tests/gateway/test_staged_handover.py
+++ b/tests/gateway/test_staged_handover.py
@@ -11,11 +11,13 @@
     start_deployment,
 )
 from lagoontide.platform.standins.runs import SilentAt, TargetFault
+from lagoontide.platform.standins.targets import TargetStandin
 from tests.support.waiting import wait_for
 
 EVENTS = 6
 SILENCE_S = 1.6
 DEADLINE_MS = 5000
+STAGES_FAIL_S = 0.5
 STAGE_FIELDS = [
     (b"X-Lagoontide-Token-Counts", b"1200,%d" % EVENTS),
     (b"X-Lagoontide-Pieces", b"2,2"),
@@ -109,3 +111,52 @@
         assert runs == 2
 
     run(scenario)
+
+
+def lose_inputs_at_successor(monkeypatch):
+    """Let the successor of a silent engine lack its inputs, and no stage make them.
+
+    Both last for ``STAGES_FAIL_S``, from the first request to the successor.
+    """
+    failing_until = []
+
+    def lacks_inputs(target, fields):
+        if target.service != "engine" or target.fault is TargetFault.SILENT:
+            return False
+        if not failing_until:
+            now = asyncio.get_running_loop().time()
+            failing_until.append(now + STAGES_FAIL_S)
+            return True
+        return False
+
+    def run_piece(target, item):
+        now = asyncio.get_running_loop().time()
+        if failing_until and now < failing_until[0]:
+            return {"reason": "error"}
+        return make_piece(target, item)
+
+    make_piece = TargetStandin._run_piece
+    monkeypatch.setattr(TargetStandin, "_lacks_inputs", lacks_inputs)
+    monkeypatch.setattr(TargetStandin, "_run_piece", run_piece)
+
+
+def spare_idle_engines(small):
+    for target in small.targets_of("engine"):
+        if not target.log:
+            target.fault = TargetFault.NONE
+
+
+# Guards against streams that end early as the successor of their silent engine lacks
+# their inputs, and making them again fails for a moment (LOST).
+@pytest.mark.parametrize("silent_at", SilentAt)
+def test_stream_goes_on_if_the_inputs_of_its_successor_fail_for_a_moment(
+    monkeypatch, silent_at
+):
+    async def scenario(small):
+        silence_engines(small, silent_at, count=2)
+        lose_inputs_at_successor(monkeypatch)
+        answer, runs = await ask_staged(small, spare_idle_engines)
+        check_whole(answer)
+        assert runs == 2
+
+    run(scenario)
