Turns and retry budget of requests that are not sent are given back

Whenever a caller left, its deadline came or its request was withheld between the handover from a silent target and the send to the successor, a turn at the successor's rate limit and a unit of the retry budget stayed counted, so that other requests were refused for them. The same held for a turn that a request had waited for. Both are now held until the send and given back without one; when the inputs of a successor fail, at once.

--- a/src/lagoontide/forward/handover.py
+++ b/src/lagoontide/forward/handover.py
@@ -8,7 +8,7 @@
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.targets.choose import Choice
 
-__all__ = ["HandedOver", "Retake", "StallTimer", "make_stall_timer"]
+__all__ = ["HandedOver", "Reservation", "Retake", "StallTimer", "make_stall_timer"]
 
 # A request that stays at its silent target looks for a successor again after this.
 RETRY_INTERVAL_S = 0.1
@@ -45,6 +45,43 @@
         self._pause = min(2 * self._pause, MAX_PAUSE_S)
 
 
+class Reservation:
+    """Holds what the next send of a request has taken in advance.
+
+    It is given back unless the request is sent, as when its caller leaves before.
+    """
+
+    def __init__(self, state: ForwardingState, call: Call) -> None:
+        self._state = state
+        self._call = call
+        self._choice: Choice | None = None
+        self._is_successor = False
+        self._sends = 0
+
+    def hold(self, choice: Choice, *, is_successor: bool = False) -> None:
+        """Hold the turn of a choice, if it has one.
+
+        Parameters
+        ----------
+        is_successor : bool
+            Whether it has taken a unit of the retry budget as well.
+        """
+        self.close()
+        self._choice = choice if choice.has_turn else None
+        self._is_successor = is_successor
+        self._sends = self._call.send_tracker.sends
+
+    def close(self) -> None:
+        """Give back what is held, unless the request was sent since."""
+        choice, self._choice = self._choice, None
+        if choice is None or self._call.send_tracker.sends > self._sends:
+            return
+        if self._is_successor:
+            _release_successor(self._state, self._call, choice)
+        else:
+            self._state.rate_shares.refund(choice.target)
+
+
 class StallTimer:
     """Ends the wait for a silent target once a successor is reserved.
 
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -1,6 +1,7 @@
 """Forwarding of requests that a model engine answers with an event stream."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Mapping
 
@@ -18,7 +19,12 @@
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.event_relay import EventRelay, Progress
 from lagoontide.forward.guard import RequestWithheld
-from lagoontide.forward.handover import HandedOver, Retake, make_stall_timer
+from lagoontide.forward.handover import (
+    HandedOver,
+    Reservation,
+    Retake,
+    make_stall_timer,
+)
 from lagoontide.forward.inputs import Inputs, InputsFailed
 from lagoontide.forward.outcome import Answered, EndReason, Outcome, Relayed
 from lagoontide.forward.resumption import record_begin, record_end
@@ -96,6 +102,18 @@
     rng: random.Random,
 ) -> Outcome:
     """Relay a stream, and resume it on another target where that is allowed."""
+    with contextlib.closing(Reservation(state, call)) as reservation:
+        return await _forward(state, call, reply, inputs, rng, reservation)
+
+
+async def _forward(
+    state: ForwardingState,
+    call: Call,
+    reply: ResponseWriter,
+    inputs: Inputs,
+    rng: random.Random,
+    reservation: Reservation,
+) -> Outcome:
     progress = Progress(call.metadata.last_event_id)
     tried: set[str] = set()
     reason = "no target"
@@ -115,6 +133,8 @@
                 raise
             reason = str(exc)
             log.info("inputs of a successor failed: {}", exc)
+            reservation.close()
+            successor = None
             await retake.pause()
             continue
         call.record_step("inputs")
@@ -124,6 +144,8 @@
             choice = choose()
             if choice is None and not is_retry:
                 choice = await wait_for_turn(state, call, tried)
+                if choice is not None:
+                    reservation.hold(choice)
             if choice is None or (is_retry and not state.budget.take(call.service)):
                 if retake is None:
                     break
@@ -147,8 +169,6 @@
                 run.is_complete = outcome == Relayed(is_complete=True)
         except RequestWithheld as exc:
             reason, withheld = str(exc), exc
-            if choice.has_turn:
-                state.rate_shares.refund(target)
             break
         except TargetUnreachable as exc:
             reason = str(exc)
@@ -172,6 +192,7 @@
                 break
             if isinstance(exc, HandedOver):
                 successor, retake = exc.successor, Retake()
+                reservation.hold(successor, is_successor=True)
             else:
                 retake = None
         else:
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -1,6 +1,7 @@
 """Forwarding of requests that get a single response, not an event stream."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
 from lagoontide.forward.guard import RequestWithheld
 from lagoontide.forward.handover import (
     HandedOver,
+    Reservation,
     Retake,
     StallTimer,
     make_stall_timer,
@@ -86,6 +88,17 @@
     state: ForwardingState, call: Call, reply: ResponseWriter, rng: random.Random
 ) -> Outcome:
     """Forward a request, and retry on other targets where that is allowed."""
+    with contextlib.closing(Reservation(state, call)) as reservation:
+        return await _forward(state, call, reply, rng, reservation)
+
+
+async def _forward(
+    state: ForwardingState,
+    call: Call,
+    reply: ResponseWriter,
+    rng: random.Random,
+    reservation: Reservation,
+) -> Outcome:
     tried: set[str] = set()
     failure: Answered | None = None
     reason = "no target"
@@ -109,6 +122,8 @@
             choice = choose()
             if choice is None and not is_retry:
                 choice = await wait_for_turn(state, call, tried)
+                if choice is not None:
+                    reservation.hold(choice)
             if choice is None or (is_retry and not state.budget.take(call.service)):
                 if retake is None:
                     break
@@ -127,8 +142,6 @@
                 run.is_complete = _is_complete_success(answer)
         except RequestWithheld as exc:
             reason, withheld = str(exc), exc
-            if choice.has_turn:
-                state.rate_shares.refund(target)
             break
         except TargetUnreachable as exc:
             reason = str(exc)
@@ -146,6 +159,7 @@
                 return Relayed(is_complete=False, reason=reason)
             if isinstance(exc, HandedOver):
                 successor, retake = exc.successor, Retake()
+                reservation.hold(successor, is_successor=True)
             else:
                 retake = None
         else:
--- a/tests/gateway/test_staged_handover.py
+++ b/tests/gateway/test_staged_handover.py
@@ -1,10 +1,14 @@
 """Streams with stages whose engine falls silent, and what the handover depends on."""
 
 import asyncio
+import collections
 
 import msgspec
 import pytest
 
+from lagoontide.forward import stream as stream_module
+from lagoontide.forward.guard import Guard
+from lagoontide.pieces.inputs import StageInputs
 from lagoontide.platform.standins.deployment import (
     make_configuration,
     send,
@@ -12,6 +16,7 @@
 )
 from lagoontide.platform.standins.runs import SilentAt, TargetFault
 from lagoontide.platform.standins.targets import TargetStandin
+from lagoontide.targets.rate_shares import RateShares
 from tests.support.waiting import wait_for
 
 EVENTS = 6
@@ -160,3 +165,51 @@
         assert runs == 2
 
     run(scenario)
+
+
+async def hang(*args, **kwargs):
+    await asyncio.Event().wait()
+
+
+WAITS = {
+    "inputs": (StageInputs, "ready"),
+    "trial": (Guard, "_admit"),
+    "connection": (stream_module, "start_attempt"),
+}
+
+
+# Guards against turns and retry budget that are lost for good with each caller that
+# leaves before its request is sent to the successor of a silent engine.
+@pytest.mark.parametrize("wait", WAITS)
+def test_successor_is_given_back_if_its_request_is_not_sent_there(monkeypatch, wait):
+    turns = collections.Counter()
+
+    def count(name):
+        inner = getattr(RateShares, name)
+
+        def counted(shares, target):
+            turns[target.id] += 1 if name == "charge" else -1
+            return inner(shares, target)
+
+        monkeypatch.setattr(RateShares, name, counted)
+
+    async def scenario(small):
+        silence_engines(small, SilentAt.HEAD, count=2)
+        state, engines = small.gateways[0].state, small.targets_of("engine")
+        count("charge")
+        count("refund")
+        asked = asyncio.ensure_future(
+            send(small.ports[0], "/staged/a", "r1", extra=STAGE_FIELDS)
+        )
+        await wait_for(lambda: any(item.log for item in engines))
+        first = next(item.id for item in engines if item.log)
+        left = state.budget.left("engine")
+        monkeypatch.setattr(*WAITS[wait], hang)
+        await wait_for(lambda: state.budget.left("engine") < left)
+        await asyncio.sleep(0.05)
+        asked.cancel()
+        await wait_for(lambda: not small.gateways[0].callers.in_flight)
+        assert state.budget.left("engine") == left
+        assert [turns[item.id] for item in engines if item.id != first] == [0]
+
+    run(scenario)
