Two stages that find an input lost share its renewal

Callers got 502 or 503 with an internal error when the results of one stage were lost and two later ones found that out: the second discarded the renewal for which the first was waiting, and with it cancelled the request. A stage now discards only the results that it has used itself. The limit on renewals still holds, and counts a shared one once.

--- a/src/lagoontide/pieces/inputs.py
+++ b/src/lagoontide/pieces/inputs.py
@@ -178,23 +178,37 @@
                 await self._stage_task(before)
         while True:
             inputs: list[str] = []
+            used: dict[int, asyncio.Task[tuple[str, ...]]] = {}
             for before in stage.after:
-                inputs += await self._stage_task(before)
+                used[before] = self._stage_task(before)
+                inputs += await used[before]
             done = await self._submit_order(index, tuple(inputs))
             match done.failure:
                 case None:
                     self._remove_need(index)
                     self._discard_consumed(index)
                     return done.handles
-                case Failure.INPUT_GONE if self._renewals < MAX_RENEWALS:
-                    self._renewals += 1
-                    for before in stage.after:
-                        self._discard(before)
+                case Failure.INPUT_GONE if self._renew_lost(used):
+                    continue
                 case failure:
                     raise InputsFailed(
                         f"stage {index}: {failure}", done.retry_after or None
                     )
 
+    def _renew_lost(self, used: dict[int, asyncio.Task[tuple[str, ...]]]) -> bool:
+        """Discard inputs that a stage finds lost; return whether it may try again.
+
+        Another stage may have discarded them already and wait for their renewal.
+        """
+        lost = [index for index, task in used.items() if self._tasks.get(index) is task]
+        if lost:
+            if self._renewals == MAX_RENEWALS:
+                return False
+            self._renewals += 1
+        for index in lost:
+            self._discard(index)
+        return True
+
     async def _submit_order(self, index: int, inputs: tuple[str, ...]) -> OrderDone:
         stage, call = self._graph.stages[index], self._call
         now = self._loop.time()
--- a/tests/pieces/test_inputs.py
+++ b/tests/pieces/test_inputs.py
@@ -18,10 +18,16 @@
 from tests.support.waiting import wait_for
 
 DISPATCHER = SimpleNamespace(target_equivalents=lambda service: 2)
+ONE_STAGE = (Stage("s"),)
 
 
 def make_inputs(
-    demand, priority, account_priority, calibration=None, dispatcher=DISPATCHER
+    demand,
+    priority,
+    account_priority,
+    calibration=None,
+    dispatcher=DISPATCHER,
+    stages=ONE_STAGE,
 ):
     loop = asyncio.get_running_loop()
     now = loop.time()
@@ -34,11 +40,11 @@
         timeout=10.0,
         objective=2.0,
         priority=priority,
-        stages=(Stage("s"),),
+        stages=stages,
     )
     call = Call(
         request=None,
-        metadata=RequestMetadata("r", piece_counts=(4,)),
+        metadata=RequestMetadata("r", piece_counts=(4,) * len(stages)),
         route=route,
         service="engine",
         account=Account("first", frozenset(), account_priority),
@@ -178,3 +184,71 @@
         assert len(calls) == 2 + MAX_RENEWALS
 
     asyncio.run(main())
+
+
+FORK = (Stage("s"), Stage("s", after=(0,)), Stage("s", after=(0,)))
+
+
+class LosingDispatcher:
+    """Makes results; those of the first stage are lost a number of times."""
+
+    def __init__(self, losses, seconds):
+        self.made = []
+        self.lost = set()
+        self.freed = set()
+        self._losses = losses
+        self._seconds = seconds
+
+    def target_equivalents(self, service):
+        return 2
+
+    def domain_of(self, handle):
+        return "z"
+
+    async def make(self, order):
+        await asyncio.sleep(self._seconds[order.stage])
+        if self.lost & set(order.inputs):
+            return OrderDone(failure=Failure.INPUT_GONE)
+        handles = tuple(f"{order.stage}-{len(self.made)}-{n}" for n in range(4))
+        self.made.append(order.stage)
+        if order.stage == 0 and self._losses:
+            self._losses -= 1
+            self.lost.update(handles)
+        return OrderDone(handles)
+
+    async def free(self, handles):
+        self.freed.update(handles)
+
+
+async def make_fork(losses, seconds):
+    dispatcher = LosingDispatcher(losses, seconds)
+    demand = Demand(asyncio.get_running_loop().time)
+    inputs = make_inputs(demand, 0, None, dispatcher=dispatcher, stages=FORK)
+    inputs.admit()
+    try:
+        return dispatcher.made, await inputs.ready()
+    finally:
+        inputs.close()
+
+
+# Guards against requests that fail as two of their stages find the same input lost, and
+# the second one cancels the renewal that the first one waits for (LOST).
+@pytest.mark.parametrize("later", [0.0, 0.01])
+@pytest.mark.parametrize("losses", [1, MAX_RENEWALS])
+def test_input_that_two_stages_find_lost_is_made_again_once(losses, later):
+    async def main():
+        seconds = (0.05, 0.01, 0.01 + later)
+        made, handles = await make_fork(losses, seconds)
+        assert sorted(made) == [0] * (1 + losses) + [1, 2]
+        assert len(handles) == 8
+
+    asyncio.run(main())
+
+
+# Guards against stages that are repeated without end.
+def test_input_that_two_stages_go_on_finding_lost_is_given_up():
+    async def main():
+        with pytest.raises(InputsFailed, match="input gone"):
+            await make_fork(MAX_RENEWALS + 1, (0.05, 0.01, 0.01))
+
+    asyncio.run(main())
