A failed background task drains its process before it ends

When a background task of an entry raised, the process ended at once and reset all requests in flight. Nothing of what a drain needs depends on one task, and callers lose nothing by it: the exception is logged with its traceback, the process drains for its grace period as on SIGTERM, and then ends with the exception. A SIGTERM meanwhile asks for no more than that, and doesn't abort the drain.

--- a/src/lagoontide/lifecycle.py
+++ b/src/lagoontide/lifecycle.py
@@ -8,6 +8,8 @@
 
 from loguru import logger
 
+from lagoontide.logs import format_traceback
+
 __all__ = ["run_daemon", "run_until_signal"]
 
 EXIT_DRAIN_INCOMPLETE = 1
@@ -19,8 +21,8 @@
 ) -> int:
     """Run tasks until SIGTERM or SIGINT, then drain.
 
-    Draining also starts when one of the tasks returns; an exception that a task
-    raises is propagated without draining. A second signal stops the process without
+    Draining also starts when one of the tasks ends; an exception that it raised is
+    propagated once the drain is over. A second signal stops the process without
     waiting for the drain to finish.
 
     Parameters
@@ -43,10 +45,9 @@
     first = asyncio.create_task(signals.get())
     try:
         await asyncio.wait({first, *running}, return_when=asyncio.FIRST_COMPLETED)
-        for task in running:
-            if task.done():
-                task.result()
-        return await _drain(signals, drain)
+        return await _drain_after(
+            [task for task in running if task.done()], signals, drain
+        )
     finally:
         first.cancel()
         for task in running:
@@ -54,6 +55,29 @@
         await asyncio.gather(*running, return_exceptions=True)
 
 
+async def _drain_after(
+    ended: list[asyncio.Task[None]],
+    signals: asyncio.Queue[int],
+    drain: Callable[[], Awaitable[bool]],
+) -> int:
+    """Drain as some tasks have ended or a signal came; raise what a task raised."""
+    try:
+        for task in ended:
+            task.result()
+    except BaseException as exc:
+        logger.bind(traceback=format_traceback(exc)).error(
+            "background task failed, stopping: {!r:.200}", exc
+        )
+        try:
+            await _drain(signals, drain)
+        except Exception as drain_exc:
+            logger.bind(traceback=format_traceback(drain_exc)).error(
+                "drain failed: {!r:.200}", drain_exc
+            )
+        raise
+    return await _drain(signals, drain)
+
+
 async def _drain(
     signals: asyncio.Queue[int], drain: Callable[[], Awaitable[bool]]
 ) -> int:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -37,6 +37,20 @@
 time.sleep(float(seconds))
 runpy.run_module(sys.argv[0], run_name="__main__", alter_sys=True)
 """
+# Runs an entry whose background task raises once a file exists; argument: its path.
+FAILING_ENTRY = """
+import asyncio, pathlib, sys
+from lagoontide.gateway.gateway import Gateway
+from lagoontide.platform.daemon import main
+
+async def fail(gateway):
+    while not pathlib.Path(sys.argv[1]).exists():
+        await asyncio.sleep(0.02)
+    raise KeyError("sweep")
+
+Gateway._sweep = fail
+main()
+"""
 
 
 class Processes:
@@ -47,8 +61,10 @@
         self._folder = folder
         self._numbers = itertools.count()
 
-    def start(self, *arguments, delay=0.0, **environment):
+    def start(self, *arguments, delay=0.0, code="", **environment):
+        """Run a module after a delay, or some code, with arguments."""
         launch_args = ["-c", DELAYED, str(delay)] if delay else ["-m"]
+        launch_args = ["-c", code] if code else launch_args
         with (self._folder / f"{next(self._numbers)}.log").open("wb") as out:
             child = subprocess.Popen(
                 [sys.executable, *launch_args, *arguments],
@@ -279,6 +295,43 @@
     assert time.monotonic() - started_at < RECOVERY_S
 
 
+async def check_failing_task(entry, ports, order):
+    await wait_until_serving(ports)
+    silent = b'{"fault": "silent", "count": 1000}'
+    assert (await call_port(ports[2], b"POST", b"/fault", silent))[0] == 200
+    sent = [
+        asyncio.ensure_future(
+            send(ENTRY_PORTS[0], "/once/a", f"running {number}", host=ENTRY_HOST)
+        )
+        for number in range(REQUESTS)
+    ]
+    await asyncio.sleep(0.3)
+    assert any(not item.done() for item in sent)
+    order.touch()
+    answers = await asyncio.gather(*sent)
+    assert [answer.status for answer in answers] == [200] * REQUESTS
+    assert await asyncio.to_thread(entry.wait, TIMEOUT_S) not in (0, None)
+
+
+# Guards against requests that are reset, all at once, as a background task raises.
+def test_entry_whose_background_task_raises_drains_and_exits_with_an_error(
+    children, processes, folder, ports
+):
+    asyncio.run(wait_until_serving(ports))
+    *_, entry = children
+    entry.kill()
+    entry.wait()
+    entry = processes.start(
+        str(folder / "order"),
+        code=FAILING_ENTRY,
+        **{SETTINGS_ENV_VAR: str(folder / "entry.json")},
+    )
+    asyncio.run(check_failing_task(entry, ports, folder / "order"))
+    failures = log_lines(folder, ENTRY_NUMBER + 1, "background task failed")
+    assert len(failures) == 1
+    assert "KeyError" in json.loads(failures[0])["traceback"]
+
+
 def test_target_stops_while_store_is_down(children, ports):
     asyncio.run(wait_until_serving(ports))
     store, target, *_ = children
