Limits of a configuration apply to connections that wait

After a configuration that raised the idle timeout, callers' kept connections still closed at the old one, in which time they may send their next request; after one that raised the limit of heads or bodies, the first request on each kept connection got 431 or 413, which callers don't retry. The limits were read before the wait for a request, and that of incomplete heads once for each connection. A request is now measured by the limits at its first byte. A lowered idle timeout holds from the next wait, as before.

Four cases of the new tests failed before (no answer, 431, 413, 431).

--- a/src/lagoontide/http1/request_reader.py
+++ b/src/lagoontide/http1/request_reader.py
@@ -10,7 +10,7 @@
 from lagoontide.http1.messages import Fields, RequestHead, field_values
 from lagoontide.http1.tcp import TcpConn
 
-__all__ = ["BadRequest", "HttpLimits", "Request", "RequestReader"]
+__all__ = ["BadRequest", "HttpLimits", "Request", "RequestReader", "wait_for_request"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,28 +54,40 @@
         self.status = status
 
 
+async def wait_for_request(tcp: TcpConn, limits: Callable[[], HttpLimits]) -> bytes:
+    """Return the first bytes of the next request; empty if the client sends none.
+
+    Parameters
+    ----------
+    limits : callable
+        Returns the current limits. An idle timeout that is raised during the wait
+        applies to it, as clients may count on it; one that is lowered doesn't.
+    """
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    while True:
+        idle_timeout = limits().idle_timeout
+        try:
+            return await _read_within(tcp, started_at + idle_timeout - loop.time())
+        except TimeoutError:
+            if limits().idle_timeout <= idle_timeout:
+                return b""
+
+
 class RequestReader:
-    """Reads one request."""
+    """Reads one request, whose first bytes ``conn`` has received."""
 
     def __init__(self, tcp: TcpConn, conn: h11.Connection, limits: HttpLimits) -> None:
         self._tcp = tcp
         self._conn = conn
         self._limits = limits
-        self._started_at = 0.0
-
-    async def read(self, on_start: Callable[[], None]) -> Request | None:
-        """Return the next request, or None if the client sends no more.
+        self._started_at = asyncio.get_running_loop().time()
 
-        Parameters
-        ----------
-        on_start : callable
-            Called once the first byte of the request is received.
-        """
-        loop = asyncio.get_running_loop()
-        head = await self._read_head(loop, on_start)
+    async def read(self) -> Request | None:
+        """Return the request, or None if the client sends no more."""
+        head = await self._read_head()
         if head is None:
             return None
-        received_at = self._started_at
         _check_framing(head.fields)
         if self._conn.they_are_waiting_for_100_continue:
             data = self._conn.send(
@@ -83,15 +95,10 @@
             )
             await self._tcp.write(data or b"")
         body = await self._read_body()
-        return Request(head, body, received_at)
-
-    async def _read_head(
-        self, loop: asyncio.AbstractEventLoop, on_start: Callable[[], None]
-    ) -> RequestHead | None:
-        self._started_at = loop.time()
-        has_started = bool(self._conn.trailing_data[0])
-        if has_started:
-            on_start()
+        return Request(head, body, self._started_at)
+
+    async def _read_head(self) -> RequestHead | None:
+        loop = asyncio.get_running_loop()
         while True:
             event = self._next_event()
             match event:
@@ -102,19 +109,11 @@
                     return head
                 case h11.ConnectionClosed():
                     return None
-            wait = self._limits.idle_timeout
-            if has_started:
-                wait = self._started_at + self._limits.head_timeout - loop.time()
+            wait = self._started_at + self._limits.head_timeout - loop.time()
             try:
-                data = await self._read(wait)
+                data = await _read_within(self._tcp, wait)
             except TimeoutError:
-                if has_started:
-                    raise BadRequest(408, "the head took too long") from None
-                return None
-            if not has_started:
-                has_started = True
-                self._started_at = loop.time()
-                on_start()
+                raise BadRequest(408, "the head took too long") from None
             self._receive(data)
 
     async def _read_body(self) -> bytes:
@@ -132,22 +131,11 @@
                     raise BadRequest(400, "the body was cut")
                 case _:
                     try:
-                        data = await self._read(self._limits.idle_timeout)
+                        data = await _read_within(self._tcp, self._limits.idle_timeout)
                     except TimeoutError:
                         raise BadRequest(408, "the body took too long") from None
                     self._receive(data)
 
-    async def _read(self, timeout: float) -> bytes:
-        """Return the next bytes; raises TimeoutError if none arrive in time."""
-        try:
-            async with asyncio.timeout(timeout):
-                return await self._tcp.read()
-        except TimeoutError:
-            if not self._tcp.has_unread:
-                raise
-        # They arrived in the pass of the event loop in which the timeout expired.
-        return await self._tcp.read()
-
     def _next_event(self) -> Any:
         try:
             return self._conn.next_event()
@@ -161,6 +149,18 @@
             raise BadRequest(exc.error_status_hint, str(exc)) from None
 
 
+async def _read_within(tcp: TcpConn, timeout: float) -> bytes:
+    """Return the next bytes; raises TimeoutError if none arrive in time."""
+    try:
+        async with asyncio.timeout(timeout):
+            return await tcp.read()
+    except TimeoutError:
+        if not tcp.has_unread:
+            raise
+    # They arrived in the pass of the event loop in which the timeout expired.
+    return await tcp.read()
+
+
 def _check_head_size(head: RequestHead, max_bytes: int) -> None:
     """Reject a head that is too large.
 
--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -17,6 +17,7 @@
     HttpLimits,
     Request,
     RequestReader,
+    wait_for_request,
 )
 from lagoontide.http1.tcp import TcpConn
 from lagoontide.logs import format_traceback
@@ -206,15 +207,22 @@
             tcp.close()
 
     async def _serve_requests(self, tcp: TcpConn) -> None:
-        limits = self._limits()
-        conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
-        )
+        data = b""
         while True:
-            self._idle.add(tcp)
+            if not data:
+                self._idle.add(tcp)
+                data = await wait_for_request(tcp, self._limits)
+                self._idle.discard(tcp)
+            if not data:
+                return
+            # The limits may have changed while the connection waited.
+            limits = self._limits()
+            conn = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
+            )
+            conn.receive_data(data)
             try:
-                reader = RequestReader(tcp, conn, self._limits())
-                req = await reader.read(lambda: self._idle.discard(tcp))
+                req = await RequestReader(tcp, conn, limits).read()
             except BadRequest as exc:
                 await _send_error(tcp, conn, exc)
                 return
@@ -231,7 +239,7 @@
             if self.is_draining:
                 # A response that began before the drain carries no "Connection: close".
                 return
-            conn.start_next_cycle()
+            data, _ = conn.trailing_data
 
     async def _run_handler(
         self, tcp: TcpConn, req: Request, reply: ResponseWriter
--- a/tests/http1/test_idle_timeout.py
+++ b/tests/http1/test_idle_timeout.py
@@ -1,4 +1,4 @@
-"""Requests that arrive just as the idle timeout of their connection expires."""
+"""Requests that cross the idle timeout of their connection, or a change of limits."""
 
 import asyncio
 import socket
@@ -71,3 +71,106 @@
         assert answer.endswith(b"abcd")
 
     asyncio.run(main())
+
+
+async def answer_ok(req, reply):
+    await reply.send(Response(200))
+
+
+class Kept:
+    """A connection that is kept after a request, at a listener with given limits."""
+
+    def __init__(self, **limits):
+        self.limits = HttpLimits(**limits)
+
+    async def __aenter__(self):
+        self.listener = Listener(answer_ok, lambda: self.limits)
+        port = await self.listener.start("127.0.0.1", 0)
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+        assert await self.ask(REQUEST % b"a") == 200
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.writer.close()
+        await self.listener.close()
+
+    async def ask(self, request):
+        """Return the status of the answer to a request; None if there is none."""
+        self.writer.write(request)
+        try:
+            head = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), 3.0)
+        except (asyncio.IncompleteReadError, ConnectionResetError):
+            return None
+        return int(head.split()[1])
+
+
+# Guards against callers whose kept connection closes ahead of the idle timeout in
+# force, so that their next request gets no answer.
+def test_idle_timeout_that_is_raised_applies_to_a_connection_that_waits():
+    async def main():
+        async with Kept(idle_timeout=0.2) as kept:
+            kept.limits = HttpLimits(idle_timeout=1.0)
+            await asyncio.sleep(0.5)
+            assert await kept.ask(REQUEST % b"b") == 200
+            # It is counted from the end of the request before.
+            began = asyncio.get_running_loop().time()
+            assert await kept.reader.read() == b""
+            assert 0.9 < asyncio.get_running_loop().time() - began < 1.4
+
+    asyncio.run(main())
+
+
+# Guards against a connection that closes earlier than it was allowed to wait when it
+# began to: its caller may not know the new timeout yet.
+def test_idle_timeout_that_is_lowered_applies_from_the_next_wait():
+    async def main():
+        async with Kept(idle_timeout=0.6) as kept:
+            kept.limits = HttpLimits(idle_timeout=0.2)
+            await asyncio.sleep(0.4)
+            assert await kept.ask(REQUEST % b"b") == 200
+            began = asyncio.get_running_loop().time()
+            assert await kept.reader.read() == b""
+            assert 0.1 < asyncio.get_running_loop().time() - began < 0.5
+
+    asyncio.run(main())
+
+
+# Guards against requests that are rejected although the limits in force allow them, as
+# their connection waited when the configuration came.
+@pytest.mark.parametrize(
+    ("low", "request_bytes"),
+    [
+        pytest.param(
+            {"max_head_bytes": 200},
+            b"GET /b HTTP/1.1\r\nHost: a\r\nX: %b\r\n\r\n" % (b"x" * 300),
+            id="head",
+        ),
+        pytest.param(
+            {"max_body_bytes": 10},
+            b"POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 20\r\n\r\n" + b"x" * 20,
+            id="body",
+        ),
+    ],
+)
+def test_limits_that_are_raised_apply_to_a_connection_that_waits(low, request_bytes):
+    async def main():
+        async with Kept(**low) as kept:
+            # Lets the connection wait for its next request.
+            await asyncio.sleep(0.05)
+            kept.limits = HttpLimits()
+            assert await kept.ask(request_bytes) == 200
+
+    asyncio.run(main())
+
+
+# The same for a head that arrives in parts.
+def test_limit_of_heads_that_is_raised_applies_to_a_head_in_parts():
+    async def main():
+        async with Kept(max_head_bytes=200, head_timeout=0.1) as kept:
+            await asyncio.sleep(0.05)
+            kept.limits = HttpLimits()
+            kept.writer.write(b"GET /b HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 300)
+            await asyncio.sleep(0.3)
+            assert await kept.ask(b"x\r\n\r\n") == 200
+
+    asyncio.run(main())
