--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -1,6 +1,7 @@
 """Forwarding of requests that a model engine answers with an event stream."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Mapping
 
@@ -18,8 +19,13 @@
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.event_relay import EventRelay, Progress
 from lagoontide.forward.guard import RequestWithheld
-from lagoontide.forward.handover import HandedOver, Retake, make_stall_timer
-from lagoontide.forward.inputs import Inputs
+from lagoontide.forward.handover import (
+    HandedOver,
+    Reservation,
+    Retake,
+    make_stall_timer,
+)
+from lagoontide.forward.inputs import Inputs, InputsFailed
 from lagoontide.forward.outcome import Answered, EndReason, Outcome, Relayed
 from lagoontide.forward.resumption import record_begin, record_end
 from lagoontide.forward.retry_after import pick_limited_retry_after
@@ -96,18 +102,41 @@
     rng: random.Random,
 ) -> Outcome:
     """Relay a stream, and resume it on another target where that is allowed."""
+    with contextlib.closing(Reservation(state, call)) as reservation:
+        return await _forward(state, call, reply, inputs, rng, reservation)
+
+
+async def _forward(
+    state: ForwardingState,
+    call: Call,
+    reply: ResponseWriter,
+    inputs: Inputs,
+    rng: random.Random,
+    reservation: Reservation,
+) -> Outcome:
     progress = Progress(call.metadata.last_event_id)
     tried: set[str] = set()
     reason = "no target"
     withheld: RequestWithheld | None = None
     successor: Choice | None = None
     retake: Retake | None = None
+    log = logger.bind(request=call.metadata.request_id)
 
     def choose() -> Choice | None:
         return choose_engine(state, call, tried, rng, inputs.bytes_by_domain())
 
     while True:
-        handles = await inputs.ready()
+        try:
+            handles = await inputs.ready()
+        except InputsFailed as exc:
+            if retake is None:
+                raise
+            reason = str(exc)
+            log.info("inputs of a successor failed: {}", exc)
+            reservation.close()
+            successor = None
+            await retake.pause()
+            continue
         call.record_step("inputs")
         is_retry = call.send_tracker.sends > 0
         choice, successor = successor, None
@@ -115,6 +144,8 @@
             choice = choose()
             if choice is None and not is_retry:
                 choice = await wait_for_turn(state, call, tried)
+                if choice is not None:
+                    reservation.hold(choice)
             if choice is None or (is_retry and not state.budget.take(call.service)):
                 if retake is None:
                     break
@@ -129,7 +160,7 @@
         options = SendOptions(
             _urgency_level(call), handles, progress.last_event_id, choice.has_turn
         )
-        log = logger.bind(request=call.metadata.request_id, target=target.id)
+        log = log.bind(target=target.id)
         try:
             async with state.guard.watch(call, target) as run:
                 outcome = await _relay_from_target(
@@ -138,8 +169,6 @@
                 run.is_complete = outcome == Relayed(is_complete=True)
         except RequestWithheld as exc:
             reason, withheld = str(exc), exc
-            if choice.has_turn:
-                state.rate_shares.refund(target)
             break
         except TargetUnreachable as exc:
             reason = str(exc)
@@ -163,6 +192,7 @@
                 break
             if isinstance(exc, HandedOver):
                 successor, retake = exc.successor, Retake()
+                reservation.hold(successor, is_successor=True)
             else:
                 retake = None
         else:
