--- a/src/lagoontide/bench/soak/inside.py
+++ b/src/lagoontide/bench/soak/inside.py
@@ -3,7 +3,13 @@
 import random
 
 from lagoontide.bench.soak.faults import Faults
-from lagoontide.bench.soak.play import KEYS, SILENCES_SEED_OFFSET, play
+from lagoontide.bench.soak.play import (
+    KEYS,
+    RELEASES_SEED_OFFSET,
+    SILENCES_SEED_OFFSET,
+    play,
+)
+from lagoontide.bench.soak.releases import KEPT_WITH_RELEASES, Releases
 from lagoontide.bench.soak.result import SoakResult
 from lagoontide.bench.soak.silences import Silences
 from lagoontide.platform.standins.deployment import (
@@ -13,6 +19,7 @@
 )
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.signals import SignallingTarget
+from lagoontide.platform.standins.targets import TargetStandin
 
 __all__ = ["soak_inside"]
 
@@ -23,6 +30,7 @@
     entries: int = 2,
     silent_s: float = 0.0,
     changes_versions: bool = False,
+    has_releases: bool = False,
 ) -> SoakResult:
     """Run entries on stand-ins under faults, and return what was found.
 
@@ -32,6 +40,8 @@
         Seconds with silent targets and configuration changes before the other faults.
     changes_versions : bool
         Whether targets that crash may start again at another version.
+    has_releases : bool
+        Whether versions are released in series; the entries stay.
     """
     async with start_deployment(
         entries, targets=make_targets(kind=SignallingTarget)
@@ -52,6 +62,15 @@
         silences = Silences(
             addresses, faults, random.Random(seed + SILENCES_SEED_OFFSET)
         )
+        releases = None
+        if has_releases:
+            faults.targets_kept = KEPT_WITH_RELEASES
+
+            async def start(target: TargetStandin) -> None:
+                await target.start(small.store)
+
+            rng = random.Random(seed + RELEASES_SEED_OFFSET)
+            releases = Releases(faults, rng, start)
         return await play(
             seed,
             seconds,
@@ -60,4 +79,5 @@
             silences=silences,
             silent_s=silent_s,
             changes_versions=changes_versions,
+            releases=releases,
         )
--- a/src/lagoontide/bench/soak/play.py
+++ b/src/lagoontide/bench/soak/play.py
@@ -120,6 +120,7 @@
         served=share_served(callers.asked),
         served_after=min(share_served(first), share_served(servable)),
         faults=len(faults.done) + crashes.crashed + restores.done,
+        taken_up=sum(bool(item.resumes) for item in asked),
         crashing_runs=crashes.crashing_runs(targets),
         violations=[
             *check(asked, targets, faults.changes),
--- a/src/lagoontide/bench/soak/releases.py
+++ b/src/lagoontide/bench/soak/releases.py
@@ -12,10 +12,12 @@
 from lagoontide.platform.standins.signals import SignallingTarget
 from lagoontide.platform.standins.targets import TargetStandin
 
-__all__ = ["Releases"]
+__all__ = ["KEPT_WITH_RELEASES", "Releases"]
 
 SERVICE = "engine"
 NEW_TARGETS = 2
+# Targets of each service that do not leave otherwise.
+KEPT_WITH_RELEASES = 2
 EVENTS = 6
 PAUSE_S = (0.2, 1.0)
 SIDE_BY_SIDE_S = (1.5, 3.0)
--- a/src/lagoontide/bench/soak/result.py
+++ b/src/lagoontide/bench/soak/result.py
@@ -13,6 +13,8 @@
     served, served_after : float
         Share of requests answered with success, under faults and once they were
         healed; then the lower of those of the first second and of all.
+    taken_up : int
+        Attempts at going on with a stream.
     crashing_runs : int
         Runs of requests that crash targets.
     violations : list of str
@@ -24,5 +26,6 @@
     served: float
     served_after: float
     faults: int
+    taken_up: int
     crashing_runs: int
     violations: list[str]
--- a/src/lagoontide/bench/soak/run.py
+++ b/src/lagoontide/bench/soak/run.py
@@ -17,7 +17,7 @@
     play,
 )
 from lagoontide.bench.soak.proxy import Proxy
-from lagoontide.bench.soak.releases import Releases
+from lagoontide.bench.soak.releases import KEPT_WITH_RELEASES, Releases
 from lagoontide.bench.soak.result import SoakResult
 from lagoontide.bench.soak.silences import Silences
 from lagoontide.platform.standins.deployment import make_targets, write_configuration
@@ -102,7 +102,7 @@
         )
         releases = None
         if has_releases:
-            faults.targets_kept = 2
+            faults.targets_kept = KEPT_WITH_RELEASES
 
             async def start(target: TargetStandin) -> None:
                 links.extend(await _open_targets(store, [target], stack))
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -39,6 +39,21 @@
     assert result.served_after >= SERVED_AFTER
 
 
+# Two versions serve side by side while the older leaves; streams are taken up again.
+def test_promises_hold_beside_releases():
+    result = asyncio.run(soak_inside(3, SECONDS, has_releases=True))
+    assert result.violations == []
+    assert result.taken_up > 0
+    assert result.served_after >= SERVED_AFTER
+
+
+# Sound targets that fall silent and configurations that change excuse no request.
+def test_no_request_is_lost_beside_silences():
+    result = asyncio.run(soak_inside(4, 0.5, silent_s=SECONDS))
+    assert result.violations == []
+    assert result.taken_up > 0
+
+
 def _claim_not_run(patch):
     patch.setattr(
         SendTracker,
