The soak excuses requests until entries can know of the end of a limit

Four requests within 0.08 s were rejected with "all targets at their rate limits".

A trial with four entries in one process and two targets shows the case: the limit of one ends, no request is sent for 3 s, the other begins to name 0.5/s. Entries heard of the new limit after 8 to 74 ms, of the end of the old one after 42 to 75 ms, from the first answer or from each other; the two requests of 134 that were rejected came 39 and 68 ms after the begin.

The new cases of tests/bench/test_soak_crashes.py failed before for lack of unlimited_at.

--- a/src/lagoontide/bench/soak/faults.py
+++ b/src/lagoontide/bench/soak/faults.py
@@ -177,8 +177,10 @@
         self.changes.limits.append(NamedLimit(target.name, rate, now))
 
     def _end_limit(self, target: TargetStandin) -> None:
-        target.rate_limit = ""
         now = asyncio.get_running_loop().time()
+        if LIMITS.get(target.rate_limit) is not None:
+            self.changes.unlimited_at[target.name] = now
+        target.rate_limit = ""
         for limit in self.changes.limits:
             if limit.target == target.name:
                 limit.until = min(limit.until, now)
