Requests that arrive just before a kept connection closes are answered

A caller whose request reached an entry in the pass of the event loop in which it closed the idle connection, at a drain or at the idle timeout, got a reset: bytes that the loop had not seen yet counted as none. The kernel is now asked before the close, and during a drain such a connection counts as busy, so that the entry doesn't exit ahead of the answer.

--- a/src/lagoontide/http1/request_reader.py
+++ b/src/lagoontide/http1/request_reader.py
@@ -155,9 +155,9 @@
         async with asyncio.timeout(timeout):
             return await tcp.read()
     except TimeoutError:
-        if not tcp.has_unread:
+        if not tcp.has_arrived():
             raise
-    # They arrived in the pass of the event loop in which the timeout expired.
+    # They arrived before the connection or the request was given up.
     return await tcp.read()
 
 
--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -179,7 +179,9 @@
         During a drain, a request that a client sends on them would come too late.
         """
         for tcp in tuple(self._idle):
-            if not tcp.has_unread:
+            if tcp.has_arrived():
+                self._idle.discard(tcp)
+            else:
                 tcp.close()
 
     async def close(self) -> None:
--- a/src/lagoontide/http1/tcp.py
+++ b/src/lagoontide/http1/tcp.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import AsyncIterator, Callable
 
@@ -59,6 +60,17 @@
         """Whether received bytes are still unread."""
         return bool(self._data)
 
+    def has_arrived(self) -> bool:
+        """Return whether bytes or the peer's FIN wait to be read.
+
+        Unlike ``has_unread``, this includes what the event loop has not seen yet.
+        """
+        if self._data or self.transport.is_closing():
+            return bool(self._data)
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See asyncio.Protocol."""
         assert isinstance(transport, asyncio.Transport)
--- a/tests/http1/test_server_ends.py
+++ b/tests/http1/test_server_ends.py
@@ -1,11 +1,13 @@
-"""How a connection ends if its handler fails."""
+"""How connections end: if a handler fails, and beside requests that cross the end."""
 
 import asyncio
+import socket
+import time
 
 import pytest
 from loguru import logger
 
-from lagoontide.http1.messages import ResponseHead
+from lagoontide.http1.messages import Response, ResponseHead
 from lagoontide.http1.server import HttpLimits, Listener
 from tests.support.waiting import wait_for
 
@@ -105,3 +107,53 @@
 
     asyncio.run(main())
     assert not records
+
+
+# Guards against a request that a caller sent ahead of the FIN of its kept connection,
+# and that is not read as the event loop had not seen it yet.
+@pytest.mark.parametrize("ends_by", ["drain", "idle timeout"])
+def test_request_that_has_arrived_unseen_is_answered(ends_by):
+    async def handle(req, reply):
+        await reply.send(Response(200))
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        is_timeout = ends_by == "idle timeout"
+        limits = HttpLimits(idle_timeout=0.2 if is_timeout else 30.0)
+        listener = Listener(handle, lambda: limits)
+        port = await listener.start("127.0.0.1", 0)
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            client.sendall(REQUEST % (b"a", 1))
+            client.setblocking(False)
+            assert b" 200 " in await loop.sock_recv(client, 1000)
+
+            def send_and_end():
+                client.send(REQUEST % (b"b", 1))
+                if not is_timeout:
+                    listener.is_draining = True
+                    listener.close_idle()
+                    # The drain waits for it.
+                    assert listener.busy_connection_count == 1
+
+            # In the pass in which the idle timeout expires, after the look at sockets.
+            loop.call_later(0.15, time.sleep, 0.1)
+            loop.call_later(0.19, send_and_end)
+            data = await asyncio.wait_for(loop.sock_recv(client, 1000), 3.0)
+        await listener.close()
+        assert data.startswith(b"HTTP/1.1 200 ")
+
+    asyncio.run(main())
+
+
+# Guards against an idle connection that stays, as its caller has closed it meanwhile.
+def test_connection_that_its_caller_has_closed_unseen_ends():
+    async def main():
+        listener, port = await start_listener(None)
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            await wait_for(lambda: listener.connection_count)
+            client.shutdown(socket.SHUT_WR)
+            listener.close_idle()
+            await wait_for(lambda: not listener.connection_count)
+        await listener.close()
+
+    asyncio.run(main())
