Test of rogue targets: time without a processor is not counted

Two of its cases failed once each beside load, as the other caller's request took 0.34 and 0.36 s of 0.25. Traced by 60 runs beside load on 8 cores: 3 took longer than 0.25 s (up to 0.306 s), of which the kernel counts 0.245 to 0.262 s in which this thread was ready to run and others had the processors; the rest was 0.021 to 0.044 s in these. The baseline, taken without tracemalloc, didn't show such waits. Another case then failed once at a load of 59, on the limit of the whole request: 2.18 s of 1.8. That run has no such count; in 60 others of that request the rest was 0.07 s at most, with waits of up to 0.74 s.

That time is now taken off both. The limits are the same, and the exception from the first, five times the latency before the fault, is gone. An entry that blocks for 0.26 s in its relay, busy or asleep, fails the test.

--- a/tests/gateway/test_rogue_targets.py
+++ b/tests/gateway/test_rogue_targets.py
@@ -15,6 +15,7 @@
 from lagoontide.http1.messages import field_value
 from lagoontide.platform.standins.deployment import send, start_deployment
 from lagoontide.platform.standins.rogue import RogueResponse, RogueTarget
+from tests.support.processor import processor_wait
 from tests.support.waiting import wait_for
 
 # Memory that one rogue target may cost an entry.
@@ -23,18 +24,16 @@
 # on both sides. Without a limit in the entry it sends hundreds of megabytes.
 MAX_SENT_BYTES = 12 << 20
 DEADLINE_MS = 1500
-# Latency limit of a concurrent request of another caller, which must not slow down.
+# Latency limit of a concurrent request of another caller, which must not slow down. The
+# time in which other processes had the processor is not counted.
 OTHER_LATENCY_LIMIT_S = 0.25
-# If larger, the limit is this multiple of the lowest latency before the fault (some
-# 0.05 s for a stream on an idle machine), as the machine may be busy.
-OTHER_LATENCY_RATIO = 5.0
 
 PATHS = {
     "safe": ("/safe/a", "plain"),
     "once": ("/once/a", "plain"),
     "stream": ("/events/a", "engine"),
 }
-# Path and request id prefix of another caller's request, to another service.
+# Path and request id of another caller's request, to another service.
 OTHER_REQUESTS = {"plain": ("/events/a", "r2"), "engine": ("/safe/a", "r2")}
 # Safe requests are retried on a healthy target, well before the deadline.
 SERVED = {200}
@@ -70,17 +69,14 @@
 ]
 
 
-async def measure_latency(small, request, times):
-    """Send requests one by one; return the lowest latency in seconds."""
+async def measure_latency(small, request):
+    """Send a request; return its latency in seconds without waits for a processor."""
     loop = asyncio.get_running_loop()
-    seconds = []
-    for number in range(times):
-        began = loop.time()
-        path, name = request
-        answer = await send(small.ports[0], path, f"{name}-{number}-{times}")
-        assert answer.status == 200
-        seconds.append(loop.time() - began)
-    return min(seconds)
+    began, waited = loop.time(), processor_wait()
+    path, request_id = request
+    answer = await send(small.ports[0], path, request_id)
+    assert answer.status == 200
+    return loop.time() - began - (processor_wait() - waited)
 
 
 @contextlib.asynccontextmanager
@@ -119,22 +115,22 @@
         async with run_with_rogue(service, trouble) as (small, rogue):
             await prefer_rogue(small, rogue)
             loop = asyncio.get_running_loop()
-            baseline = await measure_latency(small, OTHER_REQUESTS[service], 3)
             gc.collect()
             tracemalloc.start()
             before, _ = tracemalloc.get_traced_memory()
             pending = asyncio.ensure_future(
                 send(small.ports[0], path, "r1", deadline_ms=DEADLINE_MS)
             )
-            began = loop.time()
-            other = await measure_latency(small, OTHER_REQUESTS[service], 1)
-            assert other < max(OTHER_LATENCY_LIMIT_S, OTHER_LATENCY_RATIO * baseline)
+            began, waited = loop.time(), processor_wait()
+            other = await measure_latency(small, OTHER_REQUESTS[service])
+            assert other < OTHER_LATENCY_LIMIT_S
             answer = await pending
             _, peak = tracemalloc.get_traced_memory()
             tracemalloc.stop()
             assert rogue.request_counts["r1"] == 1
             assert answer.status in expected
-            assert loop.time() - began < DEADLINE_MS / 1000.0 + 0.3
+            waited = processor_wait() - waited
+            assert loop.time() - began - waited < DEADLINE_MS / 1000.0 + 0.3
             assert peak - before < MAX_HELD_BYTES
             assert rogue.sent < MAX_SENT_BYTES
             runs = sum(target.runs["r1"] for target in small.targets)
