--- a/src/lagoontide/bench/commands.py
+++ b/src/lagoontide/bench/commands.py
@@ -112,6 +112,17 @@
 
         sys.exit(run_decisions(seed, json))
 
+    def choice(self, against: str, turns: int = 7, seed: int = 1) -> None:
+        """Time the choice of a target, here and on the sources in ``--against``.
+
+        It is the ``src`` folder of another worktree.
+        """
+        from pathlib import Path
+
+        from lagoontide.bench.choice import run_choice
+
+        sys.exit(run_choice(Path(against).resolve(), turns, seed))
+
     def capacity(
         self,
         deployment: str = "swanreach",
