The choice of a target costs less than before targets could pause

An entry spent 11 to 24 % more processor time on each choice of a target than before the pauses and the fading penalties, at 30 and at 300 targets: a request that finds 300 targets cost 1.24 ms.

Health looked each target's record up three times and raised a power for penalties of 1; back-offs read the clock for each target; shares asked for pauses of each target although none paused. The records are looked up once, a penalty of 1 ends the computation, the clock is read once for all, and pauses are asked for only while there are some. What is chosen is the same: penalties and back-offs of 2000 random histories were equal to those of the code before, to the last bit (a trial).

--- a/src/lagoontide/targets/choose.py
+++ b/src/lagoontide/targets/choose.py
@@ -82,7 +82,7 @@
 ) -> list[Target]:
     """Return the untried targets, without those in back-off if enough remain."""
     untried = [target for target in targets if target.id not in tried]
-    available = [target for target in untried if not health.is_backed_off(target)]
+    available = health.available(untried)
     if len(available) >= max(1.0, MIN_AVAILABLE_SHARE * len(untried)):
         return available
     return untried
--- a/src/lagoontide/targets/health.py
+++ b/src/lagoontide/targets/health.py
@@ -107,6 +107,13 @@
         """Return whether a target is in back-off."""
         return self._records[target.key].backoff_until > self._clock()
 
+    def available(self, targets: Iterable[Target]) -> list[Target]:
+        """Return those of some targets that are not in back-off."""
+        now, records = self._clock(), self._records
+        return [
+            target for target in targets if records[target.key].backoff_until <= now
+        ]
+
     def median_time(self, targets: Iterable[Target], default: float) -> float:
         """Return the median of the targets' mean seconds to a response.
 
@@ -117,12 +124,7 @@
         default : float
             Returned if no target has enough samples.
         """
-        mean_times = [
-            record.mean_seconds
-            for record in map(self.record_of, targets)
-            if record.samples >= MIN_SAMPLES
-        ]
-        return median(mean_times) if mean_times else default
+        return _median_time(map(self.record_of, targets), default)
 
     def penalties(self, targets: Sequence[Target]) -> dict[str, float]:
         """Return the factor by which each target's cost is raised, by id.
@@ -133,15 +135,12 @@
         if not targets:
             return {}
         now = self._clock()
-        median_time = self.median_time(targets, 0.0)
-        median_failures = median(
-            [self.record_of(target).failure_rate for target in targets]
-        )
+        records = [self._records[target.key] for target in targets]
+        median_time = _median_time(records, 0.0)
+        median_failures = median([record.failure_rate for record in records])
         return {
             target.id: _penalty(record, median_time, median_failures, now)
-            for target, record in zip(
-                targets, map(self.record_of, targets), strict=True
-            )
+            for target, record in zip(targets, records, strict=True)
         }
 
     def keep_only(self, keep: Iterable[tuple[str, int]]) -> None:
@@ -150,17 +149,25 @@
             del self._records[key]
 
 
+def _median_time(records: Iterable[HealthRecord], default: float) -> float:
+    times = [record.mean_seconds for record in records if record.samples >= MIN_SAMPLES]
+    return median(times) if times else default
+
+
 def _penalty(
     record: HealthRecord, median_time: float, median_failures: float, now: float
 ) -> float:
-    slowness = 1.0
+    penalty = 1.0
     if median_time > 0 and record.samples >= MIN_SAMPLES:
-        slowness = max(
-            1.0,
-            (record.mean_seconds + MEASURING_LATENESS_S)
-            / (median_time + MEASURING_LATENESS_S),
+        slowness = (record.mean_seconds + MEASURING_LATENESS_S) / (
+            median_time + MEASURING_LATENESS_S
         )
-    excess = max(0.0, record.failure_rate - median_failures - FAILURE_RATE_TOLERANCE)
-    penalty = slowness * (1.0 + EXCESS_FAILURE_WEIGHT * excess)
+        if slowness > 1.0:
+            penalty = slowness
+    excess = record.failure_rate - median_failures - FAILURE_RATE_TOLERANCE
+    if excess > 0.0:
+        penalty *= 1.0 + EXCESS_FAILURE_WEIGHT * excess
+    if penalty == 1.0:
+        return penalty
     half_lives = max(0.0, now - record.observed_at) / PENALTY_HALF_LIFE_S
     return 1.0 + (penalty - 1.0) * 0.5**half_lives
--- a/src/lagoontide/targets/rate_shares.py
+++ b/src/lagoontide/targets/rate_shares.py
@@ -92,7 +92,9 @@
 
         0 if it may do so now; infinity if it has no share of the target's limit.
         """
-        return max(self.share_wait(target), self.limits.pauses.wait(target))
+        wait = self.share_wait(target)
+        pauses = self.limits.pauses
+        return wait if pauses.is_empty else max(wait, pauses.wait(target))
 
     def share_wait(self, target: Target) -> float:
         """Return the same by the share alone, which holds for loans too."""
@@ -109,7 +111,8 @@
         """Return the targets to which this entry may send a request now."""
         if self.limits.is_empty:
             return targets
-        return [target for target in targets if self.wait(target) == 0.0]
+        wait = self.share_wait if self.limits.pauses.is_empty else self.wait
+        return [target for target in targets if wait(target) == 0.0]
 
     def is_due(self, target: Target) -> bool:
         """Return whether a target's limit has not been confirmed for too long."""
