Time in which an entry did not run is no response time of its targets

After a freeze of an entry its callers were served by fewer targets than were there: those with a request or call under way seemed to have been slow for as long as the freeze. A stage target got 75 times its usual slowness from one freeze of 1.5 s, and a target that is slow gets one call in 3 s; targets of requests got a penalty.

Cause: the entry measured them with a clock that ran on while it did not. A time of which it did not run for over a quarter is no sample now; the answer still ends a back-off.

--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -21,6 +21,7 @@
 from lagoontide.targets.rate_limits import RateLimits
 from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target
+from lagoontide.timers import RunClock
 
 if TYPE_CHECKING:
     from lagoontide.forward.guard import Guard
@@ -53,6 +54,8 @@
         service, as another entry knows it; None if none does.
     origins : Origins
         The versions that began streams.
+    run_clock : RunClock
+        Times the responses of targets.
     """
 
     failure_domain: str
@@ -71,6 +74,7 @@
     ask_origin: Callable[[str, str], Awaitable[str | None]]
     origins: Origins
     route_table: RouteTable | None = None
+    run_clock: RunClock = field(default_factory=RunClock)
 
 
 @dataclass(slots=True)
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -39,6 +39,7 @@
     choose_stream_target,
 )
 from lagoontide.targets.records import Target
+from lagoontide.timers import Stopwatch
 
 __all__ = ["choose_engine", "forward_stream"]
 
@@ -247,8 +248,16 @@
     loop = asyncio.get_running_loop()
     share = _LoadShare(state, call, target)
     started_at = loop.time()
+    watch = Stopwatch(state.run_clock)
+    has_content, taken = False, None
     response: TargetResponse | None = None
 
+    def on_content() -> None:
+        nonlocal taken, has_content
+        share.remove_prompt()
+        if not has_content:
+            has_content, taken = True, watch.seconds()
+
     def choose_successor() -> Choice | None:
         # Without event ids the point to resume from is unknown.
         is_unknown = progress.is_started and progress.last_event_id is None
@@ -273,14 +282,13 @@
                         progress,
                         inputs,
                         timer,
-                        share.remove_prompt,
+                        on_content,
                     )
                     await relay.run()
                 finally:
                     timer.stop()
             # The first event of a resumed stream came from the target before.
             if progress.first_event_at > started_at:
-                taken = progress.first_event_at - started_at
                 state.health.record_response(target, taken, False)
             return Relayed(is_complete=True)
     except TimeoutError:
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -33,6 +33,7 @@
 from lagoontide.http1.server import ResponseWriter
 from lagoontide.targets.choose import Choice, choose_lowest_cost
 from lagoontide.targets.records import Target
+from lagoontide.timers import Stopwatch
 
 __all__ = [
     "MAX_ERROR_BODY_BYTES",
@@ -183,8 +184,7 @@
     choose: Callable[[], Choice | None],
 ) -> Answered | Relayed:
     """Send the request to one target, and record its load and health."""
-    loop = asyncio.get_running_loop()
-    started_at = loop.time()
+    watch = Stopwatch(state.run_clock)
     state.loads.begin(target)
     try:
         with record_losses(state.health, target):
@@ -198,7 +198,7 @@
         # A penalty would outlast the pause.
         return answer
     failed = is_server_error(status)
-    state.health.record_response(target, loop.time() - started_at, failed)
+    state.health.record_response(target, watch.seconds(), failed)
     return answer
 
 
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -251,6 +251,7 @@
             self.store_view.entries,
             self.peer_sync.is_cut_off,
         )
+        self.state.run_clock = self.mesh.run_clock
         self.mesh.add_addresses(f"{host}:{port}" for host, port in cfg.seeds)
         # The owner of a stage target is the only entry that calls it.
         self._stage_shares = RateShares(
@@ -267,6 +268,7 @@
             ),
             self._find_service,
             self._stage_shares,
+            self.mesh.run_clock,
         )
         self.trials = TrialDesk(
             self.state.guard.ledger, self.mesh, self.mesh.sees_fleet, self._clock
--- a/src/lagoontide/mesh/peers.py
+++ b/src/lagoontide/mesh/peers.py
@@ -108,15 +108,15 @@
         self._on_crashes = on_crashes
         self._loop = asyncio.get_running_loop()
         # Only what peers do not send while this entry runs is their silence.
-        self._run_clock = RunClock(self._loop.time)
+        self.run_clock = RunClock()
         self._peers: dict[str, _Peer] = {}
         self._addresses = AddressBook(self._loop.time)
         self._registered = registered
         self._is_cut_off = is_cut_off
         self._suspected_until: dict[str, float] = {}
         self._started_at = self._loop.time()
-        self.roster = Roster(self._run_clock)
-        self.hub_monitor = HubMonitor(self._run_clock)
+        self.roster = Roster(self.run_clock)
+        self.hub_monitor = HubMonitor(self.run_clock)
         self._hub = Hub(name, self.send, self._loop.time)
         self._cached_layout: tuple[int, Layout] = (0, Layout("", {}))
         self._follow_sent_at = 0.0
@@ -235,7 +235,7 @@
             self._send_status(status)
             is_large = self._is_large_fleet()
             pause = HUB_STATUS_INTERVAL_S if is_large else STATUS_INTERVAL_S
-            self._run_clock.tick(pause)
+            self.run_clock.tick(pause)
             await asyncio.sleep(pause)
 
     def broadcast_status(self) -> None:
@@ -358,7 +358,7 @@
         return max(MIN_LOST_AFTER_S, LOST_AFTER_ROUNDS * rounds * STATUS_INTERVAL_S)
 
     def _expire_peers(self) -> None:
-        now = self._run_clock()
+        now = self.run_clock()
         silence_limit = self._silence_limit()
         for name, peer in tuple(self._peers.items()):
             silent = now - peer.heard_at
@@ -379,7 +379,7 @@
         known = self._peers.get(status.name)
         if known is None or known.is_lost:
             logger.bind(peer=status.name).info("peer found at {}", status.address)
-        self._peers[status.name] = _Peer(status, self._run_clock())
+        self._peers[status.name] = _Peer(status, self.run_clock())
         self.add_addresses((status.address,))
         self._addresses.add_unconfirmed(status.peers)
         is_large = self._is_large_fleet()
--- a/src/lagoontide/pieces/dispatcher.py
+++ b/src/lagoontide/pieces/dispatcher.py
@@ -18,6 +18,7 @@
 from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target
 from lagoontide.tasks import TaskSet
+from lagoontide.timers import RunClock
 from lagoontide.wire.conn import Conn
 from lagoontide.wire.router import Router
 from lagoontide.wire.server import Send
@@ -70,6 +71,8 @@
         Returns a service of the current configuration.
     rate_shares : RateShares
         Calls that the rate limits of stage targets admit.
+    run_clock : RunClock, optional
+        Times the calls.
     """
 
     def __init__(
@@ -79,8 +82,10 @@
         client: PieceClient,
         service_of: Callable[[str], Service],
         rate_shares: RateShares,
+        run_clock: RunClock | None = None,
     ) -> None:
         self._rate_shares = rate_shares
+        self._run_clock = run_clock
         self._peers = peers
         self._directory = directory
         self._client = client
@@ -230,6 +235,7 @@
                 lambda: self._callable_targets(service, shard),
                 self._free_fetched,
                 self._rate_shares,
+                self._run_clock,
             )
             self._owners[service, shard] = owner
             logger.info(
--- a/src/lagoontide/pieces/owner.py
+++ b/src/lagoontide/pieces/owner.py
@@ -31,6 +31,7 @@
 from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target
 from lagoontide.tasks import TaskSet
+from lagoontide.timers import RunClock, Stopwatch
 
 __all__ = ["ShardOwner"]
 
@@ -74,6 +75,7 @@
         ready: Callable[[], tuple[Target, ...]],
         on_fetched: Callable[[tuple[str, ...]], None],
         rate_shares: RateShares,
+        run_clock: RunClock | None = None,
     ) -> None:
         self._on_fetched = on_fetched
         self.service = service
@@ -83,6 +85,7 @@
         self._client = client
         self._ready = ready
         self._loop = asyncio.get_running_loop()
+        self._run_clock = run_clock or RunClock()
         self._tracker = TargetTracker(self._loop.time, rate_shares)
         self._costs = CallCosts(settings)
         self._isolation = CrashIsolation(self._loop.time)
@@ -245,7 +248,7 @@
         expected = self._costs.predict(kinds) * max(
             1.0, self._tracker.median_slowness()
         )
-        started_at = self._loop.time()
+        started_at, watch = self._loop.time(), Stopwatch(self._run_clock)
         tracked.busy_until = started_at + expected * max(1.0, tracked.slowness)
         self._loop.call_later(INPUT_FETCH_S, self._free_fetched, tracked, batch)
         try:
@@ -272,7 +275,7 @@
                 tracked.target, self.service, batch, self.waiting, seconds, expected
             )
             self._isolation.record_success(groups)
-            tracked.observe_duration_ratio(seconds / expected)
+            tracked.observe_duration(watch.seconds(), expected)
             if seconds < HEDGE_RATIO * expected:
                 self._costs.observe(kinds, seconds)
             self._record_results(tracked, batch, results)
--- a/src/lagoontide/pieces/target_tracker.py
+++ b/src/lagoontide/pieces/target_tracker.py
@@ -128,17 +128,18 @@
         )
         self.foreign_valid_until = now + FULL_TTL_S
 
-    def observe_duration_ratio(self, ratio: float) -> None:
-        """Record the ratio of actual to expected duration of an answered call.
+    def observe_duration(self, seconds: float | None, expected: float) -> None:
+        """Record the actual duration of an answered call; None if it is not known.
 
-        The ratio of the first call is ignored: it may include the wait for a call of
+        That of the first call is ignored: it may include the wait for a call of
         another owner.
         """
         self.consecutive_failures = 0
         if not self.has_answered:
             self.has_answered = True
             return
-        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+        if seconds is not None:
+            self.slowness += SLOWNESS_WEIGHT * (seconds / expected - self.slowness)
 
     def back_off(self, now: float, has_failed: bool) -> None:
         """Send no calls for a while; double the delay with each consecutive failure."""
--- a/src/lagoontide/targets/health.py
+++ b/src/lagoontide/targets/health.py
@@ -46,7 +46,7 @@
         Clock time until which the target gets no work while enough others are
         available.
     samples : int
-        Number of responses.
+        Number of responses with a known latency.
     observed_at : float
         Clock time of the last response or loss.
     """
@@ -76,16 +76,20 @@
         """Return the health record of a target."""
         return self._records[target.key]
 
-    def record_response(self, target: Target, seconds: float, has_failed: bool) -> None:
-        """Record a response and its latency; it ends a back-off."""
+    def record_response(
+        self, target: Target, seconds: float | None, has_failed: bool
+    ) -> None:
+        """Record a response and its latency, if known; it ends a back-off."""
         record = self._records[target.key]
         record.losses = 0
-        record.samples += 1
         record.observed_at = self._clock()
         record.backoff_until = 0.0
         record.failure_rate += FAILURE_SAMPLE_WEIGHT * (
             has_failed - record.failure_rate
         )
+        if seconds is None:
+            return
+        record.samples += 1
         if record.mean_seconds:
             record.mean_seconds += LATENCY_SAMPLE_WEIGHT * (
                 seconds - record.mean_seconds
--- a/src/lagoontide/timers.py
+++ b/src/lagoontide/timers.py
@@ -6,7 +6,14 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-__all__ = ["Deadline", "RunClock", "RunTimer", "is_done_within", "run_timeout"]
+__all__ = [
+    "Deadline",
+    "RunClock",
+    "RunTimer",
+    "Stopwatch",
+    "is_done_within",
+    "run_timeout",
+]
 
 # A timer that fires later than this was held up by this process itself. What peers have
 # sent meanwhile is not read yet: after a stop signal, the event loop runs due timers
@@ -14,6 +21,8 @@
 MAX_LATENESS_S = 0.02
 # What has arrived by a deadline at which this process did not run is read in this time.
 READ_S = 0.05
+# A time of which this process did not run for a larger share was not measured.
+MAX_STOPPED_SHARE = 0.25
 # A process that is late for long is not waited for without end.
 MAX_EXTENSIONS = 8
 
@@ -88,12 +97,13 @@
 
     Parameters
     ----------
-    clock : callable
-        Returns the seconds of a monotonic clock that runs on.
+    clock : callable, optional
+        Returns the seconds of a monotonic clock that runs on; by default that of the
+        event loop.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
-        self._clock = clock
+    def __init__(self, clock: Callable[[], float] | None = None) -> None:
+        self._clock = clock or asyncio.get_running_loop().time
         self._tick_due_at = math.inf
         self._stopped_s = 0.0
 
@@ -102,6 +112,10 @@
         latest = self._tick_due_at + MAX_LATENESS_S
         return min(self._clock(), latest) - self._stopped_s
 
+    def stopped(self) -> float:
+        """Return the seconds that were not counted."""
+        return self._clock() - self()
+
     def tick(self, next_in: float) -> None:
         """Tell that this process runs, and in how many seconds the next call is due.
 
@@ -112,6 +126,24 @@
         self._tick_due_at = now + next_in
 
 
+class Stopwatch:
+    """Measures how long another process takes."""
+
+    def __init__(self, clock: RunClock) -> None:
+        self._clock = clock
+        self._started_at = clock()
+        self._stopped_before = clock.stopped()
+
+    def seconds(self) -> float | None:
+        """Return the seconds since the start.
+
+        None if that would say more of this process, as it did not run for long.
+        """
+        stopped = self._clock.stopped() - self._stopped_before
+        seconds = self._clock() - self._started_at + stopped
+        return None if stopped > MAX_STOPPED_SHARE * seconds else seconds
+
+
 @contextlib.asynccontextmanager
 async def run_timeout(seconds: float) -> AsyncIterator[None]:
     """Raise TimeoutError as ``asyncio.timeout`` does, by a ``RunTimer``."""
--- a/tests/pieces/test_owner.py
+++ b/tests/pieces/test_owner.py
@@ -279,7 +279,7 @@
         MAX_BACKOFF_S,
         MAX_BACKOFF_S,
     ]
-    tracked.observe_duration_ratio(1.0)
+    tracked.observe_duration(1.0, 1.0)
     tracked.back_off(0.0, has_failed=False)
     assert tracked.backoff_until == MIN_BACKOFF_S
 
