A store that answered while this entry was frozen is available

Cause: the call's timeout ran on while the entry did not, and ended it before the answer was read. It now allows for its own lateness.

test_store_that_answers_while_this_entry_is_frozen_is_available failed before. That a request reached a target that had left was not seen.

--- a/src/lagoontide/platform/store.py
+++ b/src/lagoontide/platform/store.py
@@ -1,6 +1,5 @@
 """HTTP client for the platform's metadata store."""
 
-import asyncio
 import base64
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -22,6 +21,7 @@
     Listing,
     Revision,
 )
+from lagoontide.timers import run_timeout
 
 __all__ = ["ERA", "PlatformStore"]
 
@@ -209,7 +209,7 @@
         step = path.partition("?")[0].rpartition("kv-")[2]
         try:
             max_bytes = MAX_CHANGES_BYTES if wait else MAX_PAGE_BYTES
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait):
+            async with run_timeout(CALL_TIMEOUT_S + wait):
                 answer = await self._exchange(method, path, body, max_bytes)
         except ResponseTooLarge as exc:
             if wait:
