Freezes of an entry do not lengthen its forecasts of stage work

Requests with stages were refused with 503, as too late for their objective, in the seconds after a freeze of their entry, though the stage targets were idle: the stages under way seemed to have taken as long as the freeze, and forecasts were lengthened by up to 2.5 times.

--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -348,6 +348,7 @@
             call,
             self._find_service,
             target_domain,
+            self.mesh.run_clock,
         )
 
     async def _sweep(self) -> None:
--- a/src/lagoontide/pieces/inputs.py
+++ b/src/lagoontide/pieces/inputs.py
@@ -20,6 +20,7 @@
 from lagoontide.routes.records import Service
 from lagoontide.routes.urgency import LATE_URGENCY
 from lagoontide.tasks import TaskSet
+from lagoontide.timers import RunClock, Stopwatch
 
 __all__ = ["StageInputs"]
 
@@ -40,6 +41,8 @@
         Returns a service of the configuration.
     target_domain : callable
         Returns the failure domain of the target that should run the request.
+    run_clock : RunClock, optional
+        Times the stages.
     """
 
     def __init__(
@@ -50,7 +53,9 @@
         call: Call,
         service_of: Callable[[str], Service],
         target_domain: Callable[[], str],
+        run_clock: RunClock | None = None,
     ) -> None:
+        self._run_clock = run_clock or RunClock()
         self._find_target_domain = target_domain
         self._target_domain = ""
         self._dispatcher = dispatcher
@@ -89,7 +94,7 @@
             raise InputsFailed(decision.reason, decision.retry_after)
         self._target_domain = self._find_target_domain()
         self._is_late = decision.urgency == LATE_URGENCY
-        self._started_at = self._loop.time()
+        self._watch = Stopwatch(self._run_clock)
         self._expected = forecast.work + forecast.wait - self._target_time
         self._expected /= self._calibration.factor
         for index, count in enumerate(self._graph.counts):
@@ -101,12 +106,13 @@
         """See Inputs."""
         self._discard_failed()
         results = await asyncio.gather(*map(self._stage_task, self._graph.final_stages))
-        elapsed = self._loop.time() - self._started_at
+        elapsed = self._watch.seconds() if self._expected else None
         # A request admitted as late waits behind all others, so only a duration below
         # the forecast is evidence.
-        is_faster = elapsed < self._calibration.factor * self._expected
-        if self._expected and (is_faster or not self._is_late):
-            self._calibration.observe(self._expected, elapsed)
+        if elapsed is not None:
+            is_faster = elapsed < self._calibration.factor * self._expected
+            if is_faster or not self._is_late:
+                self._calibration.observe(self._expected, elapsed)
         self._expected = 0.0
         return tuple(handle for handles in results for handle in handles)
 
