A good response does not bring back the penalty that had faded

Callers were still served by fewer targets than were there: a target that had been slow for a while got one request now and then, each of which found it sound and put it out again. Cause: the penalty faded with the age of the last response, but the record behind it did not, so that the next response restored all of it but a fifth (from 2.3 to 5.1 for a target that had been ten times slower, 4 s after).

What has faded is dropped from the record as it is updated. The nine cases of test_good_response_raises_no_penalty failed before.

--- a/src/lagoontide/targets/health.py
+++ b/src/lagoontide/targets/health.py
@@ -79,21 +79,20 @@
     def record_response(
         self, target: Target, seconds: float | None, has_failed: bool
     ) -> None:
-        """Record a response and its latency, if known; it ends a back-off."""
+        """Record a response; if its latency is not known, it only ends a back-off."""
         record = self._records[target.key]
         record.losses = 0
-        record.observed_at = self._clock()
         record.backoff_until = 0.0
+        if seconds is None:
+            return
+        faded = self._fade(record)
         record.failure_rate += FAILURE_SAMPLE_WEIGHT * (
             has_failed - record.failure_rate
         )
-        if seconds is None:
-            return
         record.samples += 1
         if record.mean_seconds:
-            record.mean_seconds += LATENCY_SAMPLE_WEIGHT * (
-                seconds - record.mean_seconds
-            )
+            weight = 1.0 - (1.0 - LATENCY_SAMPLE_WEIGHT) * faded
+            record.mean_seconds += weight * (seconds - record.mean_seconds)
         else:
             record.mean_seconds = seconds
 
@@ -101,12 +100,20 @@
         """Record a request without a complete response."""
         record = self._records[target.key]
         record.losses += 1
-        record.observed_at = self._clock()
+        self._fade(record)
         record.failure_rate += FAILURE_SAMPLE_WEIGHT * (1.0 - record.failure_rate)
         if record.losses >= BACKOFF_AFTER_LOSSES:
             backoff = MIN_BACKOFF_S * 2 ** (record.losses - BACKOFF_AFTER_LOSSES)
             record.backoff_until = self._clock() + min(backoff, MAX_BACKOFF_S)
 
+    def _fade(self, record: HealthRecord) -> float:
+        """Make a record current; return the share of what it says that still holds."""
+        now = self._clock()
+        share = _share_left(record, now)
+        record.failure_rate *= share
+        record.observed_at = now
+        return share
+
     def is_backed_off(self, target: Target) -> bool:
         """Return whether a target is in back-off."""
         return self._records[target.key].backoff_until > self._clock()
@@ -166,5 +173,8 @@
         )
     excess = max(0.0, record.failure_rate - median_failures - FAILURE_RATE_TOLERANCE)
     penalty = slowness * (1.0 + EXCESS_FAILURE_WEIGHT * excess)
-    half_lives = max(0.0, now - record.observed_at) / PENALTY_HALF_LIFE_S
-    return 1.0 + (penalty - 1.0) * 0.5**half_lives
+    return 1.0 + (penalty - 1.0) * _share_left(record, now)
+
+
+def _share_left(record: HealthRecord, now: float) -> float:
+    return 0.5 ** (max(0.0, now - record.observed_at) / PENALTY_HALF_LIFE_S)
--- a/tests/targets/test_health.py
+++ b/tests/targets/test_health.py
@@ -68,3 +68,19 @@
 def test_targets_share_requests_if_response_times_differ_by_milliseconds():
     scene = Scene(0.001, 0.002)
     assert any(scene.choose() is scene.targets[0] for _ in range(32))
+
+
+# Guards against targets that get one request now and then, for minutes, as each good
+# response brings back the penalty that had faded.
+@pytest.mark.parametrize("idle", [4.0, 8.0, 16.0])
+@pytest.mark.parametrize(
+    ("first", "has_failed"), [(0.5, False), (0.05, True), (5.0, True)]
+)
+def test_good_response_raises_no_penalty(first, has_failed, idle):
+    scene = Scene(0.05, first, has_failed)
+    scene.clock.now += idle
+    for target in scene.targets[1:]:
+        scene.health.record_response(target, 0.05, False)
+    before = scene.health.penalties(scene.targets)["t0"]
+    scene.health.record_response(scene.targets[0], 0.05, False)
+    assert scene.health.penalties(scene.targets)["t0"] <= before
