An answer behind that to another request is read after a freeze

Callers got 502, or their request ran twice, if their entry was frozen for a second while it skipped a late response to another request on the connection: the rest of that one and the answer behind it lay unread as the timeout of the skip ended. It now allows for its own lateness. test_response_to_another_request_is_skipped_after_a_freeze failed before.

--- a/src/lagoontide/http1/client.py
+++ b/src/lagoontide/http1/client.py
@@ -16,6 +16,7 @@
     is_success,
 )
 from lagoontide.http1.tcp import TcpConn
+from lagoontide.timers import run_timeout
 
 __all__ = ["InvalidResponse", "ResponseTooLarge", "TargetConn"]
 
@@ -215,7 +216,7 @@
     async def _skip_response(self) -> None:
         """Read a response to another request; the expected one has to follow it."""
         try:
-            async with asyncio.timeout(SKIP_TIMEOUT_S):
+            async with run_timeout(SKIP_TIMEOUT_S):
                 async for _ in self.read_body(MAX_SKIPPED_BYTES):
                     pass
         except TimeoutError:
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
-from lagoontide.http1.client import InvalidResponse, TargetConn
-from lagoontide.http1.messages import RequestHead
+from lagoontide.http1.client import SKIP_TIMEOUT_S, InvalidResponse, TargetConn
+from lagoontide.http1.messages import RequestHead, field_value
 from lagoontide.http1.tcp import connect_tcp
+from tests.support.freezing import freeze
 
 HEAD = RequestHead(b"GET", b"/", [(b"Host", b"a")])
 
@@ -64,3 +66,31 @@
     head = RequestHead(b"CONNECT", b"/a", HEAD.fields)
     with pytest.raises(InvalidResponse):
         call(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", head)
+
+
+# Guards against requests whose answer is given up behind that to another request, as
+# this entry did not run while the rest of that one arrived (LOST).
+def test_response_to_another_request_is_skipped_after_a_freeze():
+    head = b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nContent-Length: 2\r\n\r\n"
+
+    async def main(server):
+        tcp = await connect_tcp(*server.getsockname(), 1.0)
+        peer, _ = server.accept()
+
+        def send_rest_and_freeze():
+            peer.sendall(b"x" + head % b"own" + b"ok")
+            freeze(SKIP_TIMEOUT_S + 0.3)
+
+        with peer:
+            conn = TargetConn(tcp)
+            await conn.send(HEAD, b"")
+            peer.sendall(head % b"other" + b"x")
+            asyncio.get_running_loop().call_later(0.05, send_rest_and_freeze)
+            answer = await conn.read_head(
+                lambda head: field_value(head.fields, b"x-id") == b"own"
+            )
+            conn.close()
+        return answer.status
+
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        assert asyncio.run(main(server)) == 200
