A failure confirms the record of a target, faded or not

A target that went on failing was asked again soon after each failure, as every response dropped what had faded of its record, a failed one too: requests that may not be repeated failed there the more often. Only a good response drops it now. test_target_that_goes_on_failing_is_avoided_as_long_each_time failed before.

--- a/src/lagoontide/targets/health.py
+++ b/src/lagoontide/targets/health.py
@@ -86,6 +86,9 @@
         if seconds is None:
             return
         faded = self._fade(record)
+        if not has_failed:
+            # A failure confirms the record, a good response only what has not faded.
+            record.failure_rate *= faded
         record.failure_rate += FAILURE_SAMPLE_WEIGHT * (
             has_failed - record.failure_rate
         )
@@ -107,10 +110,9 @@
             record.backoff_until = self._clock() + min(backoff, MAX_BACKOFF_S)
 
     def _fade(self, record: HealthRecord) -> float:
-        """Make a record current; return the share of what it says that still holds."""
+        """Return the share of a record that has not faded, and make it current."""
         now = self._clock()
         share = _share_left(record, now)
-        record.failure_rate *= share
         record.observed_at = now
         return share
 
--- a/tests/targets/test_health.py
+++ b/tests/targets/test_health.py
@@ -40,8 +40,9 @@
 
     def seconds_avoided(self):
         """Return the seconds until the first target gets a request again."""
+        since = self.clock.now
         for tenths in range(1200):
-            self.clock.now = 100.0 + tenths / 10
+            self.clock.now = since + tenths / 10
             if any(self.choose() is self.targets[0] for _ in range(8)):
                 return tenths / 10
             for target in self.targets[1:]:
@@ -84,3 +85,11 @@
     before = scene.health.penalties(scene.targets)["t0"]
     scene.health.record_response(scene.targets[0], 0.05, False)
     assert scene.health.penalties(scene.targets)["t0"] <= before
+
+
+# Guards against a target that goes on failing and is asked the more often for it.
+def test_target_that_goes_on_failing_is_avoided_as_long_each_time():
+    scene = Scene(0.05, 0.05, has_failed=True)
+    first = scene.seconds_avoided()
+    scene.health.record_response(scene.targets[0], 0.05, True)
+    assert scene.seconds_avoided() >= first
