Streams of split routes are taken up at the service that began them

Of the streams that callers took up again on a route split between two services, both calm and with two targets of each version, half were answered 503: the service was picked by the id of the take-up, which is another one than the id of the request that began the stream. At the other service nobody knows the stream.

A take-up now gets its service by the id that Resumes names, so that it is the same while the split is. If the split has changed, the record of the stream, here or at a peer, tells the service, as long as the route still sends to it. The request counts for the retry budget of the service that it is sent to.

--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -157,7 +157,9 @@
         if metadata.timeout is not None:
             timeout = min(timeout, metadata.timeout)
         prior_wait = self._prior_waits.estimate(route.name, metadata.timeout)
-        number = xxhash.xxh32_intdigest(metadata.request_id.encode())
+        # A stream is taken up at the service that its first request was sent to.
+        picked_by = metadata.resumes or metadata.request_id
+        number = xxhash.xxh32_intdigest(picked_by.encode())
         return Call(
             request=req,
             metadata=metadata,
@@ -171,11 +173,12 @@
         )
 
     async def _forward(self, call: Call, reply: ResponseWriter) -> Outcome:
-        self._state.budget.record_request(call.service)
         refusal = self._state.guard.refusal(call)
-        if refusal is not None:
-            return refusal
-        refusal = await fix_version(self._state, call, self._rng)
+        if refusal is None:
+            refusal = await fix_version(self._state, call, self._rng)
+        # Counted here, as a stream may be taken up at another service than the one
+        # picked for it.
+        self._state.budget.record_request(call.service)
         if refusal is not None:
             return refusal
         if is_beyond_limits(self._state, call):
--- a/src/lagoontide/forward/resumption.py
+++ b/src/lagoontide/forward/resumption.py
@@ -1,5 +1,6 @@
 """Resumption of streams that callers take up again, at the version that began them."""
 
+import asyncio
 import random
 
 from loguru import logger
@@ -16,7 +17,7 @@
 async def fix_version(
     state: ForwardingState, call: Call, rng: random.Random
 ) -> NotRun | None:
-    """Fix the version of a stream that its caller takes up again.
+    """Fix the service and version of a stream that its caller takes up again.
 
     Returns
     -------
@@ -54,22 +55,38 @@
 
 
 async def _find_version(state: ForwardingState, call: Call) -> tuple[str | None, str]:
-    """Return the version that began a stream, or None, and how it is known."""
+    """Return the version that began a stream, or None, and how it is known.
+
+    Sets the call's service to the one that began it, among those of its route.
+    """
     first_id, origins = call.metadata.resumes, state.origins
     if first_id is not None:
-        version = origins.find(first_id, call.service)
-        if version is not None:
-            return version, "record"
+        services = _services(call)
+        for service in services:
+            version = origins.find(first_id, service)
+            if version is not None:
+                call.service = service
+                return version, "record"
         # Asked even beside one version: a peer may have seen another one earlier.
-        version = await state.ask_origin(first_id, call.service)
-        if version is not None:
-            return version, "a peer"
+        versions = await asyncio.gather(
+            *(state.ask_origin(first_id, service) for service in services)
+        )
+        for service, version in zip(services, versions, strict=True):
+            if version is not None:
+                call.service = service
+                return version, "a peer"
     possible = _possible_versions(state, call.service)
     if possible is not None and len(possible) == 1:
         return next(iter(possible)), "being the only one"
     return None, ""
 
 
+def _services(call: Call) -> list[str]:
+    """Return the services that a call may be sent to, the one picked for it first."""
+    others = (share.service for share in call.route.shares if share.weight > 0)
+    return list(dict.fromkeys((call.service, *others)))
+
+
 def _possible_versions(state: ForwardingState, service: str) -> frozenset[str] | None:
     """Return the versions that may have begun a stream; None if that is unknown."""
     known = state.origins.possible_versions(service)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lagoontide.http1.client import InvalidResponse, TargetConn
-from lagoontide.http1.messages import RequestHead
+from lagoontide.http1.messages import RequestHead, field_value
 from lagoontide.http1.tcp import connect_tcp
 from lagoontide.platform.directory import TARGETS_PREFIX
 from lagoontide.platform.fields import AUTHORIZATION, DEADLINE, LAST_EVENT, REQUEST_ID
@@ -78,6 +78,7 @@
 
     def __init__(self):
         self.status = None
+        self.retry_after = 0.0
         self.body = b""
         self.is_whole = False
 
@@ -99,7 +100,9 @@
     ]
     try:
         await conn.send(RequestHead(b"POST", b"/events/a", fields), b"x")
-        answer.status = (await conn.read_head()).status
+        head = await conn.read_head()
+        answer.status = head.status
+        answer.retry_after = float(field_value(head.fields, b"retry-after") or 0.0)
         async for data in conn.read_body():
             answer.body += data
         answer.is_whole = True
