Streams taken up again wait longer for a turn at limited targets

While the two targets of one version named a rate limit of 3 a second, and two other versions had none, fewer than half as many of the streams that callers took up again went on as new streams began: 10 and 11 of 24, though callers honoured Retry-After, and all new streams began. A call waits for a turn for a fifth of its time at most; a new stream goes on to another version meanwhile, and also uses up the turns of the limited one.

A stream that has begun has no targets but those of its version, and now waits for up to half of the time left to it.

The test failed before at 3 a second; the limits of targets and pauses keep to their bounds (tests of rate limits and pauses).

--- a/src/lagoontide/forward/selection.py
+++ b/src/lagoontide/forward/selection.py
@@ -15,6 +15,8 @@
 # urgent it is.
 OBJECTIVE_WAIT_SHARE = 0.5
 TIME_WAIT_SHARE = 0.2
+# A stream that is taken up again has no other targets than those of its version.
+BEGUN_WAIT_SHARE = 0.5
 
 
 def ready_targets(state: ForwardingState, call: Call) -> Sequence[Target]:
@@ -119,6 +121,8 @@
 
 def _max_wait(call: Call) -> float:
     """Return the longest time in seconds that a call waits for its turn."""
+    if call.has_begun:
+        return max(0.0, BEGUN_WAIT_SHARE * call.time_left)
     to_objective = call.objective_at - asyncio.get_running_loop().time()
     longest = max(OBJECTIVE_WAIT_SHARE * to_objective, TIME_WAIT_SHARE * call.time_left)
     return max(0.0, longest) / (1 + levels_below_highest(call.urgency))
--- a/tests/gateway/test_take_ups.py
+++ b/tests/gateway/test_take_ups.py
@@ -114,7 +114,7 @@
     return answer
 
 
-async def go_on(small, served, begun, attempts=MAX_ATTEMPTS):
+async def go_on(small, served, begun, attempts=MAX_ATTEMPTS, new_each=1):
     """Take streams up and begin others meanwhile; return the shares that succeed."""
 
     async def again(place, name, last_event):
@@ -140,7 +140,10 @@
         # Callers come back to any entry.
         place = number * 2 % ENTRIES
         taken_up.append(asyncio.ensure_future(again(place, name, last_event)))
-        new.append(asyncio.ensure_future(begin(place, f"new-{number}")))
+        new += [
+            asyncio.ensure_future(begin(place, f"new-{number}-{other}"))
+            for other in range(new_each)
+        ]
         await asyncio.sleep(1.0 / SENDS_PER_S)
     return tuple(
         [sum(await asyncio.gather(*tasks)) / len(tasks) for tasks in (taken_up, new)]
@@ -254,3 +257,18 @@
         return shares
 
     run(scenario)
+
+
+# Guards against new streams that use up the rate limit of a version whose own streams
+# come back, though other versions have no limit.
+@pytest.mark.parametrize("limited", [("v1",), ("v1", "v2")])
+@pytest.mark.parametrize("rate", ["3", "4"])
+def test_streams_go_on_at_versions_whose_targets_name_rate_limits(limited, rate):
+    async def scenario(small, served):
+        begun = await begin_streams(small, served, limited)
+        for target in served.engines:
+            if served.of[target.id] in limited:
+                target.rate_limit = rate
+        return await go_on(small, served, begun, new_each=4)
+
+    run(scenario, THREE)
