Stream origins cost what has changed, not all services

In a profile of a busy entry that was about a tenth of its event loop.

The version set is the same object until then, and the keeper compares it with the stored one once.

The other cases of tests/origins/test_versions.py state what must not change, and passed before.

--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -13,7 +13,7 @@
 from lagoontide.forward.retries import RetryBudget
 from lagoontide.forward.stream import choose_engine
 from lagoontide.gateway.metrics import GatewayMetrics
-from lagoontide.gateway.origins import resume_window, versions_by_service
+from lagoontide.gateway.origins import resume_window
 from lagoontide.gateway.peer_sync import PeerSync
 from lagoontide.gateway.platform import Platform
 from lagoontide.gateway.settings import GatewaySettings
@@ -353,7 +353,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             directory = self.state.directory
             directory.remove_expired()
-            self.state.origins.observe_versions(versions_by_service(directory.all()))
+            self.state.origins.observe_versions(directory.versions())
             self.follower.check_silence()
             self.store_view.sweep()
             keys = {target.key for target in directory.all()}
--- a/src/lagoontide/gateway/origins.py
+++ b/src/lagoontide/gateway/origins.py
@@ -1,14 +1,10 @@
-"""What the records of stream origins need to know of routes and targets."""
-
-from collections import defaultdict
-from collections.abc import Iterable
+"""What the records of stream origins need to know of routes."""
 
 from lagoontide.origins.ledger import DEFAULT_RETENTION_S
 from lagoontide.routes.records import RouteKind
 from lagoontide.routes.route_table import RouteTable
-from lagoontide.targets.records import Target
 
-__all__ = ["resume_window", "versions_by_service"]
+__all__ = ["resume_window"]
 
 # From the begin of a stream at its entry to its record at others.
 RECORD_SLACK_S = 5.0
@@ -30,12 +26,3 @@
         default=0.0,
     )
     return max(DEFAULT_RETENTION_S, longest + RECORD_SLACK_S)
-
-
-def versions_by_service(targets: Iterable[Target]) -> dict[str, set[str]]:
-    """Return the known versions of targets, by their service."""
-    versions: dict[str, set[str]] = defaultdict(set)
-    for target in targets:
-        if target.version:
-            versions[target.service].add(target.version)
-    return versions
--- a/src/lagoontide/origins/keeper.py
+++ b/src/lagoontide/origins/keeper.py
@@ -203,7 +203,10 @@
 
     async def _write_versions(self) -> None:
         versions = self._origins.version_set()
-        if versions == self._stored.versions or not self._is_responsible():
+        if versions is self._stored.versions or not self._is_responsible():
+            return
+        if versions == self._stored.versions:
+            self._stored.versions = versions
             return
         value = msgspec.json.encode(versions)
         await self._store.put(VERSIONS_KEY, value)
--- a/src/lagoontide/origins/ledger.py
+++ b/src/lagoontide/origins/ledger.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from lagoontide.origins.messages import AgedOrigin, Batch
+from lagoontide.origins.versions import SeenVersions
 
 __all__ = ["DEFAULT_RETENTION_S", "Origin", "Origins", "make_batch"]
 
@@ -76,13 +77,11 @@
     ) -> None:
         self._clock = clock
         self._get_retention = retention
-        self._retention = DEFAULT_RETENTION_S
         self._max_records = max_records
         # By request id, the oldest first.
         self._records: dict[str, Origin] = {}
         self._unsent: dict[str, Origin] = {}
-        # Clock time at which each version was last seen, by service.
-        self._seen: dict[str, dict[str, float]] = {}
+        self._versions = SeenVersions(clock, DEFAULT_RETENTION_S)
         self._mixed: dict[str, frozenset[str]] = {}
         self._is_listed = False
         self._has_stored_versions = False
@@ -94,7 +93,7 @@
     @property
     def retention(self) -> float:
         """Seconds for which records and versions are kept."""
-        return self._retention
+        return self._versions.retention
 
     @property
     def unsent_count(self) -> int:
@@ -119,8 +118,7 @@
         if known and known.is_own and (known.service, known.version) == origin:
             return
         now = self._clock()
-        is_new = version not in self._current(service)
-        self._seen.setdefault(service, {})[version] = now
+        is_new = self._versions.see(service, version, now)
         record = Origin(request_id, service, version, now, is_own=True)
         self._add(record)
         if is_new:
@@ -160,9 +158,8 @@
             at = now - max(0.0, age)
             if self._is_over(at):
                 continue
-            seen = self._seen.setdefault(service, {})
-            seen[version] = max(seen.get(version, at), at)
-            services.add(service)
+            if self._versions.see(service, version, at):
+                services.add(service)
             self._learn_one(Origin(request_id, service, version, at, is_own=False))
         for service in services:
             self._update(service)
@@ -172,23 +169,20 @@
 
         To be called several times a second; also drops what is over.
         """
-        self._retention = self._get_retention()
-        self._see(versions)
-        for service, seen in tuple(self._seen.items()):
-            current = {
-                version: at for version, at in seen.items() if not self._is_over(at)
-            }
-            if len(current) < len(seen):
-                self._seen[service] = current
+        retention = self._get_retention()
+        is_same = retention == self._versions.retention
+        self._versions.retention = retention
+        changed = self._versions.observe(versions)
+        for service in changed if is_same else self._versions.services() | changed:
             self._update(service)
-            if not current:
-                del self._seen[service]
         self._drop_ended()
 
     def learn_versions(self, versions: Mapping[str, Collection[str]]) -> None:
         """Add the stored versions; they count as seen now."""
-        self._see(versions)
-        for service in versions:
+        now = self._clock()
+        for service, names in versions.items():
+            for version in names:
+                self._versions.see(service, version, now)
             self._update(service)
 
     def note_stored(self, has_versions: bool) -> None:
@@ -210,18 +204,18 @@
 
         None while this entry has not listed the store's keys.
         """
-        return frozenset(self._current(service)) if self.is_complete else None
+        return self._versions.current(service) if self.is_complete else None
 
     def is_mixed(self, service: str) -> bool:
         """Return whether more than one version is known for a service."""
-        return len(self._current(service)) > 1
+        return len(self._versions.current(service)) > 1
 
     def version_set(self) -> dict[str, list[str]]:
-        """Return the known versions of all services, sorted, as they are stored."""
-        by_service = {
-            service: sorted(self._current(service)) for service in sorted(self._seen)
-        }
-        return {service: known for service, known in by_service.items() if known}
+        """Return the known versions of all services, sorted, as they are stored.
+
+        The same object as before, unless it has changed.
+        """
+        return self._versions.as_set()
 
     def unsent(self, max_chars: int) -> list[Origin]:
         """Return records to be stored, the oldest first.
@@ -264,21 +258,12 @@
         for service in self._mixed:
             self._queue_own(service)
 
-    def _see(self, versions: Mapping[str, Collection[str]]) -> None:
-        now = self._clock()
-        for service, names in versions.items():
-            self._seen.setdefault(service, {}).update(dict.fromkeys(names, now))
-
-    def _current(self, service: str) -> set[str]:
-        seen = self._seen.get(service, {})
-        return {version for version, at in seen.items() if not self._is_over(at)}
-
     def _is_over(self, at: float) -> bool:
-        return self._clock() - at >= self._retention
+        return self._versions.is_over(at)
 
     def _update(self, service: str) -> None:
         """Queue or drop records if a service became mixed, or single again."""
-        versions = frozenset(self._current(service))
+        versions = self._versions.current(service)
         known = self._mixed.get(service)
         if len(versions) > 1 and versions != known:
             self._mixed[service] = versions
--- a/src/lagoontide/targets/directory.py
+++ b/src/lagoontide/targets/directory.py
@@ -1,7 +1,7 @@
 """Directory of targets, from the store, from peers and from the targets' answers."""
 
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 
 from loguru import logger
@@ -53,6 +53,7 @@
         # Caches, built on demand and dropped when targets change.
         self._ready: dict[str, tuple[Target, ...]] | None = None
         self._by_address: dict[str, Target] | None = None
+        self._by_service: dict[str, frozenset[str]] | None = None
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -65,6 +66,18 @@
         """Return the target with an id, or None."""
         return self._targets.get(name)
 
+    def versions(self) -> Mapping[str, frozenset[str]]:
+        """Return the known versions of all targets, by their service."""
+        if self._by_service is None:
+            versions: dict[str, set[str]] = defaultdict(set)
+            for target in self._targets.values():
+                if target.version:
+                    versions[target.service].add(target.version)
+            self._by_service = {
+                service: frozenset(names) for service, names in versions.items()
+            }
+        return self._by_service
+
     def at_address(self, address: str) -> Target | None:
         """Return the target that listens at an address, or None."""
         if self._by_address is None:
@@ -106,6 +119,11 @@
         target = self._keep_version(target)
         self._targets[target.id] = target
         self._by_address = None
+        if known is None or (known.service, known.version) != (
+            target.service,
+            target.version,
+        ):
+            self._by_service = None
         if known is not None and (known.key, known.state) == (target.key, target.state):
             return
         self._ready = None
@@ -277,5 +295,5 @@
         self._gone_at[target.key] = self._clock()
         self._doubted_until.pop(target.key, None)
         self._expires_at.pop(name, None)
-        self._ready = self._by_address = None
+        self._ready = self._by_address = self._by_service = None
         logger.bind(target=name).info("target gone: {}", reason)
