An entry that is cut off does not take the only version it knows for all

An entry that was cut off from the store knew one version of a service. Meanwhile targets of a second one registered, and streams began there at another entry, which was then killed. The first one took three of eight streams up again at the other version: it had no record, heard no peer, and only one version came into question. Callers got events of two versions.

A single version is no longer taken for the origin of an unknown stream while the store has been silent to the entry for longer than its limit, directly and via hubs, so that registrations may lack. Such a take-up is answered 503 and not run. Records, own ones or those of peers, still count, and an entry that hears a peer in touch gets its registrations.

The test failed before for an entry that hears nobody. The case with a third entry in touch is new with it and guards what was right.

--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -51,6 +51,8 @@
     ask_origin : callable
         Returns the version that began a stream, by the id of its request and its
         service, as another entry knows it; None if none does.
+    is_cut_off : callable
+        Returns whether the store has been silent for so long that changes may lack.
     origins : Origins
         The versions that began streams.
     """
@@ -69,6 +71,7 @@
     rate_shares: RateShares
     borrow_turn: Callable[[Target], Awaitable[bool]]
     ask_origin: Callable[[str, str], Awaitable[str | None]]
+    is_cut_off: Callable[[], bool]
     origins: Origins
     route_table: RouteTable | None = None
 
--- a/src/lagoontide/forward/resumption.py
+++ b/src/lagoontide/forward/resumption.py
@@ -76,7 +76,8 @@
                 call.service = service
                 return version, "a peer"
     possible = _possible_versions(state, call.service)
-    if possible is not None and len(possible) == 1:
+    # Cut off, this entry may lack a version that has begun streams elsewhere.
+    if possible is not None and len(possible) == 1 and not state.is_cut_off():
         return next(iter(possible)), "being the only one"
     return None, ""
 
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -217,6 +217,7 @@
             ask_origin=lambda name, service: self.origin_peers.find_at_peers(
                 name, service
             ),
+            is_cut_off=lambda: self.peer_sync.is_cut_off(),
             origins=Origins(clock, lambda: resume_window(self.state.route_table)),
         )
 
--- a/src/lagoontide/platform/standins/deployment.py
+++ b/src/lagoontide/platform/standins/deployment.py
@@ -89,6 +89,10 @@
         self.gateways[place] = await entry.start()
         await _wait_until_ready(self)
 
+    async def kill_entry(self, place: int) -> None:
+        """End an entry without a word to the store or to callers."""
+        await self._entries[place].kill()
+
     async def kill_entries(self) -> None:
         """End all entries at once, without a word to the store or to callers."""
         await self._running.aclose()
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -13,11 +13,14 @@
 from lagoontide.platform.standins.deployment import start_deployment
 from lagoontide.platform.standins.ports import HOST
 from lagoontide.platform.standins.runs import TargetFault
+from lagoontide.platform.standins.store import StoreFault
 from tests.support.waiting import wait_for
 
 RESUMES = b"Resumes"
 EVENTS = 6
 STREAMS = 8
+# An entry that has not heard from the store for so long may lack changes.
+SILENCE_LIMIT_S = 2.0
 BORN = 2
 
 
@@ -274,3 +277,45 @@
         assert answer.events == list(range(3, EVENTS + 1))
 
     run(scenario, ("v1", "v1"))
+
+
+# Guards against streams joined from two versions by an entry that is cut off, and takes
+# the only version that it knows for the only one there is.
+@pytest.mark.parametrize("hears_a_peer", [False, True])
+def test_take_up_is_refused_by_an_entry_that_may_lack_versions(hears_a_peer):
+    async def scenario(small, served):
+        small.store_endpoints[1].trouble = StoreFault.SILENT
+        small.store_endpoints[1].silence_connections()
+        gateway = small.gateways[0]
+        for target in served.engines:
+            if served.of[target.id] == "v2":
+                target.version = "v2"
+                target.register(small.store, born=BORN + 1)
+        await wait_for(lambda: len(gateway.state.directory.ready("engine")) == 4)
+        begun = await begin_streams(served, small.ports[0])
+        began_at_v2 = {name for name in begun if served.that_ran(name) == {"v2"}}
+        assert len(began_at_v2) > 2
+        await small.kill_entry(0)
+        heard = 2 if hears_a_peer else 1
+        await wait_for(lambda: len(small.gateways[1].mesh.live()) == heard)
+        await asyncio.sleep(SILENCE_LIMIT_S)
+        answers = {}
+        for name, last_event in begun.items():
+            answers[name] = await take_up(
+                small.ports[1], f"{name}-again", name, last_event
+            )
+        joined = [
+            name for name in begun if len(served.that_ran(name, f"{name}-again")) > 1
+        ]
+        assert joined == []
+        # A peer in touch tells of the versions and targets.
+        status = 200 if hears_a_peer else 503
+        assert {answers[name].status for name in began_at_v2} == {status}
+
+    async def main():
+        async with start_deployment(2 + hears_a_peer, scale=2) as small:
+            served = Versions(small, TWO)
+            await served.remove("v2")
+            await scenario(small, served)
+
+    asyncio.run(main())
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -99,7 +99,7 @@
             Loads(loop.time),
             *(None, None, SimpleNamespace(ledger=Ledger(loop.time)), None),
             RateLimits(loop.time),
-            *(None, None, None, Origins(loop.time)),
+            *(None, None, None, None, Origins(loop.time)),
         )
         self.store_view = StoreView(
             self.state,
