A late event loop doesn't make its stage calls late

An entry whose event loop was held up made pieces twice, at a second stage target, though the answer of the first had arrived: the timer of the call and the answer fell due in the same round, and the timer was looked at first. Each such repeat takes from the stage's targets and the retry budget. A wait for a call now takes four steps, so that a late round counts as one of them, as for connections.

--- a/src/lagoontide/pieces/hedging.py
+++ b/src/lagoontide/pieces/hedging.py
@@ -21,6 +21,9 @@
 BUSY_POLL_S = 0.4
 # An answer that was sent just before the report of an idle target may be in transit.
 ARRIVAL_GRACE_S = 0.1
+# An answer takes a few rounds of the event loop. A round that is late by any time
+# counts as one of these steps of a wait.
+WAIT_STEPS = 4
 
 
 async def make_hedged(
@@ -65,5 +68,8 @@
 async def _is_done_within(
     call: asyncio.Future[tuple[PieceResult, ...]], seconds: float
 ) -> bool:
-    done, _ = await asyncio.wait({call}, timeout=seconds)
-    return bool(done)
+    for _ in range(WAIT_STEPS):
+        done, _ = await asyncio.wait({call}, timeout=seconds / WAIT_STEPS)
+        if done:
+            return True
+    return False
