--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lagoontide.http1.server import ResponseWriter
 from lagoontide.platform.standins.deployment import send, start_deployment
 from lagoontide.platform.standins.runs import SilentAt, TargetFault
 from tests.support.waiting import wait_for
@@ -161,3 +162,35 @@
         assert (answer.status, answer.body, runs) == (200, b"done:x", 2)
 
     run(scenario)
+
+
+# Guards against a sound target that is given up as its caller reads slowly, and against
+# events that come twice then.
+def test_stream_of_a_slow_caller_stays_at_its_target(monkeypatch):
+    sending = []
+    send_data = ResponseWriter.send_data
+
+    async def send_slowly(reply, data):
+        # Targets use the same class; their events have no caller to wait for.
+        if not reply.is_target and data.startswith(b"id: 2\n"):
+            sending.append(data)
+            await asyncio.sleep(SILENCE_S)
+        await send_data(reply, data)
+
+    async def scenario(small):
+        listener = small.gateways[0].callers
+        handle = listener._handle
+
+        async def handle_slowly(req, reply):
+            reply.is_target = False
+            await handle(req, reply)
+
+        monkeypatch.setattr(listener, "_handle", handle_slowly)
+        answer, runs = await ask(small, "/events/a", "engine", "r1")
+        ids = [line for line in answer.body.split(b"\n") if line.startswith(b"id:")]
+        assert ids == [b"id: %d" % number for number in range(1, EVENTS + 1)]
+        assert (len(sending), runs) == (1, 1)
+
+    monkeypatch.setattr(ResponseWriter, "is_target", True, raising=False)
+    monkeypatch.setattr(ResponseWriter, "send_data", send_slowly)
+    run(scenario)
