--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -4,9 +4,12 @@
 
 import pytest
 
+from lagoontide.forward import unary as unary_module
 from lagoontide.http1.server import ResponseWriter
 from lagoontide.platform.standins.deployment import send, start_deployment
 from lagoontide.platform.standins.runs import SilentAt, TargetFault
+from lagoontide.targets.choose import Choice
+from lagoontide.targets.rate_shares import RateShares
 from tests.support.waiting import wait_for
 
 EVENTS = 6
@@ -194,3 +197,53 @@
     monkeypatch.setattr(ResponseWriter, "is_target", True, raising=False)
     monkeypatch.setattr(ResponseWriter, "send_data", send_slowly)
     run(scenario)
+
+
+# Guards against retry budget that is lost for good with each caller that leaves before
+# its request is sent to the successor of a silent target.
+def test_successor_of_a_request_that_is_not_sent_there_is_given_back(monkeypatch):
+    async def hang(*args):
+        await asyncio.Event().wait()
+
+    async def scenario(small):
+        make_silent(small, "plain")
+        budget, targets = small.gateways[0].state.budget, small.targets_of("plain")
+        asked = asyncio.ensure_future(ask(small, "/safe/a", "plain", "r1"))
+        await wait_for(lambda: any(target.log for target in targets))
+        left = budget.left("plain")
+        monkeypatch.setattr(unary_module, "start_attempt", hang)
+        await wait_for(lambda: budget.left("plain") < left)
+        await asyncio.sleep(0.05)
+        asked.cancel()
+        await wait_for(lambda: not small.gateways[0].callers.in_flight)
+        assert budget.left("plain") == left
+
+    run(scenario)
+
+
+# The same for a turn that a request has waited for.
+def test_turn_of_a_request_that_is_not_sent_is_given_back(monkeypatch):
+    reached, refunded = [], []
+
+    async def wait_for_turn(state, call, tried):
+        target = state.directory.ready(call.service)[0]
+        return Choice(target, 0.0, "turn", has_turn=True)
+
+    async def hang(state, call, target, options):
+        reached.append(options.has_turn)
+        await asyncio.Event().wait()
+
+    async def scenario(small):
+        monkeypatch.setattr(unary_module, "candidates", lambda *args: [])
+        monkeypatch.setattr(unary_module, "wait_for_turn", wait_for_turn)
+        monkeypatch.setattr(unary_module, "start_attempt", hang)
+        monkeypatch.setattr(
+            RateShares, "refund", lambda shares, target: refunded.append(target.id)
+        )
+        asked = asyncio.ensure_future(ask(small, "/safe/a", "plain", "r1"))
+        await wait_for(lambda: reached)
+        asked.cancel()
+        await wait_for(lambda: not small.gateways[0].callers.in_flight)
+        assert (reached, len(refunded)) == ([True], 1)
+
+    run(scenario)
