--- a/src/lagoontide/forward/handover.py
+++ b/src/lagoontide/forward/handover.py
@@ -9,7 +9,13 @@
 from lagoontide.targets.choose import Choice
 from lagoontide.timers import RunTimer
 
-__all__ = ["HandedOver", "Retake", "StallTimer", "make_stall_timer"]
+__all__ = [
+    "HandedOver",
+    "Retake",
+    "StallTimer",
+    "make_stall_timer",
+    "release_successor",
+]
 
 # A request that stays at its silent target looks for a successor again after this.
 RETRY_INTERVAL_S = 0.1
@@ -135,7 +141,7 @@
     return StallTimer(
         wait,
         lambda: _reserve_successor(state, call, choose, prepare),
-        lambda choice: _release_successor(state, call, choice),
+        lambda choice: release_successor(state, call, choice),
     )
 
 
@@ -164,7 +170,7 @@
     return replace(choice, has_turn=True)
 
 
-def _release_successor(state: ForwardingState, call: Call, choice: Choice) -> None:
+def release_successor(state: ForwardingState, call: Call, choice: Choice) -> None:
     """Give back what ``_reserve_successor`` took."""
     state.rate_shares.refund(choice.target)
     state.budget.refund(call.service)
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -18,7 +18,12 @@
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.forward.event_relay import EventRelay, Progress
 from lagoontide.forward.guard import RequestWithheld
-from lagoontide.forward.handover import HandedOver, Retake, make_stall_timer
+from lagoontide.forward.handover import (
+    HandedOver,
+    Retake,
+    make_stall_timer,
+    release_successor,
+)
 from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answered, EndReason, Outcome, Relayed
 from lagoontide.forward.resumption import record_begin, record_end
@@ -108,7 +113,12 @@
         return choose_engine(state, call, tried, rng, inputs.bytes_by_domain())
 
     while True:
-        handles = await inputs.ready()
+        try:
+            handles = await inputs.ready()
+        except BaseException:
+            if successor is not None:
+                release_successor(state, call, successor)
+            raise
         call.record_step("inputs")
         is_retry = call.send_tracker.sends > 0
         choice, successor = successor, None
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from lagoontide.forward import forwarder
+from lagoontide.forward.inputs import NoInputs
 from lagoontide.platform.standins.deployment import send, start_deployment
 from lagoontide.platform.standins.runs import SilentAt, TargetFault
 from tests.support.waiting import wait_for
@@ -161,3 +163,34 @@
         assert (answer.status, answer.body, runs) == (200, b"done:x", 2)
 
     run(scenario)
+
+
+class InputsGoneLater(NoInputs):
+    """Inputs that are not ready for a second target."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = 0
+
+    async def ready(self):
+        self.asked += 1
+        if self.asked > 1:
+            await asyncio.Event().wait()
+        return ()
+
+
+# Guards against retry budget and turns that are lost with each stream that ends
+# between its handover and its next send.
+def test_successor_is_given_back_if_the_request_ends_before_it_is_sent(monkeypatch):
+    monkeypatch.setattr(forwarder, "NoInputs", InputsGoneLater)
+
+    async def scenario(small):
+        make_silent(small, "engine", SilentAt.HEAD)
+        budget = small.gateways[0].state.budget
+        budget.set_limits(0.0, 5.0, 60.0)
+        before = budget.left("engine")
+        answer = await send(small.ports[0], "/events/a", "r1", deadline_ms=2000)
+        assert answer.status == 504
+        assert budget.left("engine") == before
+
+    run(scenario)
