Test of bursts from 40 entries: times that hold beside load

The test of failed beside busy processes. Nine tests of nine passed without; beside three to five of them, at loads of 18 to 23 on 8 cores, 6 of 9 failed in three whole runs, and 3 of 4 of the streams alone and the one of the stages alone, in trials. Neither a pause that was not kept nor another fault of an entry: callers' connections were reset as their 2 s were over ("time is up", last byte of the engine 0.04 s before, in a trial whose log was kept), since 40 entries, their callers and the targets share one core, and in others the 8 s of the pause were over before the test was, as its own assertion said.

What the test is to show does not depend on these times: callers now have 60 s, the objective is 20 s, and the pause lasts 90 s, whose end the test does not wait for. The rule that it checks is the same, to the number of requests and the half second.

With Pauses.observe switched off all three fail as before.

--- a/tests/gateway/test_pause_bursts.py
+++ b/tests/gateway/test_pause_bursts.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 
 from lagoontide.http1.messages import Response, field_value
@@ -13,6 +14,7 @@
 from lagoontide.platform.standins import deployment
 from lagoontide.platform.standins.deployment import (
     StandinDeployment,
+    make_configuration,
     make_targets,
     send,
 )
@@ -22,7 +24,11 @@
 # BUDGET: more than two requests of an entry, from this time after the answer to it.
 ON_ITS_WAY_S = 0.5
 MAX_REQUESTS = 2
-PAUSE_S = 8.0
+# Longer than the test takes while the machine is busy, as are the times of callers: 40
+# entries share one processor core here.
+PAUSE_S = 90.0
+TIMEOUT_MS = 60000
+OBJECTIVE_MS = 20000
 ENTRIES = 40
 BURST_OF_ENTRY = 4
 # Without pauses each target gets more than two of these requests of an entry.
@@ -65,6 +71,13 @@
         await reply.send(Response(503, fields))
 
 
+def slow_routes():
+    """Return the usual routes with more time."""
+    routes = msgspec.json.decode(make_configuration(1))["routes"]
+    times = {"timeout_ms": TIMEOUT_MS, "target_latency_ms": OBJECTIVE_MS}
+    return [route | times for route in routes]
+
+
 @contextlib.asynccontextmanager
 async def start_lone_entries(number):
     """Run entries that share the targets and nothing else; yield ports and targets."""
@@ -80,7 +93,7 @@
                 target.register(store)
             endpoint = StoreEndpoint(store)
             lone = StandinDeployment(store, [endpoint], targets)
-            lone.configure(1)
+            lone.configure(1, routes=slow_routes())
             await endpoint.start()
             stack.push_async_callback(endpoint.close)
             stack.push_async_callback(lone.kill_entries)
@@ -96,7 +109,7 @@
         (b"X-Lagoontide-Pieces", b"2,3"),
         (b"X-Lagoontide-Piece-Key", name.encode()),
     ]
-    return await send(ports[place], path, name, extra=extra)
+    return await send(ports[place], path, name, extra=extra, deadline_ms=TIMEOUT_MS)
 
 
 async def send_burst(ports, places, path, name):
