Known red: streams go on at a target that started again unregistered

A target that starts again under its id with another version, and has not registered since, is taken for the one before. The id in X-Lagoontide-Expect-Instance is the same, and the answers to requests tell neither start nor version.

--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -123,10 +123,11 @@
     return await ask(port, request_id, [(LAST_EVENT, b"%d" % last_event), *fields])
 
 
-async def begin_streams(versions, port):
+async def begin_streams(versions, port, prefix="r"):
     """Begin streams that break off; return the last event of each, by request id."""
     versions.break_off(times=1000)
-    answers = {f"r{number}": await ask(port, f"r{number}") for number in range(STREAMS)}
+    names = [f"{prefix}{number}" for number in range(STREAMS)]
+    answers = {name: await ask(port, name) for name in names}
     versions.break_off(times=0)
     for answer in answers.values():
         assert answer.events and not answer.is_whole
@@ -322,3 +323,29 @@
             await scenario(small, served)
 
     asyncio.run(main())
+
+
+# Guards against streams joined from two versions at a target that has started again
+# under its id with another version, and has not registered since.
+def test_stream_is_not_taken_up_at_a_target_that_started_again():
+    async def scenario(small, served):
+        begun = {}
+        for batch in range(3):
+            streams = await begin_streams(served, small.ports[0], f"b{batch}-")
+            begun |= streams
+        began_at_v1 = {name for name in begun if served.that_ran(name) == {"v1"}}
+        target, other = (item for item in served.engines if served.of[item.id] == "v1")
+        small.store.delete(TARGETS_PREFIX + other.id)
+        ready = small.gateways[0].state.directory.ready
+        await wait_for(lambda: len(ready("engine")) == len(TWO) - 1)
+        host, _, port = target.address.rpartition(":")
+        await target.close()
+        target.version = "v2"
+        target.runs.clear()
+        await target.listen(host, int(port))
+        for name, last_event in begun.items():
+            await take_up(small.ports[0], f"{name}-again", name, last_event)
+        joined = {name for name in began_at_v1 if target.runs[f"{name}-again"]}
+        assert joined == set()
+
+    run(scenario, TWO)
