Stand-ins of targets leave under their present start

The store was restored from a copy with the target ready, and the target was not written again (suspected: it was down just then).

Cause: a target that had crashed and started again under its id registered as draining with its first start (born 1), as register took 1 unless told. To entries that is another, earlier target; the ready one with its later start, in the copy, had never left. The start now stays as it was unless one is given.

tests/platform/test_standin_registration.py failed before: born 1, 2 wanted.

--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -143,7 +143,7 @@
     _active_calls: int = 0
     _store: StoreStandin | None = None
     _zone: str = ""
-    _born: int = 0
+    _born: int = 1
     _state: str = "ready"
     _is_down: bool = False
     _restarts: TaskSet = field(default_factory=TaskSet)
@@ -180,11 +180,12 @@
         return Counter(run.request_id for run in self.log)
 
     def register(
-        self, store: StoreStandin, zone: str = "z1", born: int = 1, state: str = "ready"
+        self, store: StoreStandin, zone: str = "z1", born: int = 0, state: str = "ready"
     ) -> None:
-        """Write this target's registration to the store."""
-        self._store, self._zone, self._born, self._state = store, zone, born, state
-        store.put(TARGETS_PREFIX + self.id, self.entry(zone, born, state))
+        """Write its registration to the store; ``born`` stays as it was if it is 0."""
+        self._store, self._zone, self._state = store, zone, state
+        self._born = born or self._born
+        store.put(TARGETS_PREFIX + self.id, self.entry(zone, self._born, state))
 
     def write_again(self) -> None:
         """Repeat the registration, after the store was restored from a copy."""
@@ -203,9 +204,8 @@
         if self._is_down:
             return
         self._is_down = True
-        now = asyncio.get_running_loop().time()
-        self.crashed_at.append(now)
-        self.down.append((now, float("inf")))
+        self.crashed_at.append(asyncio.get_running_loop().time())
+        self.down.append((self.crashed_at[-1], float("inf")))
         self._restarts.start(self._crash_and_restart())
 
     async def _crash_and_restart(self) -> None:
