A slow stage target gets calls while the others may get none

Cause: slowness is relative to the median of all targets, also of those that may get no calls now. Only those that may are compared.

--- a/src/lagoontide/pieces/target_tracker.py
+++ b/src/lagoontide/pieces/target_tracker.py
@@ -202,16 +202,21 @@
             Maximum number of concurrent calls at a target.
         """
         now = self._clock()
-        typical = self.median_slowness()
         open_to_calls = [item for item in self._ready if item.backoff_until <= now] or [
             item for item in self._ready if item.common_backoff_until <= now
         ]
+        admitting = [
+            tracked
+            for tracked in open_to_calls
+            if self.rate_shares.wait(tracked.target) == 0.0
+        ]
+        # Targets that may get no calls now do not make the others slow.
+        typical = median([tracked.slowness for tracked in admitting] or [1.0])
         return sorted(
             (
                 tracked
-                for tracked in open_to_calls
+                for tracked in admitting
                 if tracked.calls < slots
-                and self.rate_shares.wait(tracked.target) == 0.0
                 and (
                     tracked.slowness <= SLOW_RATIO * typical
                     or now - tracked.last_call_at > PROBE_INTERVAL_S
--- a/tests/pieces/test_owner.py
+++ b/tests/pieces/test_owner.py
@@ -356,3 +356,18 @@
         assert asyncio.get_running_loop().time() - started_at < 0.3
 
     run_scenario(scenario)
+
+
+# Guards against a target that was slow once and gets a call each 3 s while the only
+# other target may get none, by its rate limit (RECOVER, soak seed 5 with releases).
+def test_a_slow_target_gets_calls_while_the_others_may_get_none():
+    clock = [100.0]
+    shares = make_shares(clock=lambda: clock[0])
+    tracker = TargetTracker(lambda: clock[0], shares)
+    tracker.update(TARGETS)
+    limited, slow = tracker.ready()
+    slow.slowness = 47.0
+    slow.last_call_at = clock[0] - 0.1
+    assert tracker.free(1) == [limited]
+    shares.limits.observe(limited.target, 0.5, "")
+    assert tracker.free(1) == [slow]
