Test of inputs that fail after a handover: refusals by a wrapper of the stand-in

Its hook in the stand-in of targets had gone with another change, so that its four cases ended in an AttributeError. It refuses with 409 around the stand-in now; with the pause taken out all four fail as before.

--- a/tests/gateway/test_staged_handover.py
+++ b/tests/gateway/test_staged_handover.py
@@ -8,7 +8,9 @@
 
 from lagoontide.forward import stream as stream_module
 from lagoontide.forward.guard import Guard
+from lagoontide.http1.messages import Response, field_value
 from lagoontide.pieces.inputs import StageInputs
+from lagoontide.platform.fields import NOT_RUN, REQUEST_ID
 from lagoontide.platform.standins.deployment import (
     make_configuration,
     send,
@@ -125,7 +127,7 @@
     """
     failing_until = []
 
-    def lacks_inputs(target, fields):
+    def lacks_inputs(target):
         if target.service != "engine" or target.fault is TargetFault.SILENT:
             return False
         if not failing_until:
@@ -140,8 +142,15 @@
             return {"reason": "error"}
         return make_piece(target, item)
 
-    make_piece = TargetStandin._run_piece
-    monkeypatch.setattr(TargetStandin, "_lacks_inputs", lacks_inputs)
+    async def refuse_or_serve(target, req, reply):
+        if not lacks_inputs(target):
+            await serve(target, req, reply)
+            return
+        request_id = field_value(req.head.fields, REQUEST_ID.lower())
+        await reply.send(Response(409, [(REQUEST_ID, request_id), (NOT_RUN, b"1")]))
+
+    make_piece, serve = TargetStandin._run_piece, TargetStandin._serve
+    monkeypatch.setattr(TargetStandin, "_serve", refuse_or_serve)
     monkeypatch.setattr(TargetStandin, "_run_piece", run_piece)
 
 
