--- a/review/lib/plain.py
+++ b/review/lib/plain.py
@@ -1,4 +1,4 @@
-"""A plain, safe service, its clients and its configuration."""
+"""A plain service, its clients and its configuration."""
 
 import asyncio
 import random
@@ -18,17 +18,17 @@
 TENANTS = [{"name": "town", "api_keys": ["key-1"]}]
 
 
-def plain_configuration() -> dict[str, Any]:
-    """Return a configuration with a safe route to the service ``credits``."""
+def plain_configuration(kind: str = "safe") -> dict[str, Any]:
+    """Return a configuration with a route to the service ``credits``."""
     route = {
         "name": "lookup",
         "host": "credits.example",
         "prefix": "/lookup/",
         "service": "credits",
-        "kind": "safe",
+        "kind": kind,
         "timeout_ms": 1500,
         "target_latency_ms": 400,
-        "max_attempts": 2,
+        "max_attempts": 2 if kind == "safe" else 1,
         "priority": 2,
     }
     return {
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -115,9 +115,10 @@
         self._numbers = itertools.count(1)
         self.address = ""
 
-    async def start(self) -> None:
-        """Start listening at a free port."""
-        self._server = await asyncio.start_server(self._serve, self._host, 0)
+    async def start(self, address: str = "") -> None:
+        """Start listening at an address, or at a free port."""
+        port = int(address.rpartition(":")[2] or 0)
+        self._server = await asyncio.start_server(self._serve, self._host, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{self._host}:{port}"
 
