--- a/review/1/play.py
+++ b/review/1/play.py
@@ -22,7 +22,7 @@
 RUN_S, RATE_PER_S = 95.0, 4.5
 # As vessillo's stage `prefetture`, with more memory.
 STAGES = (Stage("prep", 4, 0.042, 18.0, 1.5),)
-REPLICAS, MODELS = 4, 8
+REPLICAS, MODELS = 4, 10
 # `garble`, how `extra late`, on the model replicas: the site's dose.
 GARBLE_SHARE, GARBLE_X, GARBLE_S, PAUSE_S = 0.6, 0.03, 5.0, 0.5
 # `lossy`: the links to the model replicas lose packets, at the site's dose.
@@ -35,7 +35,7 @@
 async def garble() -> None:
     """Garble some model replicas, others after a while."""
     while True:
-        chosen = rng.sample(world.models, round(GARBLE_SHARE * MODELS))
+        chosen = rng.sample(world.models, int(GARBLE_SHARE * MODELS))
         for model in world.models:
             model.is_garbled = model in chosen
         record(f"garble (extra late): {[model.name for model in chosen]}")
--- a/review/lib/staged.py
+++ b/review/lib/staged.py
@@ -132,13 +132,16 @@
     async def send(self, address: tuple[str, int], request_id: str) -> None:
         """Send a request and record its answer."""
         client = Client(address)
+        # As `reseller-query`: 20 shared parts, 583 of sessions, and the request's own.
+        thing = self.rng.randrange(583)
+        parts = f"a{thing % 20:03x}:341,b{thing:03x}:227"
         headers = {
             "Host": HOST,
             "X-Lagoontide-Request-Id": request_id,
             "X-Lagoontide-Deadline-Ms": "10000",
             "X-Lagoontide-Model": "m",
-            "X-Lagoontide-Token-Counts": "900,80",
-            "X-Lagoontide-Prompt-Prefix": f"aa01:300,{request_id}:600",
+            "X-Lagoontide-Token-Counts": "2368,24",
+            "X-Lagoontide-Prompt-Prefix": f"{parts},{request_id}:1800",
             "X-Lagoontide-Pieces": ",".join(map(str, self.pieces[request_id])),
             "X-Lagoontide-Piece-Key": request_id[::-1],
             "Authorization": "Bearer key-1",
--- a/review/more/lost.py
+++ b/review/more/lost.py
@@ -167,7 +167,7 @@
     deployment = Deployment(ENTRIES)
     replicas: list[Replica] = []
     try:
-        for number in range(3):
+        for number in range(5):
             replica = Replica(f"i-{number}")
             replicas.append(replica)
             await replica.server.start()
@@ -182,7 +182,7 @@
         await asyncio.sleep(4.0)
         for number in range(CHANGES):
             if TROUBLE:
-                for replica in rng.sample(replicas, round(SHARE * len(replicas))):
+                for replica in rng.sample(replicas, int(SHARE * len(replicas))):
                     replica.unframed_until = time.monotonic() + UNFRAMED_S
                     record(f"{replica.name}: some answers have no length from now on")
             await asyncio.sleep(1.0)
