Start failed background tasks again instead of ending the entry

The tasks are supervised now: an exception is logged with its traceback and counted (background_failures), and the task starts again after a back-off of 0.25 to 5 s, the follower from a new listing. Meanwhile the entry serves with what it has.

That a failing task drains first stays tested for the other daemons (tests/test_lifecycle.py).

--- a/src/lagoontide/gateway/daemon.py
+++ b/src/lagoontide/gateway/daemon.py
@@ -4,7 +4,8 @@
 import contextlib
 import gc
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import zmq
 from loguru import logger
@@ -47,10 +48,15 @@
         gc.collect()
         gc.freeze()
         logger.info("started, listening for callers at {}", cfg.callers)
-        watch = gateway.metrics.watch(gateway, lambda: output.dropped)
+        others: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            "log output": output.run,
+            "metrics": lambda: gateway.metrics.watch(gateway, lambda: output.dropped),
+            "settings": lambda: watch_settings(gateway, load),
+        }
+        run = gateway.supervisor.run
         try:
             return await run_until_signal(
-                [*gateway.tasks(), output.run(), watch, watch_settings(gateway, load)],
+                [*gateway.tasks(), *(run(*item) for item in others.items())],
                 lambda: stop_gracefully(gateway, gateway.cfg.bounds.grace_period),
             )
         finally:
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
+from functools import partial
 from typing import Any
 
 from loguru import logger
@@ -40,6 +41,7 @@
 from lagoontide.routes.records import Service
 from lagoontide.store.follower import Follower
 from lagoontide.store.pace import Pace
+from lagoontide.supervision import Supervisor
 from lagoontide.targets.cold import ColdTargets
 from lagoontide.targets.directory import Directory
 from lagoontide.targets.endings import Endings
@@ -80,6 +82,7 @@
         self._clock = loop.time
         self.cfg = cfg
         self.is_draining = False
+        self.supervisor = Supervisor()
         self._platform = platform
         self._rng = random.Random(cfg.name)
         self.state = self._make_state(self._clock)
@@ -131,14 +134,15 @@
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the background tasks, to be run until the entry closes."""
-        return [
-            self.follower.run(),
-            self.mesh.run(),
-            self.registration.run(),
-            self.keeper.run(),
-            self.origin_keeper.run(),
-            self._sweep(),
-        ]
+        work: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            "follower": self.follower.run,
+            "mesh": self.mesh.run,
+            "registration": self.registration.run,
+            "quarantine keeper": self.keeper.run,
+            "origin keeper": self.origin_keeper.run,
+            "sweep": self._sweep,
+        }
+        return [self.supervisor.run(name, start) for name, start in work.items()]
 
     def reload(self, cfg: GatewaySettings) -> None:
         """Apply changed settings; listen addresses and some others need a restart."""
@@ -355,23 +359,24 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            directory = self.state.directory
-            directory.remove_expired()
-            self.state.origins.observe_versions(directory.versions())
-            self.follower.check_silence()
-            self.store_view.sweep()
-            keys = {target.key for target in directory.all()}
-            self.state.pools.keep_only(keys)
-            self.state.health.keep_only(keys)
-            self.state.endings.keep_only(keys)
-            self.state.guard.sweep()
-            self.state.rate_limits.keep_only(keys)
-            self.state.rate_shares.keep_only(keys)
-            self.turn_loans.keep_only(keys)
-            self._stage_shares.keep_only(keys)
-            self.mesh.add_addresses(
-                entry.address for entry in self.store_view.entries.values()
-            )
+            for step in self._sweep_steps():
+                self.supervisor.step("sweep", step)
+
+    def _sweep_steps(self) -> Iterator[Callable[[], object]]:
+        """Yield what is to be done regularly; each step is run before the next."""
+        state = self.state
+        yield state.directory.remove_expired
+        yield lambda: state.origins.observe_versions(state.directory.versions())
+        yield self.follower.check_silence
+        yield self.store_view.sweep
+        keys = {target.key for target in state.directory.all()}
+        kept = (state.pools, state.health, state.endings, state.rate_limits)
+        for part in (*kept, state.rate_shares, self.turn_loans, self._stage_shares):
+            yield partial(part.keep_only, keys)
+        yield state.guard.sweep
+        yield lambda: self.mesh.add_addresses(
+            entry.address for entry in self.store_view.entries.values()
+        )
 
     async def _start_metrics_listener(self) -> None:
         try:
--- a/src/lagoontide/gateway/metrics.py
+++ b/src/lagoontide/gateway/metrics.py
@@ -62,6 +62,7 @@
     "piece_calls": "Calls to stage targets made by owners here.",
     "pieces": "Pieces made by owners here.",
     "forecast_factor": "Time that stages take over the time forecast.",
+    "background_failures": "Unexpected errors of background tasks so far.",
     "log_lines_dropped": "Log lines that standard output did not take.",
 }
 
@@ -185,6 +186,7 @@
             self._version, self._version_at = version, now
         owners = gateway.dispatcher.owners
         return {
+            "background_failures": sum(gateway.supervisor.failures.values()),
             "configuration_version": version,
             "configuration_age_seconds": now - self._version_at if version else 0.0,
             "store_up": follower.is_up,
--- a/src/lagoontide/store/follower.py
+++ b/src/lagoontide/store/follower.py
@@ -143,8 +143,9 @@
         return now - self._calls[0].started_at if self._calls else 0.0
 
     async def run(self) -> None:
-        """Follow the store until cancelled."""
+        """Follow the store until cancelled, from a new listing on."""
         was_relayed = False
+        self._must_list = True
         try:
             while True:
                 is_relayed = self._is_relayed() and not self._must_list
