Decode what others wrote through one border, with bounded numbers

Cause: each decoder named the exceptions that it expected. Nested bytes raise RecursionError, which only the peers' codec named; numbers that decode may not encode (born as an OverflowError in Mesh.run); an address that ZeroMQ cannot connect to raised in Mesh.run; unreadable base64 in the follower; a row of the store of another shape failed the whole listing, which was then repeated.

lagoontide/decoding.py is that border: JsonDecoder turns whatever a decoder raises into WireError, and its types bound integers, floats and addresses, so that what was accepted can be encoded again. Rows of the store's answers are read one by one, StoreView.apply isolates a change that fails for any other reason (counter items_failed), and ids and handles that cannot be sent in a field are refused. Numbers in callers' and targets' fields are bounded too: one of 5000 digits reset the caller's connection, it gets 400 now.

--- a/src/lagoontide/gateway/metrics.py
+++ b/src/lagoontide/gateway/metrics.py
@@ -63,6 +63,7 @@
     "pieces": "Pieces made by owners here.",
     "forecast_factor": "Time that stages take over the time forecast.",
     "background_failures": "Unexpected errors of background tasks so far.",
+    "items_failed": "Changes of the store that could not be applied so far.",
     "log_lines_dropped": "Log lines that standard output did not take.",
 }
 
@@ -187,6 +188,7 @@
         owners = gateway.dispatcher.owners
         return {
             "background_failures": sum(gateway.supervisor.failures.values()),
+            "items_failed": gateway.store_view.failed_items,
             "configuration_version": version,
             "configuration_age_seconds": now - self._version_at if version else 0.0,
             "store_up": follower.is_up,
--- a/src/lagoontide/gateway/output.py
+++ b/src/lagoontide/gateway/output.py
@@ -63,7 +63,12 @@
         }
         if record["exception"] is not None:
             line["exception"] = str(message)
-        self._lines.append(msgspec.json.encode(line) + b"\n")
+        try:
+            data = msgspec.json.encode(line)
+        except (TypeError, ValueError, ArithmeticError):
+            # A number or a text that JSON has no form for.
+            data = msgspec.json.encode({key: ascii(line[key]) for key in line})
+        self._lines.append(data + b"\n")
 
     async def run(self) -> None:
         """Write queued lines until cancelled."""
--- a/src/lagoontide/gateway/store_view.py
+++ b/src/lagoontide/gateway/store_view.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
 from loguru import logger
 
+from lagoontide.decoding import JsonDecoder
 from lagoontide.errors import WireError
 from lagoontide.forward.call import ForwardingState
+from lagoontide.logs import format_traceback
 from lagoontide.mesh.messages import StoreSnapshot
 from lagoontide.mesh.registration import ENTRIES_PREFIX, EntryRecord, entry_name
 from lagoontide.origins.keeper import ORIGINS_PREFIX, VERSIONS_PREFIX, StoredOrigins
@@ -26,6 +27,8 @@
 # of its return.
 REREGISTRATION_TIMEOUT_S = 3.0
 
+_entry_decoder = JsonDecoder(EntryRecord, "entry record", "entries")
+
 
 @dataclass(frozen=True, slots=True)
 class Decoders:
@@ -81,6 +84,8 @@
         The quarantines that the store holds.
     origins : StoredOrigins
         What the store holds of the versions that began streams.
+    failed_items : int
+        Changes that could not be applied, for a reason that was not foreseen.
     """
 
     def __init__(
@@ -100,6 +105,7 @@
         self.config_revision = Revision()
         self.config_value = b""
         self.is_synced = False
+        self.failed_items = 0
         self.entries: dict[str, EntryRecord] = {}
         self.quarantines = StoredQuarantines(state.guard.ledger)
         self.origins = StoredOrigins(state.origins)
@@ -144,7 +150,19 @@
         )
 
     def apply(self, item: KeyRevision) -> None:
-        """Apply one change of a key."""
+        """Apply one change of a key; whatever goes wrong costs this change only."""
+        try:
+            self._apply(item)
+        except Exception as exc:
+            self.failed_items += 1
+            logger.bind(traceback=format_traceback(exc)).error(
+                "change of key {!r:.200} at revision {} not applied: {!r:.200}",
+                item.key,
+                item.revision,
+                exc,
+            )
+
+    def _apply(self, item: KeyRevision) -> None:
         name = self._decoders.target_id(item.key)
         if name is not None:
             self._apply_target(name, item)
@@ -286,9 +304,9 @@
 
     def _apply_entry(self, key: str, value: bytes) -> None:
         try:
-            entry = msgspec.json.decode(value, type=EntryRecord)
-        except msgspec.DecodeError as exc:
-            logger.warning("invalid entry record at key {} ignored: {}", key, exc)
+            entry = _entry_decoder.decode(value)
+        except WireError as exc:
+            logger.warning("entry record at key {!r:.200} ignored: {}", key, exc)
             return
         self.entries[entry_name(key)] = entry
         self._kept_until.pop(entry_name(key), None)
--- a/src/lagoontide/mesh/messages.py
+++ b/src/lagoontide/mesh/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from lagoontide.decoding import CoreCount, HostPort, Number
 from lagoontide.mesh.registration import EntryRecord
 from lagoontide.origins.messages import AgedOrigin
 from lagoontide.quarantine.records import CrashReport
@@ -24,7 +25,7 @@
 ]
 
 # Pending stage work: service, urgency and seconds of target time.
-Needs = list[tuple[str, int, float]]
+Needs = list[tuple[str, int, Number]]
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True, tag="status"):
@@ -67,15 +68,15 @@
     """
 
     name: str
-    address: str
+    address: HostPort
     is_draining: bool
-    capacity: float
+    capacity: CoreCount
     config_version: int
     as_of: Revision
-    loads: dict[str, float] = {}
-    streams: dict[str, float] = {}
+    loads: dict[str, Number] = {}
+    streams: dict[str, Number] = {}
     leaving_targets: tuple[tuple[str, int], ...] = ()
-    peers: tuple[str, ...] = ()
+    peers: tuple[HostPort, ...] = ()
     needs: Needs = []
     group: str = ""
     digest: int = 0
@@ -116,8 +117,8 @@
     config: bytes
     targets: tuple[Target, ...]
     entries: dict[str, EntryRecord] = {}
-    kept: dict[str, float] = {}
-    kept_entries: dict[str, float] = {}
+    kept: dict[str, Number] = {}
+    kept_entries: dict[str, Number] = {}
     evacuated: tuple[str, ...] = ()
     origins: list[AgedOrigin] = []
     origin_values: dict[str, bytes] = {}
@@ -158,8 +159,8 @@
 
     after: Revision
     as_of: Revision
-    age: float
-    uptime: float
+    age: Number
+    uptime: Number
     changes: tuple[Change, ...] = ()
 
 
@@ -167,8 +168,8 @@
     """A live entry, as listed by hubs."""
 
     name: str
-    address: str
-    capacity: float
+    address: HostPort
+    capacity: CoreCount
     is_draining: bool
 
 
@@ -189,8 +190,8 @@
 
     group: str
     members: tuple[Member, ...]
-    loads: dict[str, float] = {}
-    streams: dict[str, float] = {}
+    loads: dict[str, Number] = {}
+    streams: dict[str, Number] = {}
     needs: Needs = []
     leaving_targets: tuple[tuple[str, int], ...] = ()
     limits: list[LimitReport] = []
@@ -210,8 +211,8 @@
 
     digest: int
     roster: tuple[Member, ...] | None
-    loads: dict[str, float] = {}
-    streams: dict[str, float] = {}
+    loads: dict[str, Number] = {}
+    streams: dict[str, Number] = {}
     needs: Needs = []
     leaving_targets: tuple[tuple[str, int], ...] = ()
     limits: list[LimitReport] = []
--- a/src/lagoontide/mesh/registration.py
+++ b/src/lagoontide/mesh/registration.py
@@ -5,7 +5,8 @@
 import msgspec
 from loguru import logger
 
-from lagoontide.errors import StoreUnavailable
+from lagoontide.decoding import CoreCount, HostPort
+from lagoontide.errors import StoreError
 from lagoontide.store.revision_store import LeaseNotFound, RevisionStore
 
 __all__ = ["ENTRIES_PREFIX", "EntryRecord", "Registration", "entry_name"]
@@ -34,8 +35,8 @@
         Failure domain of its instance; "" if unknown.
     """
 
-    address: str
-    capacity: float = 1.0
+    address: HostPort
+    capacity: CoreCount = 1.0
     failure_domain: str = ""
 
 
@@ -70,7 +71,7 @@
                 logger.info("lease has ended, registering again: {}", exc)
                 self._lease, self._is_registered = None, False
                 wait = 0.0
-            except StoreUnavailable as exc:
+            except StoreError as exc:
                 logger.debug("registration failed: {}", exc)
                 wait = RETRY_DELAY_S
             await asyncio.sleep(wait)
@@ -86,7 +87,7 @@
             return
         try:
             await self._store.delete(self._key)
-        except StoreUnavailable as exc:
+        except StoreError as exc:
             logger.info("key not deleted; its lease will expire: {}", exc)
 
     async def _register_or_renew(self) -> float:
--- a/src/lagoontide/mesh/turn_loans.py
+++ b/src/lagoontide/mesh/turn_loans.py
@@ -10,6 +10,7 @@
 import msgspec
 from loguru import logger
 
+from lagoontide.decoding import Number
 from lagoontide.errors import PeerError, PeerTimeout
 from lagoontide.targets.directory import Directory
 from lagoontide.targets.rate_shares import RateShares
@@ -42,7 +43,7 @@
         0 if the turn is lent; else seconds until the next one may be.
     """
 
-    wait: float
+    wait: Number
 
 
 MESSAGES = (TurnRequest, TurnReply)
--- a/src/lagoontide/origins/keeper.py
+++ b/src/lagoontide/origins/keeper.py
@@ -9,7 +9,8 @@
 import msgspec
 from loguru import logger
 
-from lagoontide.errors import StoreError
+from lagoontide.decoding import JsonDecoder
+from lagoontide.errors import StoreError, WireError
 from lagoontide.origins.ledger import Origins, make_batch
 from lagoontide.origins.messages import AgedOrigin, Batch
 from lagoontide.store.revision_store import LeaseNotFound, RevisionStore
@@ -38,6 +39,9 @@
 
 _Versions = dict[str, list[str]]
 
+_batch_decoder = JsonDecoder(Batch, "batch of origins", "origins")
+_versions_decoder = JsonDecoder(_Versions, "version set", "origins")
+
 
 def write_interval(entries: int) -> float:
     """Return the seconds from one batch of an entry to its next."""
@@ -106,9 +110,9 @@
 
     def _apply_batch(self, key: str, value: bytes) -> None:
         try:
-            batch = msgspec.json.decode(value, type=Batch)
-        except msgspec.DecodeError as exc:
-            logger.warning("invalid origins at key {} ignored: {}", key, exc)
+            batch = _batch_decoder.decode(value)
+        except WireError as exc:
+            logger.warning("origins at key {!r:.200} ignored: {}", key, exc)
             return
         self._origins.learn(batch)
 
@@ -117,9 +121,9 @@
         if value is None:
             return
         try:
-            self.versions = msgspec.json.decode(value, type=_Versions)
-        except msgspec.DecodeError as exc:
-            logger.warning("invalid version set ignored: {}", exc)
+            self.versions = _versions_decoder.decode(value)
+        except WireError as exc:
+            logger.warning("version set ignored: {}", exc)
             return
         self._origins.learn_versions(self.versions)
 
--- a/src/lagoontide/origins/messages.py
+++ b/src/lagoontide/origins/messages.py
@@ -2,12 +2,14 @@
 
 import msgspec
 
+from lagoontide.decoding import Number
+
 __all__ = ["MESSAGES", "AgedOrigin", "Batch", "OriginReply", "OriginRequest"]
 
 # Request ids by version and by service.
 Batch = dict[str, dict[str, list[str]]]
 # Request id, service, version and seconds since this was learned.
-AgedOrigin = tuple[str, str, str, float]
+AgedOrigin = tuple[str, str, str, Number]
 
 
 class OriginRequest(msgspec.Struct, frozen=True, array_like=True, tag="origin"):
--- a/src/lagoontide/pieces/messages.py
+++ b/src/lagoontide/pieces/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from lagoontide.decoding import Number
 from lagoontide.pieces.records import Failure
 
 __all__ = ["MESSAGES", "FreeResults", "Order", "OrderDone", "WithdrawOrder"]
@@ -39,9 +40,9 @@
     key: str
     inputs: tuple[str, ...]
     urgency: int
-    due: float
-    left: float
-    result_bytes: float
+    due: Number
+    left: Number
+    result_bytes: Number
     near: str = ""
     frees_inputs: bool = False
     shard: int = 0
@@ -58,7 +59,7 @@
 
     handles: tuple[str, ...] = ()
     failure: Failure | None = None
-    retry_after: float = 0.0
+    retry_after: Number = 0.0
 
 
 class WithdrawOrder(msgspec.Struct, frozen=True, array_like=True, tag="withdraw"):
--- a/src/lagoontide/platform/configuration.py
+++ b/src/lagoontide/platform/configuration.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from lagoontide.errors import WireError
+from lagoontide.decoding import Int64, JsonDecoder, Number, wire_errors
 from lagoontide.http1.server import HttpLimits
 from lagoontide.routes.records import (
     Account,
@@ -32,13 +32,13 @@
 
 class _Stage(msgspec.Struct):
     service: str
-    after: list[int] = []
-    bytes: float = 0.0
+    after: list[Int64] = []
+    bytes: Number = 0.0
 
 
 class _Share(msgspec.Struct):
     service: str
-    weight: float = 0.0
+    weight: Number = 0.0
 
 
 class _Route(msgspec.Struct):
@@ -48,56 +48,56 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    priority: int = 5
+    timeout_ms: Number
+    target_latency_ms: Number = 1000.0
+    priority: Int64 = 5
     service: str = ""
     traffic_split: list[_Share] = []
-    max_attempts: int = 1
+    max_attempts: Int64 = 1
     stages: list[_Stage] = []
     allow_anonymous: bool = False
     resume_streams: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: Number = 0.0
 
 
 class _PieceSettings(msgspec.Struct):
-    slots: int = 1
-    batch: int = 1
-    call_ms: float = 100.0
-    item_ms: float = 10.0
-    headroom_mb: float = 1.0
-    handle_s: float = 1.0
+    slots: Int64 = 1
+    batch: Int64 = 1
+    call_ms: Number = 100.0
+    item_ms: Number = 10.0
+    headroom_mb: Number = 1.0
+    handle_s: Number = 1.0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 100
-    cold_per_s: float = 0.0
+    max_conns: Int64 = 100
+    cold_per_s: Number = 0.0
     pieces: _PieceSettings | None = None
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Int64 | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 32 << 10
-    max_body_bytes: int = 8 << 20
-    header_timeout_ms: float = 5000.0
-    idle_timeout_ms: float = 30000.0
+    max_header_bytes: Int64 = 32 << 10
+    max_body_bytes: Int64 = 8 << 20
+    header_timeout_ms: Number = 5000.0
+    idle_timeout_ms: Number = 30000.0
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Int64
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-_decoder = msgspec.json.Decoder(_Configuration, strict=False)
+_decoder = JsonDecoder(_Configuration, "configuration", "configuration", strict=False)
 
 
 def decode_config(value: bytes) -> RoutingConfig:
@@ -108,8 +108,8 @@
     WireError
         If the value is not a valid configuration; the text names the place.
     """
-    try:
-        data = _decoder.decode(value)
+    data = _decoder.decode(value)
+    with wire_errors("configuration", value, "configuration"):
         return RoutingConfig(
             version=data.version,
             routes=tuple(map(_to_route, data.routes)),
@@ -120,10 +120,6 @@
             ),
             limits=_to_limits(data.limits),
         )
-    except (msgspec.DecodeError, KeyError, ValueError) as exc:
-        raise WireError(
-            f"invalid configuration: {exc!r} in {value[:80]!r}", step="configuration"
-        ) from exc
 
 
 def _to_route(data: _Route) -> Route:
--- a/src/lagoontide/platform/directory.py
+++ b/src/lagoontide/platform/directory.py
@@ -1,8 +1,10 @@
 """Decoding of target registrations in the platform's store."""
 
+import re
+
 import msgspec
 
-from lagoontide.errors import WireError
+from lagoontide.decoding import HostPort, Int64, JsonDecoder, Number, wire_errors
 from lagoontide.store.revision_store import Revision
 from lagoontide.targets.records import Target, TargetState
 
@@ -17,6 +19,8 @@
 TARGETS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
 MS_PER_S = 1000.0
+# A target's id is sent in a field of each request.
+VALID_ID = re.compile(r"[!-~]{1,200}")
 STATES = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 
 
@@ -24,16 +28,16 @@
     """``zone`` is the failure domain; the target's id is in the key only."""
 
     service: str
-    address: str
+    address: HostPort
     zone: str
     state: str
     version: str
-    slots: int = 1
-    born: int = 0
-    cold_left_ms: float = 0.0
+    slots: Int64 = 1
+    born: Int64 = 0
+    cold_left_ms: Number = 0.0
 
 
-_decoder = msgspec.json.Decoder(_Registration)
+_decoder = JsonDecoder(_Registration, "registration of a target", "directory")
 
 
 def target_id(key: str) -> str | None:
@@ -52,8 +56,10 @@
 
 def decode_target(name: str, value: bytes, revision: Revision) -> Target:
     """Decode a registration; raises WireError if it is malformed."""
-    try:
-        data = _decoder.decode(value)
+    data = _decoder.decode(value)
+    with wire_errors(f"registration of target {name!r:.80}", value, "directory"):
+        if not VALID_ID.fullmatch(name):
+            raise ValueError("the id cannot be sent in a field")
         host, _, port = data.address.rpartition(":")
         return Target(
             id=name,
@@ -68,8 +74,3 @@
             version=data.version,
             cold_left=max(0.0, data.cold_left_ms / MS_PER_S),
         )
-    except (msgspec.DecodeError, KeyError, ValueError) as exc:
-        raise WireError(
-            f"invalid registration of target {name!r}: {exc!r} in {value[:80]!r}",
-            step="directory",
-        ) from exc
--- a/src/lagoontide/platform/fields.py
+++ b/src/lagoontide/platform/fields.py
@@ -1,6 +1,5 @@
 """Header fields of requests and responses, by their names on the platform."""
 
-import math
 import re
 
 from loguru import logger
@@ -99,7 +98,15 @@
 INPUTS_GONE_STATUS = 409
 MS_PER_S = 1000.0
 MAX_REQUEST_ID_CHARS = 200
-DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]+)?")
+# Longer numbers cannot be calculated with, or be sent on to peers.
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+LONG_DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]+)?")
+DECIMAL_INTEGER = re.compile(r"[0-9]{1,15}")
+# More tokens or pieces than any target has room for.
+MAX_TOKENS = 10**9
+MAX_PIECES = 10_000
+# A longer pause is shortened, wherever it is used.
+MAX_PAUSE_S = 1e9
 
 
 class PlatformFieldCodec:
@@ -125,7 +132,7 @@
             prompt_tokens=prompt,
             output_tokens=output,
             prompt_parts=_prompt_parts(fields),
-            piece_counts=_int_list_field(fields, PIECES),
+            piece_counts=_int_list_field(fields, PIECES, MAX_PIECES),
             piece_key=_field_text(fields, PIECE_KEY) or "",
             last_event_id=_int_field(fields, LAST_EVENT),
             resumes=_decode_resumes(fields),
@@ -196,8 +203,9 @@
     if not values:
         return None, ""
     text = ", ".join(values)
-    rate = float(text) if DECIMAL_NUMBER.fullmatch(text) else math.inf
-    return (rate, "") if math.isfinite(rate) else (None, text or "empty")
+    if not DECIMAL_NUMBER.fullmatch(text):
+        return None, text or "empty"
+    return float(text), ""
 
 
 def decode_leaving(fields: Fields) -> bool:
@@ -218,7 +226,9 @@
     if status != UNAVAILABLE_STATUS or len(values) != 1:
         return None
     text = values[0].decode("latin-1")
-    return (float(text) or None) if DECIMAL_NUMBER.fullmatch(text) else None
+    if not LONG_DECIMAL_NUMBER.fullmatch(text):
+        return None
+    return min(float(text), MAX_PAUSE_S) or None
 
 
 def _decode_resumes(fields: Fields) -> str | None:
@@ -234,8 +244,7 @@
     values = [value.strip() for value in field_values(fields, COLD.lower())]
     if len(values) != 1 or not DECIMAL_NUMBER.fullmatch(values[0].decode("latin-1")):
         return None
-    seconds = float(values[0]) / MS_PER_S
-    return seconds if math.isfinite(seconds) else None
+    return float(values[0]) / MS_PER_S
 
 
 def _field_text(fields: Fields, name: bytes) -> str | None:
@@ -246,8 +255,7 @@
 
 
 def _is_decimal(text: str) -> bool:
-    # str.isdigit alone also accepts digits of other scripts.
-    return text.isascii() and text.isdigit()
+    return DECIMAL_INTEGER.fullmatch(text) is not None
 
 
 def _int_field(fields: Fields, name: bytes) -> int | None:
@@ -259,7 +267,7 @@
     return int(text)
 
 
-def _int_list_field(fields: Fields, name: bytes) -> tuple[int, ...]:
+def _int_list_field(fields: Fields, name: bytes, most: int) -> tuple[int, ...]:
     text = _field_text(fields, name)
     if not text:
         return ()
@@ -268,11 +276,14 @@
         raise InvalidField(
             f"{name.decode()}: {text!r:.80} is not a comma-separated list of integers"
         )
-    return tuple(map(int, numbers))
+    values = tuple(map(int, numbers))
+    if max(values) > most:
+        raise InvalidField(f"{name.decode()}: {max(values)} is over {most}")
+    return values
 
 
 def _token_counts(fields: Fields) -> tuple[int, int]:
-    match _int_list_field(fields, TOKEN_COUNTS):
+    match _int_list_field(fields, TOKEN_COUNTS, MAX_TOKENS):
         case (prompt, output):
             return prompt, output
         case ():
@@ -292,7 +303,7 @@
 
 def _parse_prompt_part(text: str) -> PromptPart:
     part, _, tokens = text.strip().rpartition(":")
-    if not part or not _is_decimal(tokens):
+    if not part or not _is_decimal(tokens) or int(tokens) > MAX_TOKENS:
         raise InvalidField(
             f"{PROMPT_PREFIX.decode()}: {text!r:.80} is not ID:TOKEN_COUNTS"
         )
--- a/src/lagoontide/platform/pieces.py
+++ b/src/lagoontide/platform/pieces.py
@@ -1,10 +1,12 @@
 """HTTP client for the platform's stage services."""
 
+import re
 from collections.abc import Callable
 
 import msgspec
 
-from lagoontide.errors import TargetFailed, TargetUnreachable
+from lagoontide.decoding import Int64, JsonDecoder, Number
+from lagoontide.errors import TargetFailed, TargetUnreachable, WireError
 from lagoontide.http1.client import InvalidResponse, TargetConn
 from lagoontide.http1.messages import RequestHead, Response
 from lagoontide.pieces.records import Failure, Piece, PieceResult
@@ -35,6 +37,8 @@
 # One network hop takes a few ms; a target that has not accepted by then is silent.
 CONNECT_TIMEOUT_S = 0.3
 OK = 200
+# Handles are sent to targets in a field of their own, separated by commas.
+HANDLE = re.compile(r"[!-+\--~]{1,200}")
 HANDLE_FIELD = b'"handle"'
 FAILURE_BY_REASON = {
     "late": Failure.DEADLINE_EXCEEDED,
@@ -59,15 +63,19 @@
 
 
 class _Report(msgspec.Struct):
-    free_mb: float
+    free_mb: Number
     busy: bool = False
-    queued: int = 0
+    queued: Int64 = 0
 
 
 class _Results(msgspec.Struct):
     items: list[_Result]
 
 
+_results_decoder = JsonDecoder(_Results, "response", "make")
+_report_decoder = JsonDecoder(_Report, "report", "report")
+
+
 class PlatformPieceClient:
     """Implements lagoontide.pieces.records.PieceClient.
 
@@ -111,11 +119,9 @@
                 f"unexpected status {answer.status}", step="make", peer=target.id
             )
         try:
-            items = msgspec.json.decode(answer.body, type=_Results).items
-        except msgspec.DecodeError as exc:
-            raise TargetFailed(
-                f"malformed response: {exc}", step="make", peer=target.id
-            ) from exc
+            items = _results_decoder.decode(answer.body).items
+        except WireError as exc:
+            raise TargetFailed(str(exc), step="make", peer=target.id) from exc
         if len(items) != len(pieces):
             raise TargetFailed(
                 f"got {len(items)} results for {len(pieces)} pieces",
@@ -160,11 +166,9 @@
     async def _fetch_report(self, target: Target, timeout: float) -> _Report:
         answer = await self._call(target, b"GET", REPORT_PATH, b"", timeout)
         try:
-            return msgspec.json.decode(answer.body, type=_Report)
-        except msgspec.DecodeError as exc:
-            raise TargetFailed(
-                f"malformed report: {exc}", step="report", peer=target.id
-            ) from exc
+            return _report_decoder.decode(answer.body)
+        except WireError as exc:
+            raise TargetFailed(str(exc), step="report", peer=target.id) from exc
 
     def address_of(self, handle: str) -> str:
         """See PieceClient."""
@@ -230,6 +234,6 @@
 
 
 def _to_result(item: _Result) -> PieceResult:
-    if item.handle:
+    if HANDLE.fullmatch(item.handle):
         return PieceResult(item.handle)
     return PieceResult(failure=FAILURE_BY_REASON.get(item.reason, Failure.ERROR))
--- a/src/lagoontide/platform/store.py
+++ b/src/lagoontide/platform/store.py
@@ -1,7 +1,7 @@
 """HTTP client for the platform's metadata store."""
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -9,7 +9,8 @@
 import msgspec
 from loguru import logger
 
-from lagoontide.errors import StoreUnavailable
+from lagoontide.decoding import Int64, JsonDecoder, Number
+from lagoontide.errors import StoreUnavailable, WireError
 from lagoontide.http1.client import InvalidResponse, ResponseTooLarge, TargetConn
 from lagoontide.http1.messages import RequestHead, Response, field_values
 from lagoontide.http1.tcp import connect_tcp
@@ -53,31 +54,44 @@
 
 class _Item(msgspec.Struct):
     key: str
-    revision: int
+    revision: Int64
     value: str = ""
     deleted: bool = False
 
     def to_item(self, era: int) -> KeyRevision:
-        value = None if self.deleted else base64.b64decode(self.value, validate=True)
+        """Return the item; an unreadable value is empty, which is no valid one."""
+        value: bytes | None = None
+        if not self.deleted:
+            try:
+                value = base64.b64decode(self.value, validate=True)
+            except ValueError as exc:
+                logger.warning("unreadable value of key {!r:.200}: {}", self.key, exc)
+                value = b""
         return KeyRevision(self.key, value, Revision(era, self.revision))
 
 
 class _RangePage(msgspec.Struct):
-    as_of: int
-    items: list[_Item] = []
+    as_of: Int64
+    items: list[msgspec.Raw] = []
     more_pages: bool = False
 
 
 class _Events(msgspec.Struct):
-    as_of: int
-    events: list[_Item] = []
+    as_of: Int64
+    events: list[msgspec.Raw] = []
 
 
 class _Lease(msgspec.Struct):
     """``lease`` is an integer here; others use a string that also has the era."""
 
-    lease: int
-    ttl_ms: float
+    lease: Int64
+    ttl_ms: Number
+
+
+_item_decoder = JsonDecoder(_Item, "item", "item")
+_page_decoder = JsonDecoder(_RangePage, "listing", "range")
+_events_decoder = JsonDecoder(_Events, "changes", "watch")
+_lease_decoder = JsonDecoder(_Lease, "lease", "lease")
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +141,7 @@
         for _ in range(MAX_PAGES):
             query = urlencode({"prefix": prefix, **({"after": after} if after else {})})
             answer = await self._call("GET", f"{RANGE_PATH}?{query}")
-            page = _decode(answer.body, _RangePage)
+            page = _decode(answer.body, _page_decoder)
             size += len(answer.body)
             if size > MAX_LISTING_BYTES:
                 break
@@ -135,10 +149,12 @@
             as_of = as_of or Revision(answer.era, page.as_of)
             if answer.era != as_of.era:
                 raise StoreUnavailable("restored while it was listed", step="range")
-            items += [item.to_item(answer.era) for item in page.items]
+            items += _read_items(page.items, answer.era)
             if not page.more_pages or not page.items:
                 return Listing(tuple(items), as_of)
-            after = page.items[-1].key
+            if not items or items[-1].key <= after:
+                raise StoreUnavailable("no item of a page is readable", step="range")
+            after = items[-1].key
         raise StoreUnavailable(
             f"listing exceeds {MAX_PAGES} pages or {MAX_LISTING_BYTES} bytes",
             step="list",
@@ -155,9 +171,9 @@
             raise ChangesUnavailable(
                 f"restored since era {after.era}, now in {era}", step="watch"
             )
-        changes = _decode(answer.body, _Events)
+        changes = _decode(answer.body, _events_decoder)
         return Changes(
-            tuple(item.to_item(era) for item in changes.events),
+            tuple(_read_items(changes.events, era)),
             max(after, Revision(era, changes.as_of)),
         )
 
@@ -165,7 +181,7 @@
         """See RevisionStore."""
         body = {"ttl_ms": int(ttl * MS_PER_S)}
         answer = await self._call("POST", LEASE_PATH, body)
-        lease = _decode(answer.body, _Lease)
+        lease = _decode(answer.body, _lease_decoder)
         return f"{answer.era}{ERA_SEPARATOR}{lease.lease}", lease.ttl_ms / MS_PER_S
 
     async def keep(self, lease: str) -> None:
@@ -290,8 +306,17 @@
         raise LeaseNotFound(f"restored since era {era}", step="keep")
 
 
-def _decode(body: bytes, kind: type[Decoded]) -> Decoded:
+def _decode(body: bytes, decoder: JsonDecoder[Decoded]) -> Decoded:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, ValueError) as exc:
-        raise StoreUnavailable(f"malformed response: {exc} in {body[:80]!r}") from exc
+        return decoder.decode(body)
+    except WireError as exc:
+        raise StoreUnavailable(f"malformed response: {exc}") from exc
+
+
+def _read_items(rows: Sequence[msgspec.Raw], era: int) -> Iterator[KeyRevision]:
+    """Yield the items of an answer; one that is not readable costs only itself."""
+    for row in rows:
+        try:
+            yield _item_decoder.decode(row).to_item(era)
+        except WireError as exc:
+            logger.warning("item of the store ignored: {}", exc)
--- a/src/lagoontide/quarantine/keeper.py
+++ b/src/lagoontide/quarantine/keeper.py
@@ -7,7 +7,8 @@
 import xxhash
 from loguru import logger
 
-from lagoontide.errors import StoreUnavailable
+from lagoontide.decoding import JsonDecoder
+from lagoontide.errors import StoreError, WireError
 from lagoontide.quarantine.ledger import Ledger
 from lagoontide.quarantine.records import Block, CrashReport
 from lagoontide.store.revision_store import RevisionStore
@@ -21,6 +22,8 @@
 MAX_BACKOFF_S = 10.0
 STORE_SOURCE = "store"
 
+_decoder = JsonDecoder(list[CrashReport], "quarantine", "quarantine")
+
 
 class StoredQuarantines:
     """The quarantines that the store holds, as far as this entry knows."""
@@ -36,9 +39,9 @@
             return
         self.values[key] = value
         try:
-            reports = msgspec.json.decode(value, type=list[CrashReport])
-        except msgspec.DecodeError as exc:
-            logger.warning("invalid quarantine at key {} ignored: {}", key, exc)
+            reports = _decoder.decode(value)
+        except WireError as exc:
+            logger.warning("quarantine at key {!r:.200} ignored: {}", key, exc)
             return
         self._ledger.merge(STORE_SOURCE, reports)
 
@@ -78,7 +81,7 @@
                 continue
             try:
                 await self._reconcile()
-            except StoreUnavailable as exc:
+            except StoreError as exc:
                 logger.info("quarantines not stored: {}", exc)
                 await asyncio.sleep(backoff)
                 backoff = min(2.0 * backoff, MAX_BACKOFF_S)
--- a/src/lagoontide/quarantine/messages.py
+++ b/src/lagoontide/quarantine/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from lagoontide.decoding import Number
 from lagoontide.quarantine.records import CrashReport
 
 __all__ = ["MESSAGES", "TrialEnd", "TrialReply", "TrialRequest"]
@@ -25,7 +26,7 @@
     id: str
     keys: tuple[str, ...]
     target: str
-    seconds: float
+    seconds: Number
     reports: list[CrashReport] = []
 
 
@@ -40,7 +41,7 @@
         Whether the trial under way is of the same request.
     """
 
-    wait: float
+    wait: Number
     is_repeat: bool = False
 
 
--- a/src/lagoontide/quarantine/records.py
+++ b/src/lagoontide/quarantine/records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from lagoontide.decoding import Int64, Number
+
 __all__ = [
     "MAX_REPORT_KEYS",
     "REQUEST_KEY_PREFIX",
@@ -41,11 +43,11 @@
     """
 
     target: str
-    born: int
+    born: Int64
     keys: tuple[str, ...]
     cleared: tuple[str, ...] = ()
     is_trial: bool = False
-    age: float = 0.0
+    age: Number = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoontide/store/revision_store.py
+++ b/src/lagoontide/store/revision_store.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
+from lagoontide.decoding import Int64
 from lagoontide.errors import StoreError
 
 __all__ = [
@@ -35,8 +36,8 @@
         Rises with each change; 0 before the first one.
     """
 
-    era: int = 0
-    number: int = 0
+    era: Int64 = 0
+    number: Int64 = 0
 
     def __str__(self) -> str:
         return f"{self.era}.{self.number}"
--- a/src/lagoontide/targets/rate_limits.py
+++ b/src/lagoontide/targets/rate_limits.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from lagoontide.decoding import Int64, Number
 from lagoontide.targets.cold import ColdTargets
 from lagoontide.targets.pauses import Pauses
 from lagoontide.targets.records import Target
@@ -20,7 +21,7 @@
 
 # Id and start time of a target, its limit or None, and the age in seconds of the
 # response that named it.
-LimitReport = tuple[str, int, float | None, float]
+LimitReport = tuple[str, Int64, Number | None, Number]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoontide/targets/records.py
+++ b/src/lagoontide/targets/records.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from lagoontide.decoding import Int64, Number
 from lagoontide.store.revision_store import Revision
 
 __all__ = ["Target", "TargetState"]
@@ -41,10 +42,10 @@
     port: int
     failure_domain: str
     state: TargetState
-    born: int = 0
-    slots: int = 1
+    born: Int64 = 0
+    slots: Int64 = 1
     revision: Revision = Revision()
-    cold_left: float = 0.0
+    cold_left: Number = 0.0
     version: str = ""
 
     @property
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -51,13 +51,24 @@
     return Target(name, "engine", "h", 1, "north", state, revision=revision)
 
 
+def address_of(name):
+    """Return the address of the entry with a name such as ``e7``."""
+    return f"10.0.{int(name[1:]) // 256}.{int(name[1:]) % 256}:7"
+
+
+def name_at(address):
+    """Return the name of the entry at an address."""
+    *_, high, low = address.removesuffix(":7").split(".")
+    return f"e{int(high) * 256 + int(low)}"
+
+
 class Link:
     """A simulated connection to another entry; see ``lagoontide.wire.conn.Conn``."""
 
     def __init__(self, fleet, source, address):
         self._fleet = fleet
         self._source = source
-        self._address = address.removeprefix("tcp://h:")
+        self._address = name_at(address.removeprefix("tcp://"))
 
     def tell_now(self, message):
         self._fleet.deliver(self._source, self._address, message, None)
@@ -89,7 +100,7 @@
         self.store_client = StoreClient(fleet.store)
         self.lost = []
         self.seen = []
-        own = EntryRecord(f"h:{name}", capacity, domain)
+        own = EntryRecord(address_of(name), capacity, domain)
         self.state = ForwardingState(
             domain,
             None,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -7,7 +7,7 @@
 
 # Ordered from the lowest layer to the highest.
 LAYERS = [
-    {"errors", "settings", "tasks", "timers", "__init__"},
+    {"decoding", "errors", "settings", "tasks", "timers", "__init__"},
     {"arguments", "logs", "metrics", "lifecycle", "supervision", "httpd", "wire"},
     {"httppool", "http1"},
     {"store", "targets", "routes", "quarantine", "origins"},
