Send a request at most once on each connection

Cause: answers are matched to sends by the request's id. A stream that a target refuses with 409, as its inputs are gone, is sent again with new inputs, to the same target and on the connection used last: the same id twice on one connection. A second copy of the refusal, which targets may send where the next answer is expected, was taken for the answer to the second send, which ran; the request counted as not run and was sent a third time.

ConnPool.acquire takes the request's id and leaves out idle connections that have carried it; they stay for other requests, or make room if the pool is at its limit. The pair of id and connection is then unique, so that "not run" is certain to be of this send. It costs one connection for each second send to the same target; other requests reuse connections as before.

tests/gateway/test_repeated_answers.py: before, the case of status 409 fails (each request ran, and was answered with 503). The other refusals lead to another target and passed before too.

--- a/src/lagoontide/forward/attempt.py
+++ b/src/lagoontide/forward/attempt.py
@@ -177,7 +177,9 @@
         )
     pool = state.pools.pool_of(target)
     conn = await pool.acquire(
-        CONNECT_TIMEOUT_S, is_at_most_once=not call.route.may_repeat
+        CONNECT_TIMEOUT_S,
+        is_at_most_once=not call.route.may_repeat,
+        request_id=call.metadata.request_id,
     )
     response = TargetResponse(target, pool, conn, loop.time(), state.endings, call)
     if not state.directory.is_accepting_work(target):
--- a/src/lagoontide/http1/client.py
+++ b/src/lagoontide/http1/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import deque
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -28,6 +29,8 @@
 MAX_INTERIM_RESPONSES = 16
 # Limits on skipping responses to other requests, to read the expected one after them.
 MAX_SKIPPED_RESPONSES = 4
+# A second copy of a response comes where the next one or one soon after is expected.
+MAX_REQUEST_IDS = 64
 MAX_SKIPPED_BYTES = 256 << 10
 SKIP_TIMEOUT_S = 1.0
 DEFAULT_MAX_BODY_BYTES = 1 << 20
@@ -56,6 +59,8 @@
         Whether no request has been sent on the connection yet.
     last_body : bytes
         Body of the previous response, for users that detect duplicated responses.
+    request_ids : deque of str
+        Ids of the last requests sent, for users that match responses by them.
     """
 
     def __init__(self, tcp: TcpConn) -> None:
@@ -64,6 +69,7 @@
         self.keep_alive_timeout: float | None = None
         self.is_fresh = True
         self.last_body = b""
+        self.request_ids: deque[str] = deque(maxlen=MAX_REQUEST_IDS)
         self._conn = _make_h11()
         self._sent_events: list[Any] = []
         self._request_body_bytes = 0
--- a/src/lagoontide/targets/pool.py
+++ b/src/lagoontide/targets/pool.py
@@ -61,14 +61,19 @@
         return bool(self._idle) or self._in_use < self.max_open
 
     async def acquire(
-        self, timeout: float, is_at_most_once: bool = False
+        self, timeout: float, is_at_most_once: bool = False, request_id: str = ""
     ) -> TargetConn:
-        """Return a connection for one request.
+        """Return a connection for one send of a request.
+
+        A connection carries a request at most once: an answer to an earlier send may
+        come again, late, and could not be told from the answer to this one.
 
         Parameters
         ----------
         timeout : float
             Seconds within which a new connection has to be established.
+        request_id : str
+            Id by which answers are matched; "" if they carry none.
         is_at_most_once : bool
             Whether the request must not be sent twice; the connection is then one
             that the target is not about to close.
@@ -78,18 +83,39 @@
         TargetUnreachable
             If no connection is available; nothing was sent.
         """
+        conn = self._take_idle(is_at_most_once, request_id)
+        if conn is None:
+            conn = await self._open(timeout)
+        if request_id:
+            conn.request_ids.append(request_id)
+        return conn
+
+    def _take_idle(self, is_at_most_once: bool, request_id: str) -> TargetConn | None:
+        """Return the idle connection used last that may carry a request, if any."""
         now = asyncio.get_running_loop().time()
-        while self._idle:
+        has_carried: list[TargetConn] = []
+        taken: TargetConn | None = None
+        while self._idle and taken is None:
             conn = self._idle.pop()
-            if conn.is_usable and now - conn.idle_since < self._max_idle(
-                conn, is_at_most_once
-            ):
-                conn.tcp.on_lost = None
-                self._in_use += 1
-                return conn
-            conn.close()
+            idle = now - conn.idle_since
+            if not conn.is_usable or idle >= self._max_idle(conn, is_at_most_once):
+                conn.close()
+            elif request_id and request_id in conn.request_ids:
+                has_carried.append(conn)
+            else:
+                taken = conn
+        self._idle += reversed(has_carried)
+        if taken is not None:
+            taken.tcp.on_lost = None
+            self._in_use += 1
+        return taken
+
+    async def _open(self, timeout: float) -> TargetConn:
         if self._in_use >= self.max_open:
             raise self._unreachable(f"{self._in_use} connections in use")
+        if self._idle and self._in_use + len(self._idle) >= self.max_open:
+            # Targets count the idle ones too.
+            self._idle.pop(0).close()
         self._in_use += 1
         try:
             tcp = await connect_tcp(self._host, self._port, timeout)
