Tell a cut watch from an outage of the store

Cause: any failed call to the store counted as an outage, which ended with the next answer. For 2.2 s after an outage a deleted registration may have lapsed in it, so the target is kept. A watch that was cut at the moment of a deletion began that time anew. Followers of hubs got the same by uptime.

An outage is now what a registration can lapse in: calls that have failed, or been silent beyond their successors, for a heartbeat interval (heartbeat_ms of the settings); what is shorter costs a registration one write at most. A hub whose calls fail says that it does not know its uptime, so that a cut changes nothing at its followers, and an old report does not hide an outage; that lost lapsed targets at followers before, too.

--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -89,7 +89,7 @@
         self.store_view = StoreView(
             self.state,
             platform.decoders,
-            lambda: self.follower.up_since,
+            lambda: self.follower.outage_end,
             loop.time,
             lambda: self.peer_sync.holds_first_config(),
         )
@@ -98,7 +98,7 @@
             WATCHED_PREFIX,
             self.store_view,
             lambda: self.peer_sync.is_relayed(),
-            Pace(cfg.bounds.apply_within),
+            Pace(cfg.bounds.apply_within, cfg.bounds.heartbeat),
         )
         self.demand = Demand(loop.time, lambda: self.mesh.extrapolation_factor())
         self.calibration = Calibration(loop.time)
@@ -151,7 +151,7 @@
         self.state.budget.set_limits(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
-        self.follower.pace = Pace(bounds.apply_within)
+        self.follower.pace = Pace(bounds.apply_within, bounds.heartbeat)
         self._platform.store.set_address(*cfg.store)
         self.mesh.add_addresses(f"{host}:{port}" for host, port in cfg.seeds)
         restart_only = (
--- a/src/lagoontide/gateway/peer_sync.py
+++ b/src/lagoontide/gateway/peer_sync.py
@@ -81,7 +81,7 @@
         self._follower = follower
         self._address = address
         self._loop = asyncio.get_running_loop()
-        self.relay = Relay(self._send_change_batch, clock)
+        self.relay = Relay(self._send_change_batch, clock, follower.uptime)
         self.relay_receiver = RelayReceiver(
             follower.apply_changes,
             lambda: follower.as_of,
--- a/src/lagoontide/gateway/settings.py
+++ b/src/lagoontide/gateway/settings.py
@@ -24,6 +24,8 @@
     apply_within : float
         Seconds within which a configuration that the store has acknowledged must be in
         force.
+    heartbeat : float
+        Seconds from one write of a target's registration to its next.
     """
 
     grace_period: float = 8.0
@@ -31,6 +33,7 @@
     retry_window: float = 10.0
     retry_slack: float = 0.0
     apply_within: float = 2.0
+    heartbeat: float = 1.2
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoontide/gateway/store_view.py
+++ b/src/lagoontide/gateway/store_view.py
@@ -63,7 +63,7 @@
     Parameters
     ----------
     store_up_since : callable
-        Returns the loop time at which the store last became available again.
+        Returns the loop time at which the store's last outage ended; now during one.
     clock : callable
         Returns the loop time.
     holds_first_config : callable
--- a/src/lagoontide/mesh/messages.py
+++ b/src/lagoontide/mesh/messages.py
@@ -153,8 +153,8 @@
     after, as_of : Revision
         The message holds every change after the first revision up to the second.
     age, uptime : float
-        Seconds since the store last answered the hub, and since the hub last saw it
-        come up.
+        Seconds since the store last answered the hub, and since the end of its last
+        outage there; negative while the hub's calls fail.
     """
 
     after: Revision
--- a/src/lagoontide/mesh/relay.py
+++ b/src/lagoontide/mesh/relay.py
@@ -28,6 +28,8 @@
 MAX_PACKED_BYTES = 64 << 10
 # Limit after decompression.
 MAX_VALUE_BYTES = 4 << 20
+# Reported while calls fail, which may or may not become an outage.
+UPTIME_UNKNOWN_S = -1.0
 # The last report of a hub that sends no changes for this long is ignored.
 HUB_REPORT_TIMEOUT_S = 1.2
 
@@ -73,13 +75,17 @@
         Sends a message to an entry by name, without blocking.
     clock : callable
         Returns seconds as ``boot_time`` does.
+    uptime : callable
+        Returns the seconds since the store's last outage; None while calls fail.
     """
 
     def __init__(
         self,
         send_message: Callable[[str, ChangeBatch], None],
-        clock: Callable[[], float] = boot_time,
+        clock: Callable[[], float],
+        uptime: Callable[[], float | None],
     ) -> None:
+        self._uptime = uptime
         self._send_message = send_message
         self._clock = clock
         self._changes: deque[Change] = deque()
@@ -88,8 +94,6 @@
         self._complete_after = Revision()
         self._as_of = Revision()
         self._store_heard_at = 0.0
-        self._store_up_since = 0.0
-        self._is_store_up = False
         # For each follower, the revision up to which it has every change, and the time
         # of its last request.
         self._followers: dict[str, tuple[Revision, float]] = {}
@@ -131,14 +135,9 @@
         for name in tuple(self._followers):
             self._send(name)
 
-    def update_store_status(self, is_up: bool) -> None:
-        """Record that the store has answered, or that it is unavailable."""
-        now = self._clock()
-        if is_up:
-            self._store_heard_at = now
-            if not self._is_store_up:
-                self._store_up_since = now
-        self._is_store_up = is_up
+    def record_response(self) -> None:
+        """Record a response of the store."""
+        self._store_heard_at = self._clock()
 
     def follow(self, name: str, as_of: Revision) -> None:
         """Add or renew a follower that has every change up to a revision."""
@@ -155,11 +154,12 @@
         known, at = self._followers[name]
         after = max(known, self._complete_after)
         changes = tuple(item for item in self._changes if item.revision > after)
+        uptime = self._uptime()
         batch = ChangeBatch(
             after=after,
             as_of=self._as_of,
             age=now - self._store_heard_at,
-            uptime=now - self._store_up_since,
+            uptime=UPTIME_UNKNOWN_S if uptime is None else uptime,
             changes=changes,
         )
         self._followers[name] = max(known, self._as_of), at
@@ -253,11 +253,16 @@
         fresh = (report.age + elapsed for report, elapsed in self._recent_reports())
         return min(fresh, default=float("inf"))
 
-    def uptime(self) -> float:
-        """Return the longest time for which a hub has had the store up, in seconds."""
+    def uptime(self) -> float | None:
+        """Return the seconds since the store's last outage at the hubs.
+
+        The longest time counts, as an outage may concern one hub only. None while the
+        calls of all hubs fail.
+        """
+        reports = self._recent_reports()
         return max(
-            (report.uptime + elapsed for report, elapsed in self._recent_reports()),
-            default=0.0,
+            (item.uptime + elapsed for item, elapsed in reports if item.uptime >= 0.0),
+            default=None,
         )
 
     def _recent_reports(self) -> Iterator[tuple[_HubReport, float]]:
--- a/src/lagoontide/platform/settings.py
+++ b/src/lagoontide/platform/settings.py
@@ -44,6 +44,7 @@
     port_range: tuple[int, int]
     seeds: list[str] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    heartbeat_ms: float = 1200.0
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -72,6 +73,7 @@
                 retry_window=data.bounds.retry_window_s,
                 apply_within=data.bounds.config_apply_ms / MS_PER_S,
                 retry_slack=data.bounds.retry_slack,
+                heartbeat=data.heartbeat_ms / MS_PER_S,
             ),
         )
     except (OSError, msgspec.DecodeError, KeyError, ValueError) as exc:
--- a/src/lagoontide/platform/standins/store.py
+++ b/src/lagoontide/platform/standins/store.py
@@ -281,6 +281,7 @@
     watches_seen: int = 0
     era_fields: Callable[[int], Fields] = lambda era: [(ERA, b"%d" % era)]
     _listener: Listener | None = None
+    _cut: asyncio.Event = field(default_factory=asyncio.Event)
     # The tasks that serve connections, and those whose connection is silent.
     _connections: "weakref.WeakSet[asyncio.Task[Any]]" = field(
         default_factory=weakref.WeakSet
@@ -289,6 +290,11 @@
         default_factory=weakref.WeakSet
     )
 
+    def cut_watches(self) -> None:
+        """Cut the watches that are waiting; everything else goes on."""
+        self._cut.set()
+        self._cut = asyncio.Event()
+
     def silence_connections(self) -> None:
         """Answer nothing any more on the connections that are open now."""
         self._silent.update(self._connections)
@@ -322,7 +328,15 @@
             case StoreFault.SLOW:
                 await asyncio.sleep(SLOW_ANSWER_S)
         try:
-            status, body = await self.store.answer(req)
+            async with asyncio.TaskGroup() as group:
+                cut = group.create_task(self._cut.wait())
+                answer = group.create_task(self.store.answer(req))
+                await asyncio.wait((cut, answer), return_when=asyncio.FIRST_COMPLETED)
+                if not answer.done():
+                    answer.cancel()
+                    return
+                cut.cancel()
+            status, body = answer.result()
         except (msgspec.DecodeError, KeyError, ValueError) as exc:
             status, body = 400, {"error": f"{exc!r}: {req.head.path!r}"}
         if self.trouble is StoreFault.LOSES_ANSWERS:
--- a/src/lagoontide/store/follower.py
+++ b/src/lagoontide/store/follower.py
@@ -27,6 +27,8 @@
 WATCH_BATCH_PAUSE_S = 0.2
 # Calls that are waited for at the same time; each ends by its own timeout.
 MAX_CALLS = 8
+# Loop time of what has not happened.
+NEVER_S = -1e9
 # Timers may fire early by less than this.
 TIMER_RESOLUTION_S = 0.001
 # How often a follower that receives relayed changes checks whether it still does.
@@ -55,8 +57,8 @@
     def append(self, items: Iterable[KeyRevision], as_of: Revision) -> None:
         """Forward the next changes, which are complete up to ``as_of``."""
 
-    def update_store_status(self, is_up: bool) -> None:
-        """Record a response of the store, or its failure."""
+    def record_response(self) -> None:
+        """Record a response of the store."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,8 +102,11 @@
         Revision of the sink's contents; the first one before a listing.
     is_up : bool
         Whether the store was available when last heard from, directly or by relay.
-    down_since, up_since : float
-        Loop times at which the store last became unavailable and available.
+    down_since : float
+        Loop time since which calls failed when the store last became unavailable.
+    up_since : float
+        Loop time of the end of the store's last outage, in which registrations may have
+        lapsed. A call that fails or goes silent while the next is answered is none.
     last_response_at : float
         Loop time of the store's last response, to this process or as relayed.
     """
@@ -119,7 +124,7 @@
         self.as_of = Revision()
         self.is_up = False
         self.down_since = 0.0
-        self.up_since = 0.0
+        self.up_since = NEVER_S
         self.last_response_at = 0.0
         self._is_silence_logged = False
         self._store = store
@@ -142,6 +147,18 @@
         now = asyncio.get_running_loop().time()
         return now - self._calls[0].started_at if self._calls else 0.0
 
+    @property
+    def outage_end(self) -> float:
+        """Loop time at which the store's last outage ended; now during one."""
+        now = self._now()
+        return now if self._is_outage(self._calls, now) else self.up_since
+
+    def uptime(self) -> float | None:
+        """Return the seconds since the store's last outage; None while calls fail."""
+        now = self._now()
+        is_overdue = any(call.due_at <= now for call in self._calls)
+        return None if is_overdue or not self.is_up else now - self.up_since
+
     async def run(self) -> None:
         """Follow the store until cancelled, from a new listing on."""
         was_relayed = False
@@ -219,7 +236,7 @@
                 self._handle_failure(call, exc)
 
     def _take(self, call: _Call, answer: "Listing | Changes") -> None:
-        self._record_response()
+        self._record_response([call, *self._calls])
         self._is_settled = True
         self._answered_call_at = max(self._answered_call_at, call.started_at)
         match answer:
@@ -245,7 +262,8 @@
         ages = self._call_ages() | {"call_s": round(self._now() - call.started_at, 3)}
         logger.bind(**ages).info("store call failed: {}", exc)
         self._is_settled = False
-        self._mark_down(exc)
+        is_overdue = self._now() >= call.due_at
+        self._mark_down(exc, call.started_at if is_overdue else self._now())
         self._pause()
 
     def _pause(self) -> None:
@@ -292,21 +310,22 @@
             self._sink.apply(item)
         self.advance_to(as_of)
 
-    def update_store_status(self, response_age: float, uptime: float) -> None:
+    def update_store_status(self, response_age: float, uptime: float | None) -> None:
         """Record the store's status as relayed by processes that watch it.
 
         Parameters
         ----------
         response_age : float
             Seconds since the store's last response to them.
-        uptime : float
-            Seconds since the store last became available to them.
+        uptime : float or None
+            Seconds since the store's last outage there; None if calls fail there.
         """
         if not self._is_relayed():
             return
         now = asyncio.get_running_loop().time()
-        self.up_since = now - uptime
-        self._mark_up(max(self.last_response_at, now - response_age), self.up_since)
+        if uptime is not None:
+            self.up_since = now - uptime
+        self._mark_up(max(self.last_response_at, now - response_age))
 
     def _take_listing(self, listing: Listing) -> None:
         self._must_list = False
@@ -342,33 +361,40 @@
             "store restored from a copy: revision {} after {}", as_of, self.as_of
         )
         self.up_since = asyncio.get_running_loop().time()
-        if self.relay is not None:
-            self.relay.update_store_status(False)
-            self.relay.update_store_status(True)
 
-    def _record_response(self) -> None:
+    def _record_response(self, calls: list[_Call]) -> None:
+        """Record a response to one of the calls in progress."""
         now = self._now()
-        self._mark_up(now, now)
+        if self._is_outage(calls, now):
+            self.up_since = now
+        self._mark_up(now)
         if self.relay is not None:
-            self.relay.update_store_status(True)
+            self.relay.record_response()
 
-    def _mark_up(self, response_at: float, up_since: float) -> None:
+    def _is_outage(self, calls: list[_Call], now: float) -> bool:
+        """Return whether calls have failed or been silent long enough for an outage."""
+        since = [self.down_since] if not self.is_up and self.down_since else []
+        # A call that is overdue for this long has successors on new connections.
+        silent = now - self.pace.overdue_after
+        since += [call.started_at for call in calls if call.due_at <= silent]
+        return bool(since) and now - min(since) >= self.pace.min_outage
+
+    def _mark_up(self, response_at: float) -> None:
         self.last_response_at = response_at
         if not self.is_up:
             self.is_up = True
-            self.up_since = up_since
             if self.down_since:
                 logger.info(
-                    "store available again after {:.2f} s",
+                    "store available again after {:.2f} s, last outage ended {:.2f} s "
+                    "ago",
                     response_at - self.down_since,
+                    response_at - self.up_since,
                 )
             else:
                 logger.info("first response from the store")
 
-    def _mark_down(self, exc: StoreUnavailable) -> None:
-        if self.relay is not None:
-            self.relay.update_store_status(False)
+    def _mark_down(self, exc: StoreUnavailable, since: float) -> None:
         if self.is_up or not self.down_since:
             self.is_up = False
-            self.down_since = asyncio.get_running_loop().time()
+            self.down_since = since
             logger.warning("store unavailable at revision {}: {}", self.as_of, exc)
--- a/src/lagoontide/store/pace.py
+++ b/src/lagoontide/store/pace.py
@@ -5,6 +5,7 @@
 __all__ = ["Pace"]
 
 DEFAULT_APPLY_WITHIN_S = 2.0
+DEFAULT_HEARTBEAT_S = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,9 +21,13 @@
     ----------
     apply_within : float
         Seconds within which an acknowledged change must be in force.
+    heartbeat : float
+        Seconds from one write of a registration to its next. A registration lapses
+        once several in a row are missing.
     """
 
     apply_within: float = DEFAULT_APPLY_WITHIN_S
+    heartbeat: float = DEFAULT_HEARTBEAT_S
 
     @property
     def watch_wait(self) -> float:
@@ -39,6 +44,15 @@
         """Longest pause before the store is asked again after a failure."""
         return self.apply_within / 8
 
+    @property
+    def min_outage(self) -> float:
+        """Seconds for which the store must fail for a registration to lapse.
+
+        A shorter failure, such as a watch that was cut, costs a registration one write
+        at most.
+        """
+        return self.heartbeat
+
     @property
     def lag_limit(self) -> float:
         """Seconds for which peers may have a newer configuration."""
--- a/tests/mesh/fake_store.py
+++ b/tests/mesh/fake_store.py
@@ -108,6 +108,7 @@
         self.trouble = ""
         self.calls = []
         self._losses = 0
+        self._cut = asyncio.Event()
 
     @property
     def era(self):
@@ -120,6 +121,11 @@
         """Lose the answers to all calls in progress; they time out."""
         self._losses += 1
 
+    def cut(self):
+        """Cut the watch that is waiting."""
+        self._cut.set()
+        self._cut = asyncio.Event()
+
     async def _call(self, call):
         self.calls.append(call)
         await asyncio.sleep(STORE_LATENCY_S)
@@ -145,7 +151,15 @@
         await self._call("watch")
         if after < self.store.dropped_until:
             raise ChangesUnavailable("dropped", step="watch")
-        await self.store.wait(after, wait)
+        waiting = asyncio.ensure_future(self.store.wait(after, wait))
+        cut = asyncio.ensure_future(self._cut.wait())
+        try:
+            await asyncio.wait((waiting, cut), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            waiting.cancel()
+            cut.cancel()
+        if cut.done() and not cut.cancelled():
+            raise StoreUnavailable("cut", step="watch")
         if losses != self._losses:
             await asyncio.sleep(SILENT_S)
             raise StoreUnavailable("silent", step="watch")
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -117,7 +117,7 @@
             Decoders(
                 CONFIG_KEY, decode_config, target_id, decode_target, lambda key: None
             ),
-            lambda: self.follower.up_since,
+            lambda: self.follower.outage_end,
             loop.time,
         )
         self.follower = Follower(
--- a/tests/mesh/test_seeds.py
+++ b/tests/mesh/test_seeds.py
@@ -238,7 +238,7 @@
         Revision(),
         self._as_of,
         now - self._store_heard_at,
-        now - self._store_up_since,
+        self._uptime() or 0.0,
         tuple(self._changes),
     )
     self._followers[name] = known, at
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from itertools import count
 
+import pytest
 from loguru import logger
 
 from lagoontide.errors import StoreUnavailable
@@ -15,6 +16,7 @@
     Listing,
     Revision,
 )
+from tests.support.virtual import run_virtual
 from tests.support.waiting import wait_for
 
 
@@ -174,3 +176,52 @@
     store, _ = follow_overdue(refuse, 1.25)
     # The first watch is overdue after 0.25 s; pauses take 0.025 s or more.
     assert len(store.calls) <= 1 + 1.0 / 0.025
+
+
+# Of a call to the store, beyond its own wait.
+CALL_TIMEOUT_S = 1.5
+
+
+class FailingStore(Store):
+    """A fake store that is answered, then fails in one way for some seconds."""
+
+    def __init__(self, failure, seconds):
+        super().__init__()
+        self.failure = failure
+        self.seconds = seconds
+        self.began_at = None
+
+    async def list(self, prefix):
+        return Listing((), at(5))
+
+    async def watch(self, prefix, after, wait):
+        now = asyncio.get_running_loop().time()
+        self.began_at = now if self.began_at is None else self.began_at
+        if now < self.began_at + self.seconds:
+            if self.failure == "silent":
+                await asyncio.sleep(CALL_TIMEOUT_S + wait)
+            raise StoreUnavailable(self.failure)
+        await asyncio.sleep(wait)
+        return Changes((), at(5))
+
+
+# Guards against a failed call that counts as an outage, and against outages that do
+# not: in them registrations may lapse.
+@pytest.mark.parametrize("failure", ["cut", "silent"])
+@pytest.mark.parametrize(("seconds", "is_outage"), [(0.3, False), (3.0, True)])
+def test_outage_ends_only_what_lasted_long_enough(failure, seconds, is_outage):
+    async def main():
+        loop = asyncio.get_running_loop()
+        store = FailingStore(failure, seconds)
+        follower = Follower(store, "", Sink())
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.1 + seconds / 2)
+        assert follower.uptime() is None or failure == "silent"
+        assert follower.outage_end < 0.0 or is_outage
+        await asyncio.sleep(seconds / 2 + 1.5)
+        task.cancel()
+        ended_ago = loop.time() - follower.outage_end
+        assert (ended_ago < 2.0) is is_outage
+        assert follower.uptime() is not None
+
+    run_virtual(main())
