Compare each event of a read with the one before it

Cause: EventRelay compared all events of one read with the last event before it, so that the second one looked like a gap, and the stream as interrupted.

_select_new compares each event with the one before. Events up to a gap are relayed, so that the caller gets the same however the bytes are split.

--- a/src/lagoontide/forward/event_relay.py
+++ b/src/lagoontide/forward/event_relay.py
@@ -79,9 +79,10 @@
                     events = splitter.feed(data[begin : begin + MAX_COMMENT_BYTES])
                 except ValueError as exc:
                     raise self._interrupted(str(exc)) from exc
-                await self._relay_events(
-                    [event for event in events if self._is_new(event)]
-                )
+                new_events, gap = self._select_new(events)
+                await self._relay_events(new_events)
+                if gap:
+                    raise self._interrupted(gap)
         self._timer.stop()
         if splitter.has_partial_event:
             raise self._interrupted("stream ended within an event", step="end")
@@ -110,16 +111,24 @@
         if data and self._progress.is_started:
             await self._reply.send_data(data)
 
-    def _is_new(self, event: Event) -> bool:
-        """Return whether the caller lacks an event; raises if some were skipped."""
+    def _select_new(self, events: list[Event]) -> tuple[list[Event], str]:
+        """Return the events of one read that the caller lacks, and what is wrong.
+
+        They end at a gap. One read may hold any number of events; each is compared with
+        the one before.
+        """
         last = self._progress.last_event_id
-        if event.id is None or last is None:
-            return True
-        if event.id > last + 1:
-            raise self._interrupted(
-                f"gap in event ids: received {event.id} after {last}"
-            )
-        return event.id > last
+        new_events: list[Event] = []
+        for event in events:
+            if event.id is not None and last is not None:
+                if event.id > last + 1:
+                    gap = f"gap in event ids: received {event.id} after {last}"
+                    return new_events, gap
+                if event.id <= last:
+                    continue
+            last = last if event.id is None else event.id
+            new_events.append(event)
+        return new_events, ""
 
     async def _relay_content(self, data: bytes) -> None:
         if not self._progress.first_event_at:
