--- a/src/lagoontide/claims/rows.py
+++ b/src/lagoontide/claims/rows.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from lagoontide.decoding import decode_nested
+
 __all__ = ["Head", "OwnerRecord", "Row", "RowTable", "decode_rows", "encode_rows"]
 
 
@@ -49,6 +51,9 @@
     writer: str
 
 
+_decoder = msgspec.msgpack.Decoder(list[Row])
+
+
 def encode_rows(rows: list[Row]) -> bytes:
     """Return the value of a segment."""
     return msgspec.msgpack.encode(rows)
@@ -56,7 +61,7 @@
 
 def decode_rows(value: bytes) -> list[Row]:
     """Return the rows of a segment; raises msgspec.DecodeError."""
-    return msgspec.msgpack.decode(value, type=list[Row])
+    return decode_nested(_decoder, value)
 
 
 class RowTable:
--- a/src/lagoontide/configuration/document.py
+++ b/src/lagoontide/configuration/document.py
@@ -6,6 +6,8 @@
 import msgspec
 import xxhash
 
+from lagoontide.decoding import decode_nested
+
 __all__ = [
     "Account",
     "CutOff",
@@ -230,7 +232,7 @@
     msgspec.DecodeError
         If ``data`` is not a document.
     """
-    return _decoder.decode(decode_bytes(data))
+    return decode_nested(_decoder, decode_bytes(data))
 
 
 def decode_bytes(data: bytes) -> bytes:
--- a/src/lagoontide/configuration/record.py
+++ b/src/lagoontide/configuration/record.py
@@ -12,6 +12,7 @@
     decode_bytes,
     encode_document,
 )
+from lagoontide.decoding import decode_nested
 from lagoontide.errors import DocumentError, Problem
 
 __all__ = ["HistoryEntry", "Record", "decode_record", "encode_record", "make_record"]
@@ -120,7 +121,7 @@
 
 def decode_record(data: bytes) -> Record:
     """Return the record of the store's value; raises msgspec.DecodeError."""
-    return _decoder.decode(decode_bytes(data))
+    return decode_nested(_decoder, decode_bytes(data))
 
 
 def _cut(change: Change) -> Change:
--- a/src/lagoontide/console/fields.py
+++ b/src/lagoontide/console/fields.py
@@ -97,7 +97,7 @@
     """Return a JSON number, truth value or quoted string; else the text."""
     try:
         value = msgspec.json.decode(text)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return text
     return value if isinstance(value, str | int | float | bool) else text
 
--- a/src/lagoontide/decoding.py
+++ b/src/lagoontide/decoding.py
@@ -2,7 +2,7 @@
 
 import contextlib
 from collections.abc import Iterator
-from typing import Annotated, Generic, TypeVar
+from typing import Annotated, Generic, Protocol, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -15,6 +15,7 @@
     "Int64",
     "JsonDecoder",
     "Number",
+    "decode_nested",
     "wire_errors",
 ]
 
@@ -38,6 +39,7 @@
 MAX_QUOTED_BYTES = 80
 
 Decoded = TypeVar("Decoded")
+Decoded_co = TypeVar("Decoded_co", covariant=True)
 
 
 @contextlib.contextmanager
@@ -70,6 +72,21 @@
         ) from exc
 
 
+class _Decoder(Protocol[Decoded_co]):
+    """A decoder of msgspec."""
+
+    def decode(self, buf: bytes, /) -> Decoded_co:
+        """Return the value; raises msgspec.DecodeError or RecursionError."""
+
+
+def decode_nested(decoder: _Decoder[Decoded], value: bytes) -> Decoded:
+    """Decode a value; raises msgspec.DecodeError also if it is nested too deeply."""
+    try:
+        return decoder.decode(value)
+    except RecursionError as exc:
+        raise msgspec.DecodeError("nested too deeply") from exc
+
+
 class JsonDecoder(Generic[Decoded]):
     """Decodes JSON values of one type; any value that is not valid is a WireError.
 
--- a/src/lagoontide/logbook/read.py
+++ b/src/lagoontide/logbook/read.py
@@ -44,7 +44,7 @@
     body = prefixed["json"] if prefixed else text
     try:
         data = msgspec.json.decode(body.strip().encode(), type=dict[str, Any])
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
     if "message" not in data:
         return None
--- a/src/lagoontide/operators/client.py
+++ b/src/lagoontide/operators/client.py
@@ -71,5 +71,5 @@
 def _read_object(text: str) -> dict[str, Any]:
     try:
         return msgspec.json.decode(text, type=dict[str, Any])
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return {}
--- a/src/lagoontide/pipeline/walk.py
+++ b/src/lagoontide/pipeline/walk.py
@@ -186,7 +186,7 @@
         case Done(body=body):
             try:
                 return msgspec.json.decode(body, type=Fields)
-            except msgspec.DecodeError as exc:
+            except (msgspec.DecodeError, RecursionError) as exc:
                 reason = f"the output is no JSON object: {exc}"
                 raise _fail(
                     "failed", reason, stage.name, outcome.peer, answer
--- a/src/lagoontide/report/caller.py
+++ b/src/lagoontide/report/caller.py
@@ -90,7 +90,7 @@
 def _read_outcome(data: bytes) -> str:
     try:
         return msgspec.json.decode(data, type=_Problem).outcome
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return "unknown"
 
 
--- a/src/lagoontide/report/snapshots.py
+++ b/src/lagoontide/report/snapshots.py
@@ -97,7 +97,7 @@
     for entry in await store.scan(PREFIX):
         try:
             snapshots.append(msgspec.msgpack.decode(entry.value, type=Snapshot))
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             logger.bind(step="snapshot").warning("{}: {}", entry.key, exc)
     return snapshots
 
--- a/src/lagoontide/spreading/delta.py
+++ b/src/lagoontide/spreading/delta.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from lagoontide.decoding import decode_nested
+
 __all__ = ["Delta", "apply_delta", "make_delta"]
 
 Section = dict[str, msgspec.Raw]
@@ -66,8 +68,8 @@
     msgspec.DecodeError
         If the delta or the document is malformed.
     """
-    step = _deltas.decode(delta)
-    sections = _sections.decode(old)
+    step = decode_nested(_deltas, delta)
+    sections = decode_nested(_sections, old)
     for name in step.dropped:
         sections.pop(name, None)
     sections.update(step.whole)
--- a/src/lagoontide/store/instances.py
+++ b/src/lagoontide/store/instances.py
@@ -88,7 +88,7 @@
             )
         try:
             return msgspec.json.decode(response.data, type=tuple[Instance, ...])
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             raise StoreUnavailable(
                 f"invalid instance list: {exc}", step="instances"
             ) from exc
--- a/src/lagoontide/targets/http.py
+++ b/src/lagoontide/targets/http.py
@@ -212,7 +212,7 @@
         for line in _split_lines(response.stream(4096)):
             try:
                 item = msgspec.json.decode(line, type=TokenLine)
-            except msgspec.DecodeError as exc:
+            except (msgspec.DecodeError, RecursionError) as exc:
                 raise TargetFailed(
                     f"malformed line in the token stream: {line[:80]!r}",
                     step="stream",
