--- a/tests/platform/test_early_signals.py
+++ b/tests/platform/test_early_signals.py
@@ -26,6 +26,7 @@
     "command",
     [
         ("-m", "lagoontide.platform.daemon"),
+        (str(ROOT / "src"), "front"),
         ("-S", str(ROOT / "src" / "__main__.py"), "front"),
     ],
 )
