Test of early signals: name the libraries' folder, as the entry runs without site

Found by a run in a fresh clone: without target/deps the entry could not import its libraries, so that the case of the deploy file's command failed.

--- a/tests/platform/test_early_signals.py
+++ b/tests/platform/test_early_signals.py
@@ -1,7 +1,9 @@
 """Signals that reach an entry while it starts."""
 
 import asyncio
+import os
 import signal
+import sysconfig
 from pathlib import Path
 
 import pytest
@@ -30,7 +32,10 @@
         ("-S", str(ROOT / "src" / "__main__.py"), "front"),
     ],
 )
-def test_a_reload_while_an_entry_starts_does_not_end_it(tmp_path, command):
+def test_a_reload_while_an_entry_starts_does_not_end_it(tmp_path, command, monkeypatch):
+    # Without site, an entry finds only the libraries that the path names.
+    path = (sysconfig.get_path("purelib"), os.environ.get("PYTHONPATH", ""))
+    monkeypatch.setenv("PYTHONPATH", os.pathsep.join(filter(None, path)))
     settings = tmp_path / "entry.json"
     write_settings(
         settings, "entry", "127.0.0.1", PORTS, "127.0.0.1:9", ["127.0.0.1:9"], GRACE_S
