--- a/src/lagoontide/platform/fields.py
+++ b/src/lagoontide/platform/fields.py
@@ -99,7 +99,7 @@
 MS_PER_S = 1000.0
 MAX_REQUEST_ID_CHARS = 200
 # Longer numbers cannot be calculated with, or be sent on to peers.
-DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]+)?")
 LONG_DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]+)?")
 DECIMAL_INTEGER = re.compile(r"[0-9]{1,15}")
 # More tokens or pieces than any target has room for.
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -18,7 +18,11 @@
 from lagoontide.origins.messages import MESSAGES as ORIGIN_MESSAGES, Batch
 from lagoontide.pieces.messages import MESSAGES as PIECE_MESSAGES
 from lagoontide.platform import configuration, directory, pieces, store
-from lagoontide.platform.fields import PlatformFieldCodec
+from lagoontide.platform.fields import (
+    RATE_LIMIT,
+    PlatformFieldCodec,
+    decode_rate_limit,
+)
 from lagoontide.quarantine import keeper as quarantine
 from lagoontide.quarantine.messages import MESSAGES as QUARANTINE_MESSAGES
 from lagoontide.quarantine.records import CrashReport
@@ -247,3 +251,11 @@
             msgspec.msgpack.encode(decode())
         except InvalidField:
             continue
+
+
+# Guards against a limit that is ignored for the digits of its fraction.
+@pytest.mark.parametrize("text", ["0.30000000000000004", "12", "7." + "0" * 300 + "1"])
+def test_fraction_of_any_length_is_read(text):
+    fields = [(RATE_LIMIT, text.encode())]
+    assert decode_rate_limit(fields) == (float(text), "")
+    assert decode_rate_limit([(RATE_LIMIT, b"9" * 16)]) == (None, "9" * 16)
