Store stand-in: cut watches without a TaskGroup

A TaskGroup raises an ExceptionGroup, which the handler of malformed calls does not name, so that they got no status 400.

--- a/src/lagoontide/platform/standins/store.py
+++ b/src/lagoontide/platform/standins/store.py
@@ -327,18 +327,18 @@
                 return
             case StoreFault.SLOW:
                 await asyncio.sleep(SLOW_ANSWER_S)
+        answer = asyncio.ensure_future(self.store.answer(req))
+        cut = asyncio.ensure_future(self._cut.wait())
         try:
-            async with asyncio.TaskGroup() as group:
-                cut = group.create_task(self._cut.wait())
-                answer = group.create_task(self.store.answer(req))
-                await asyncio.wait((cut, answer), return_when=asyncio.FIRST_COMPLETED)
-                if not answer.done():
-                    answer.cancel()
-                    return
-                cut.cancel()
+            await asyncio.wait((answer, cut), return_when=asyncio.FIRST_COMPLETED)
+            if not answer.done():
+                return
             status, body = answer.result()
         except (msgspec.DecodeError, KeyError, ValueError) as exc:
             status, body = 400, {"error": f"{exc!r}: {req.head.path!r}"}
+        finally:
+            answer.cancel()
+            cut.cancel()
         if self.trouble is StoreFault.LOSES_ANSWERS:
             return
         if task in self._silent:
