Soak: a caller does not wait for a Retry-After beyond its deadline

It gives up at once now, with the same outcome: the check after the pause stays.

The store's stand-in, suspected before, had no part in it.

--- a/src/lagoontide/bench/soak/callers.py
+++ b/src/lagoontide/bench/soak/callers.py
@@ -89,8 +89,11 @@
             if is_over or not last_event or leaves:
                 return
             pause = max(item.retry_after, self.rng.uniform(*TAKE_UP_PAUSE_S))
+            loop = asyncio.get_running_loop()
+            if loop.time() + pause >= ends_at:
+                return
             await asyncio.sleep(pause)
-            if asyncio.get_running_loop().time() >= ends_at:
+            if loop.time() >= ends_at:
                 return
             item = self._make(item.kind, item.key, item.stream, last_event)
             await self._try(item, ends_at)
