Tell answers to stage calls apart where they come twice

Change: a connection carries calls without an id only after an answer that holds a handle, and discards answers whose first handle it has seen; calls that free results and reports have connections of their own.

--- a/src/lagoontide/http1/client.py
+++ b/src/lagoontide/http1/client.py
@@ -36,6 +36,7 @@
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 
 HeadPredicate = Callable[[ResponseHead], bool]
+ResponsePredicate = Callable[[Response], bool]
 
 
 class InvalidResponse(Exception):
@@ -57,8 +58,10 @@
         Idle timeout in seconds that the target announced in Keep-Alive.
     is_fresh : bool
         Whether no request has been sent on the connection yet.
-    last_body : bytes
-        Body of the previous response, for users that detect duplicated responses.
+    lane : str
+        Kind of calls that the connection is reserved for, see ConnPool; "" for none.
+    answer_marks : deque of bytes
+        What tells the last responses from all others, for users whose calls have no id.
     request_ids : deque of str
         Ids of the last requests sent, for users that match responses by them.
     """
@@ -68,7 +71,8 @@
         self.idle_since = asyncio.get_running_loop().time()
         self.keep_alive_timeout: float | None = None
         self.is_fresh = True
-        self.last_body = b""
+        self.lane = ""
+        self.answer_marks: deque[bytes] = deque(maxlen=MAX_REQUEST_IDS)
         self.request_ids: deque[str] = deque(maxlen=MAX_REQUEST_IDS)
         self._conn = _make_h11()
         self._sent_events: list[Any] = []
@@ -160,6 +164,7 @@
         head: RequestHead,
         body: bytes = b"",
         max_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        is_match: ResponsePredicate | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
@@ -167,16 +172,23 @@
         ----------
         max_bytes : int
             Maximum size of the response body.
+        is_match : callable, optional
+            Returns whether a response belongs to this request; others are discarded.
 
         Raises
         ------
         InvalidResponse, ConnectionError
         """
         await self.send(head, body)
-        answer = await self.read_head()
-        return Response(
-            answer.status, answer.fields, await self.read_full_body(max_bytes)
-        )
+        for _ in range(MAX_SKIPPED_RESPONSES):
+            answer = await self.read_head()
+            response = Response(
+                answer.status, answer.fields, await self.read_full_body(max_bytes)
+            )
+            if is_match is None or is_match(response):
+                return response
+            self._expect_next_response()
+        raise InvalidResponse("no response to this request, only to other requests")
 
     def prepare_reuse(self) -> bool:
         """Prepare for the next request; return whether the connection is reusable."""
@@ -230,6 +242,10 @@
             raise InvalidResponse(
                 "timed out skipping a response to another request"
             ) from None
+        self._expect_next_response()
+
+    def _expect_next_response(self) -> None:
+        """Go on after a response to another request; the expected one follows it."""
         data, has_ended = self._conn.trailing_data
         must_close = self._conn.our_state is h11.MUST_CLOSE
         if has_ended or must_close:
--- a/src/lagoontide/platform/pieces.py
+++ b/src/lagoontide/platform/pieces.py
@@ -1,19 +1,21 @@
 """HTTP client for the platform's stage services."""
 
+import contextlib
 import re
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import msgspec
 
 from lagoontide.decoding import Int64, JsonDecoder, Number
 from lagoontide.errors import TargetFailed, TargetUnreachable, WireError
 from lagoontide.http1.client import InvalidResponse, TargetConn
-from lagoontide.http1.messages import RequestHead, Response
+from lagoontide.http1.messages import RequestHead, Response, field_values
 from lagoontide.pieces.records import Failure, Piece, PieceResult
 from lagoontide.platform.fields import (
     MISDIRECTED_STATUS,
     MS_PER_S,
     NOT_RUN,
+    REQUEST_ID,
     TARGET,
     decode_leaving,
     decode_pause,
@@ -39,7 +41,12 @@
 OK = 200
 # Handles are sent to targets in a field of their own, separated by commas.
 HANDLE = re.compile(r"[!-+\--~]{1,200}")
-HANDLE_FIELD = b'"handle"'
+# The first handle of a response, which no response to another call holds.
+FIRST_HANDLE = re.compile(rb'"handle"\s*:\s*"([^"]+)"')
+# Any response to a call that frees results serves for another one.
+FREE_LANE = "free"
+# A report has a connection of its own, as nothing tells it from an earlier one.
+REPORT_LANE = "report"
 FAILURE_BY_REASON = {
     "late": Failure.DEADLINE_EXCEEDED,
     "gone": Failure.INPUT_GONE,
@@ -106,39 +113,26 @@
     ) -> tuple[PieceResult, ...]:
         """See PieceClient."""
         body = msgspec.json.encode({"items": [_to_item(piece) for piece in pieces]})
-        answer = await self._call(target, b"POST", RUN_PATH, body, timeout)
-        field_names = {key.lower() for key, _ in answer.fields}
-        if NOT_RUN.lower() in field_names or answer.status == MISDIRECTED_STATUS:
-            raise TargetUnreachable(
-                f"status {answer.status}: the target did not run the call",
-                step="make",
-                peer=target.id,
-            )
-        if answer.status != OK:
-            raise TargetFailed(
-                f"unexpected status {answer.status}", step="make", peer=target.id
-            )
-        try:
-            items = _results_decoder.decode(answer.body).items
-        except WireError as exc:
-            raise TargetFailed(str(exc), step="make", peer=target.id) from exc
-        if len(items) != len(pieces):
-            raise TargetFailed(
-                f"got {len(items)} results for {len(pieces)} pieces",
-                step="make",
-                peer=target.id,
-            )
+        async with self._call(target, b"POST", RUN_PATH, body, timeout) as answer:
+            items = _read_results(target, answer)
+            if len(items) != len(pieces):
+                raise TargetFailed(
+                    f"got {len(items)} results for {len(pieces)} pieces",
+                    step="make",
+                    peer=target.id,
+                )
         return tuple(map(_to_result, items))
 
     async def free(self, target: Target, handles: tuple[str, ...]) -> None:
         """See PieceClient."""
         body = msgspec.json.encode({"handles": handles})
         self._rate_shares.charge(target)
-        answer = await self._call(target, b"POST", FREE_PATH, body, FREE_TIMEOUT_S)
-        if answer.status != OK:
-            raise TargetFailed(
-                f"unexpected status {answer.status}", step="free", peer=target.id
-            )
+        call = self._call(target, b"POST", FREE_PATH, body, FREE_TIMEOUT_S, FREE_LANE)
+        async with call as answer:
+            if answer.status != OK:
+                raise TargetFailed(
+                    f"unexpected status {answer.status}", step="free", peer=target.id
+                )
 
     async def is_busy(self, target: Target) -> bool:
         """See PieceClient."""
@@ -164,19 +158,32 @@
         return (report.free_mb + 1.0) * BYTES_PER_MB
 
     async def _fetch_report(self, target: Target, timeout: float) -> _Report:
-        answer = await self._call(target, b"GET", REPORT_PATH, b"", timeout)
-        try:
-            return _report_decoder.decode(answer.body)
-        except WireError as exc:
-            raise TargetFailed(str(exc), step="report", peer=target.id) from exc
+        call = self._call(target, b"GET", REPORT_PATH, b"", timeout, REPORT_LANE)
+        async with call as answer:
+            try:
+                return _report_decoder.decode(answer.body)
+            except WireError as exc:
+                raise TargetFailed(str(exc), step="report", peer=target.id) from exc
 
     def address_of(self, handle: str) -> str:
         """See PieceClient."""
         return handle.partition("/")[0]
 
+    @contextlib.asynccontextmanager
     async def _call(
-        self, target: Target, method: bytes, path: bytes, body: bytes, timeout: float
-    ) -> Response:
+        self,
+        target: Target,
+        method: bytes,
+        path: bytes,
+        body: bytes,
+        timeout: float,
+        lane: str = "",
+    ) -> AsyncIterator[Response]:
+        """Call a target; the connection is reused unless the block raises.
+
+        Calls carry no id. But for those that free results, a connection is reused only
+        after an answer with a handle, as only a copy of that is recognized.
+        """
         head = RequestHead(
             method,
             path,
@@ -187,39 +194,73 @@
             ],
         )
         pool = self._pool_of(target)
-        conn = await pool.acquire(CONNECT_TIMEOUT_S)
+        conn = await pool.acquire(CONNECT_TIMEOUT_S, lane=lane)
         is_reusable = False
         try:
-            async with run_timeout(timeout):
-                answer = await conn.call(head, body)
-            _check_not_duplicate(conn, path, answer.body)
-            is_reusable = conn.prepare_reuse()
-        except (OSError, InvalidResponse, TimeoutError) as exc:
-            raise TargetFailed(
-                f"no usable response: {exc!r}", step=path.decode(), peer=target.id
-            ) from exc
+            try:
+                async with run_timeout(timeout):
+                    answer = await conn.call(
+                        head, body, is_match=lambda found: _is_first_copy(conn, found)
+                    )
+            except (OSError, InvalidResponse, TimeoutError) as exc:
+                raise TargetFailed(
+                    f"no usable response: {exc!r}", step=path.decode(), peer=target.id
+                ) from exc
+            if answer.status != MISDIRECTED_STATUS:
+                self._observe_state(target, answer)
+            yield answer
+            mark = FIRST_HANDLE.search(answer.body)
+            if mark is not None:
+                conn.answer_marks.append(mark[1])
+            is_told_apart = mark is not None or lane == FREE_LANE
+            is_reusable = is_told_apart and conn.prepare_reuse()
         finally:
             pool.release(conn, is_reusable)
-        if answer.status != MISDIRECTED_STATUS:
-            self._rate_shares.limits.observe(target, *decode_rate_limit(answer.fields))
-            pause = decode_pause(answer.status, answer.fields)
-            self._rate_shares.limits.pauses.observe(target, pause, "stage call")
-            if decode_leaving(answer.fields):
-                self._directory.mark_leaving(target, "its answer says so")
-        return answer
 
+    def _observe_state(self, target: Target, answer: Response) -> None:
+        """Record what a target says of its rate limit, pauses and leaving."""
+        self._rate_shares.limits.observe(target, *decode_rate_limit(answer.fields))
+        pause = decode_pause(answer.status, answer.fields)
+        self._rate_shares.limits.pauses.observe(target, pause, "stage call")
+        if decode_leaving(answer.fields):
+            self._directory.mark_leaving(target, "its answer says so")
+
+
+def _is_first_copy(conn: TargetConn, answer: Response) -> bool:
+    """Return whether an answer can be that to the call of a stage just sent.
 
-def _check_not_duplicate(conn: TargetConn, path: bytes, body: bytes) -> None:
-    """Raise InvalidResponse if the body repeats the connection's previous response.
+    It is not if it repeats an earlier answer on the connection, or names a request.
+    """
+    mark = FIRST_HANDLE.search(answer.body)
+    is_known = mark is not None and mark[1] in conn.answer_marks
+    return not is_known and not any(field_values(answer.fields, REQUEST_ID.lower()))
+
+
+def _read_results(target: Target, answer: Response) -> list[_Result]:
+    """Return the results of an answer to a call that makes pieces.
 
-    Calls carry no id, but handles are unique: two calls that return handles never
-    have the same body.
+    Raises
+    ------
+    TargetUnreachable
+        If the target did not run the call.
+    TargetFailed
+        If there are no results that can be read.
     """
-    if path != RUN_PATH:
-        return
-    if body == conn.last_body and HANDLE_FIELD in body:
-        raise InvalidResponse("duplicate of the previous response on this connection")
-    conn.last_body = body
+    field_names = {key.lower() for key, _ in answer.fields}
+    if NOT_RUN.lower() in field_names or answer.status == MISDIRECTED_STATUS:
+        raise TargetUnreachable(
+            f"status {answer.status}: the target did not run the call",
+            step="make",
+            peer=target.id,
+        )
+    if answer.status != OK:
+        raise TargetFailed(
+            f"unexpected status {answer.status}", step="make", peer=target.id
+        )
+    try:
+        return _results_decoder.decode(answer.body).items
+    except WireError as exc:
+        raise TargetFailed(str(exc), step="make", peer=target.id) from exc
 
 
 def _to_item(piece: Piece) -> _Piece:
--- a/src/lagoontide/targets/pool.py
+++ b/src/lagoontide/targets/pool.py
@@ -61,12 +61,19 @@
         return bool(self._idle) or self._in_use < self.max_open
 
     async def acquire(
-        self, timeout: float, is_at_most_once: bool = False, request_id: str = ""
+        self,
+        timeout: float,
+        is_at_most_once: bool = False,
+        request_id: str = "",
+        lane: str = "",
     ) -> TargetConn:
         """Return a connection for one send of a request.
 
-        A connection carries a request at most once: an answer to an earlier send may
-        come again, late, and could not be told from the answer to this one.
+        An answer may come a second time, late, where the answer to a later request on
+        its connection is expected. A connection therefore carries only requests whose
+        answers can be told apart: each request id at most once, and calls without an id
+        if their answers are marked (``TargetConn.answer_marks``). Calls that any answer
+        to another one of them may serve have connections of their own, a lane.
 
         Parameters
         ----------
@@ -74,6 +81,8 @@
             Seconds within which a new connection has to be established.
         request_id : str
             Id by which answers are matched; "" if they carry none.
+        lane : str
+            Name of the calls that share connections with no others; "" for all others.
         is_at_most_once : bool
             Whether the request must not be sent twice; the connection is then one
             that the target is not about to close.
@@ -83,28 +92,31 @@
         TargetUnreachable
             If no connection is available; nothing was sent.
         """
-        conn = self._take_idle(is_at_most_once, request_id)
+        conn = self._take_idle(is_at_most_once, request_id, lane)
         if conn is None:
             conn = await self._open(timeout)
+            conn.lane = lane
         if request_id:
             conn.request_ids.append(request_id)
         return conn
 
-    def _take_idle(self, is_at_most_once: bool, request_id: str) -> TargetConn | None:
+    def _take_idle(
+        self, is_at_most_once: bool, request_id: str, lane: str
+    ) -> TargetConn | None:
         """Return the idle connection used last that may carry a request, if any."""
         now = asyncio.get_running_loop().time()
-        has_carried: list[TargetConn] = []
+        unsuited: list[TargetConn] = []
         taken: TargetConn | None = None
         while self._idle and taken is None:
             conn = self._idle.pop()
             idle = now - conn.idle_since
             if not conn.is_usable or idle >= self._max_idle(conn, is_at_most_once):
                 conn.close()
-            elif request_id and request_id in conn.request_ids:
-                has_carried.append(conn)
+            elif conn.lane != lane or (request_id and request_id in conn.request_ids):
+                unsuited.append(conn)
             else:
                 taken = conn
-        self._idle += reversed(has_carried)
+        self._idle += reversed(unsuited)
         if taken is not None:
             taken.tcp.on_lost = None
             self._in_use += 1
