Doubt the version of a target that may have started again

Change: a refused connection, or the loss of the last idle one before its announced timeout, puts a target in doubt until another registration, for 6 s at most while the store is in touch. Streams that have begun are not sent there; resumable ones only where no other target is ready, and then with no version on record.

--- a/src/lagoontide/forward/resumption.py
+++ b/src/lagoontide/forward/resumption.py
@@ -10,6 +10,7 @@
 from lagoontide.forward.retry_after import pick_retry_after
 from lagoontide.forward.selection import ready_targets
 from lagoontide.routes.records import RouteKind
+from lagoontide.targets.records import Target
 
 __all__ = ["fix_version", "record_begin", "record_end"]
 
@@ -97,13 +98,19 @@
     return known | {item.version for item in targets if item.service == service}
 
 
-def record_begin(state: ForwardingState, call: Call, version: str) -> None:
-    """Record the version of the target that a stream is sent to."""
+def record_begin(state: ForwardingState, call: Call, target: Target) -> None:
+    """Record the version of the target that a stream is sent to, if it is certain."""
+    if call.route.may_repeat:
+        state.endings.watch(target)
     if call.has_begun:
         return
-    call.version = version
+    if state.endings.is_in_doubt(target):
+        # The stream cannot go on anywhere else.
+        call.version = None
+        return
+    call.version = target.version
     if call.route.may_repeat:
-        state.origins.begin(call.metadata.request_id, call.service, version)
+        state.origins.begin(call.metadata.request_id, call.service, target.version)
 
 
 def record_end(state: ForwardingState, call: Call) -> None:
--- a/src/lagoontide/forward/selection.py
+++ b/src/lagoontide/forward/selection.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Sequence
 
 from lagoontide.forward.call import Call, ForwardingState
+from lagoontide.routes.records import RouteKind
 from lagoontide.routes.urgency import levels_below_highest
 from lagoontide.targets.choose import Choice, usable
 from lagoontide.targets.records import Target
@@ -20,11 +21,25 @@
 
 
 def ready_targets(state: ForwardingState, call: Call) -> Sequence[Target]:
-    """Return the targets that accept a call; of its version only if it has begun."""
+    """Return the targets that accept a call; of its version only if it has begun.
+
+    A stream has to be taken up at the version that began it, so that targets whose
+    version is in doubt are left out for one that has begun, and where there are others
+    for one that may have to be taken up.
+    """
     targets = state.directory.ready(call.service)
-    if not call.has_begun:
-        return targets
-    return [target for target in targets if target.version == call.version]
+    if call.has_begun:
+        return [
+            target
+            for target in targets
+            if target.version == call.version and not state.endings.is_in_doubt(target)
+        ]
+    if call.route.kind is RouteKind.STREAM and call.route.may_repeat:
+        certain = [
+            target for target in targets if not state.endings.is_in_doubt(target)
+        ]
+        return certain or targets
+    return targets
 
 
 def candidates(
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -155,7 +155,7 @@
                 continue
         target = choice.target
         tried.add(target.id)
-        record_begin(state, call, target.version)
+        record_begin(state, call, target)
         ready = len(state.directory.ready(call.service))
         call.choices.append(describe_choice(state, choice, ready))
         options = SendOptions(
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -178,6 +178,7 @@
         await self._metrics_listener.close()
         self.mesh.close()
         self._mesh_server.close()
+        self.state.endings.close()
         self.state.pools.close()
 
     def _make_state(self, clock: Callable[[], float]) -> ForwardingState:
@@ -188,7 +189,7 @@
         pools = Pools(
             lambda name: self._find_service(name).max_conns, self._count_entries
         )
-        endings = Endings(directory, pools, clock)
+        endings = Endings(directory, pools, clock, lambda: self.peer_sync.is_cut_off())
         return ForwardingState(
             failure_domain=cfg.failure_domain,
             field_codec=self._platform.field_codec,
--- a/src/lagoontide/targets/pool.py
+++ b/src/lagoontide/targets/pool.py
@@ -1,6 +1,7 @@
 """Pool of persistent connections to one target."""
 
 import asyncio
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -36,6 +37,9 @@
         Address at which the target listens.
     max_open : int
         Maximum number of connections in use by this process.
+    on_all_lost : callable, optional
+        Called when the target has closed the last open connection, with whether that
+        was idle, and sooner than the target closes idle connections.
 
     Attributes
     ----------
@@ -43,8 +47,16 @@
         Number of connections opened so far.
     """
 
-    def __init__(self, name: str, host: str, port: int, max_open: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        max_open: int,
+        on_all_lost: Callable[[bool], None] = lambda was_idle: None,
+    ) -> None:
         self._name = name
+        self._on_all_lost = on_all_lost
         self.max_open = max_open
         self.opened = 0
         self._host = host
@@ -54,6 +66,7 @@
         self._body_drains = TaskSet()
         # Shortest idle time after which the target has closed a connection.
         self._observed_idle_limit = MAX_IDLE_S
+        self._announced_idle_limit: float | None = None
 
     @property
     def has_room(self) -> bool:
@@ -159,8 +172,13 @@
     def release(self, conn: TargetConn, is_reusable: bool) -> None:
         """Put a connection back into the pool, or close it if it is not reusable."""
         self._in_use -= 1
+        if conn.keep_alive_timeout is not None:
+            self._announced_idle_limit = conn.keep_alive_timeout
         if not is_reusable:
+            was_lost = conn.tcp.is_lost
             conn.close()
+            if was_lost and not (self._in_use or self._idle):
+                self._on_all_lost(False)
             return
         conn.tcp.on_lost = lambda: self._on_idle_closed(conn)
         self._idle.append(conn)
@@ -210,3 +228,7 @@
         if conn in self._idle:
             self._idle.remove(conn)
         conn.close()
+        announced = self._announced_idle_limit
+        is_expected = announced is not None and idle >= announced - IDLE_MARGIN_S
+        if not (is_expected or self._in_use or self._idle):
+            self._on_all_lost(True)
--- a/src/lagoontide/targets/pools.py
+++ b/src/lagoontide/targets/pools.py
@@ -21,6 +21,11 @@
         all entries together.
     entries : callable
         Returns the number of entries, which share these connections evenly.
+
+    Attributes
+    ----------
+    on_all_lost : callable
+        Called with a target when it has closed its last open connection, see ConnPool.
     """
 
     def __init__(
@@ -29,6 +34,7 @@
         self._max_conns_of = max_conns_of
         self._entries = entries
         self._pools: dict[tuple[str, int], ConnPool] = {}
+        self.on_all_lost: Callable[[Target, bool], None] = lambda target, idle: None
 
     @property
     def opened(self) -> int:
@@ -39,7 +45,13 @@
         """Return the pool of a target."""
         pool = self._pools.get(target.key)
         if pool is None:
-            pool = ConnPool(target.id, target.host, target.port, 1)
+            pool = ConnPool(
+                target.id,
+                target.host,
+                target.port,
+                1,
+                lambda was_idle: self.on_all_lost(target, was_idle),
+            )
             self._pools[target.key] = pool
         share = (
             MAX_CONNS_SHARE
--- a/tests/platform/test_piece_answers.py
+++ b/tests/platform/test_piece_answers.py
@@ -218,8 +218,8 @@
         frozenset([FREE_PATH]),
     }
     assert all(len(paths) == 1 for paths in stage.paths_by_conn.values())
-    # One connection for the pieces, one for each report, and one for each two calls that
-    # free results: the second is answered by a copy, and the connection then left.
+    # One connection for the pieces, one for each report, and one for every two calls
+    # that free results: a copy answers the second, and the connection is then left.
     assert stage.connections == 1 + 4 + 2
 
 
