Take only 200 to 599 for the status of a final answer

Cause: any three digits were a status, so that 600 and 999 reached callers as the target's answer, with its seal.

Change: a rule at the one place where heads are read.

--- a/src/lagoontide/http1/client.py
+++ b/src/lagoontide/http1/client.py
@@ -22,6 +22,8 @@
 __all__ = ["InvalidResponse", "ResponseTooLarge", "TargetConn"]
 
 MAX_HEAD_BYTES = 64 << 10
+# Final responses (RFC 9110, 15); other codes say that the sender is out of order.
+FINAL_STATUSES = range(200, 600)
 # A target that rejects a larger body may not have read all of it; the connection
 # is then not reused.
 LARGE_BODY_BYTES = 16 << 10
@@ -215,6 +217,9 @@
         for _ in range(MAX_INTERIM_RESPONSES):
             match await self._next_event():
                 case h11.Response() as event:
+                    if event.status_code not in FINAL_STATUSES:
+                        self._is_broken = True
+                        raise InvalidResponse(f"status {event.status_code}")
                     fields = list(event.headers.raw_items())
                     self._parse_keep_alive(fields)
                     length = field_value(fields, b"content-length")
