Bound what callers' connections occupy together

Cause: one body was bounded, their sum was not, nor the connections, nor the time that parsing very small chunks takes; an announced length over the limit was read.

Change: each connection accounts for the bytes that are held for it (http1/holdings.py). Beyond a bound from the settings' memory, those that hold most for longest are given up while they send their request or do not read their answer. Idle connections are closed beyond a share of the descriptors. Bodies that take long to parse share the processor by turns; an announced length over the limit is refused at the head.

--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -274,6 +274,7 @@
     chunks = response.body(MAX_ERROR_BODY_BYTES if is_error else MAX_RESPONSE_BYTES)
     async for data in chunks:
         body += data
+        reply.account_for(len(body))
         if len(body) > MAX_BUFFERED_BYTES:
             # From here on the request can no longer move.
             timer.stop()
@@ -283,6 +284,8 @@
                 )
             )
             await reply.send_data(bytes(body))
+            body.clear()
+            reply.account_for(0)
             async for rest in chunks:
                 await reply.send_data(rest)
             await reply.finish()
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -19,6 +19,7 @@
 from lagoontide.gateway.platform import Platform
 from lagoontide.gateway.settings import GatewaySettings
 from lagoontide.gateway.store_view import StoreView
+from lagoontide.http1.holdings import make_conn_limits
 from lagoontide.http1.messages import Response
 from lagoontide.http1.server import HttpLimits, Listener, Request, ResponseWriter
 from lagoontide.mesh.messages import MESSAGES as MESH_MESSAGES
@@ -107,7 +108,8 @@
         self.forwarder = Forwarder(
             self.state, self._make_stage_inputs, self.metrics, self._rng
         )
-        self.callers = Listener(self.forwarder.handle, self._wire_limits)
+        bounds = make_conn_limits(cfg.memory_bytes, cfg.descriptors)
+        self.callers = Listener(self.forwarder.handle, self._wire_limits, bounds)
         self._probe_listener = Listener(self._handle_probe, HttpLimits)
         self._metrics_listener = Listener(self._handle_probe, HttpLimits)
 
@@ -164,6 +166,8 @@
             "metrics_port",
             "lease_ttl_min",
             "cpu_share",
+            "memory_bytes",
+            "descriptors",
         )
         for name in restart_only:
             if getattr(old, name) != getattr(cfg, name):
--- a/src/lagoontide/gateway/settings.py
+++ b/src/lagoontide/gateway/settings.py
@@ -55,6 +55,10 @@
         Shortest lease that the store grants, in seconds.
     cpu_share : float
         Processor cores that the entry may use.
+    memory_bytes : float
+        Memory that the entry may use.
+    descriptors : int
+        Descriptors that the entry may have open.
     """
 
     name: str
@@ -68,4 +72,6 @@
     seeds: tuple[Address, ...] = ()
     lease_ttl_min: float = 1.0
     cpu_share: float = 1.0
+    memory_bytes: float = 512e6
+    descriptors: int = 4096
     bounds: Bounds = field(default_factory=Bounds)
--- /dev/null
+++ b/src/lagoontide/http1/holdings.py
@@ -0,0 +1,245 @@
+"""Bounds on what the connections of callers may occupy together.
+
+Callers need not keep to any limit. Each connection accounts for the bytes that are held
+for it; beyond the bound, the connections that hold most for longest are given up.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from loguru import logger
+
+__all__ = ["ConnLimits", "Holding", "Holdings", "Phase", "make_conn_limits"]
+
+MB = 1 << 20
+# What an entry needs without callers: code, configuration, targets, peers.
+RESERVED_BYTES = 48 * MB
+# A byte of a request is held up to five times: as received, on its way to the target,
+# in an answer as long, on its way to the caller, and in a copy that is being made.
+COPIES = 5
+MIN_HELD_BYTES = 8 * MB
+# Descriptors for files and the like (DEPLOY, Machines).
+RESERVED_FDS = 200
+# The others are shared with connections to targets, peers and the store.
+CALLERS_FD_SHARE = 0.6
+MIN_CONNECTIONS = 32
+# Connections are given up until this share of the bound is held.
+LOW_WATER_SHARE = 0.9
+# A connection that holds less is given up only beyond a bound larger by this share, so
+# that a few large requests do not crowd out ordinary ones.
+SMALL_BYTES = 32 << 10
+SMALL_EXTRA_SHARE = 0.25
+# Added to the time for which bytes are held, so that of new ones the largest count.
+MIN_AGE_S = 0.1
+LOG_INTERVAL_S = 1.0
+
+
+class Phase(Enum):
+    """What a connection is waiting for."""
+
+    REQUEST = "its request"
+    ANSWER = "its answer"
+    READER = "its reader"
+
+
+@dataclass(frozen=True, slots=True)
+class ConnLimits:
+    """Bounds on the connections of callers.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Bytes that may be held for all connections together.
+    connections : int
+        Connections that may be open at once.
+    """
+
+    held_bytes: int = 64 * MB
+    connections: int = 2400
+
+
+def make_conn_limits(memory_bytes: float, descriptors: int) -> ConnLimits:
+    """Return the bounds for a process with some memory and descriptors."""
+    held = int((memory_bytes - RESERVED_BYTES) / COPIES)
+    connections = int(CALLERS_FD_SHARE * (descriptors - RESERVED_FDS))
+    return ConnLimits(max(held, MIN_HELD_BYTES), max(connections, MIN_CONNECTIONS))
+
+
+class Holding:
+    """The bytes that are held for one connection.
+
+    Parameters
+    ----------
+    give_up : callable
+        Ends what the connection waits for; never called in phase ``ANSWER``.
+
+    Attributes
+    ----------
+    received : int
+        Bytes of the current request, and those that came after it.
+    buffered : int
+        Bytes of the answer that are kept until it is complete.
+    unsent : int
+        Bytes of the answer that the peer has not taken.
+    since : float
+        Loop time at which the request began, or the peer last took bytes.
+    is_given_up : bool
+        Whether ``give_up`` was called; nothing is accounted for then.
+    """
+
+    def __init__(self, holdings: "Holdings", give_up: Callable[["Holding"], None]):
+        self.received = 0
+        self.buffered = 0
+        self.unsent = 0
+        self.since = 0.0
+        self.phase = Phase.REQUEST
+        self.is_given_up = False
+        self._holdings = holdings
+        self._give_up = give_up
+
+    @property
+    def size(self) -> int:
+        """Bytes that are held."""
+        return self.received + self.buffered + self.unsent
+
+    def receive(self, size: int) -> None:
+        """Account for bytes that have been received."""
+        if not self.is_given_up:
+            if not self.received:
+                self.since = asyncio.get_running_loop().time()
+            self.received += size
+            self._holdings.grow(size)
+
+    def set_received(self, size: int) -> None:
+        """Account for what is left of the received bytes."""
+        if not self.is_given_up:
+            change, self.received = size - self.received, size
+            self._holdings.grow(change)
+
+    def set_buffered(self, size: int) -> None:
+        """Account for what is kept of the answer."""
+        if not self.is_given_up:
+            change, self.buffered = size - self.buffered, size
+            self._holdings.grow(change)
+
+    def set_unsent(self, size: int) -> None:
+        """Account for bytes that were written and are not sent yet."""
+        if not self.is_given_up:
+            change, self.unsent = size - self.unsent, size
+            if change < 0:
+                self.since = asyncio.get_running_loop().time()
+            self._holdings.grow(change)
+
+    def give_up(self) -> None:
+        """End what the connection waits for, and account for nothing more."""
+        self.close()
+        self._give_up(self)
+
+    def close(self) -> None:
+        """Account for nothing more, as the connection is closed."""
+        if not self.is_given_up:
+            self.set_received(0)
+            self.set_buffered(0)
+            self.set_unsent(0)
+            self.is_given_up = True
+            self._holdings.remove(self)
+
+
+class Holdings:
+    """The holdings of all connections of a listener.
+
+    Attributes
+    ----------
+    held : int
+        Bytes that are held.
+    given_up : Counter
+        Connections given up so far, by what they waited for.
+    """
+
+    def __init__(self, limits: ConnLimits) -> None:
+        self.limits = limits
+        self.held = 0
+        self.given_up: Counter[Phase] = Counter()
+        self._holdings: set[Holding] = set()
+        self._logged_at = float("-inf")
+
+    def add(self, give_up: Callable[[Holding], None]) -> Holding:
+        """Return the holding of a new connection."""
+        holding = Holding(self, give_up)
+        self._holdings.add(holding)
+        return holding
+
+    def remove(self, holding: Holding) -> None:
+        """Forget a holding."""
+        self._holdings.discard(holding)
+
+    def grow(self, change: int) -> None:
+        """Account for a change, and give connections up if too much is held then."""
+        self.held += change
+        if change > 0 and self.held > self.limits.held_bytes:
+            self._make_room()
+
+    def give_up_one(self) -> bool:
+        """Give up the connection that holds most for longest, if there is one."""
+        for holding in self._ranked(lambda holding: True)[:1]:
+            self._end(holding, "connections")
+            return True
+        return False
+
+    def _make_room(self) -> None:
+        limit = self.limits.held_bytes
+        if sum(holding.size > 0 for holding in self._holdings) <= 1:
+            # A request that is alone is served, whatever its size.
+            return
+        self._give_up_until(
+            LOW_WATER_SHARE * limit,
+            self._ranked(lambda holding: holding.size > SMALL_BYTES),
+        )
+        if self.held > (1.0 + SMALL_EXTRA_SHARE) * limit:
+            self._give_up_until(limit, self._ranked(lambda holding: holding.size > 0))
+
+    def _give_up_until(self, enough: float, ranked: Iterable[Holding]) -> None:
+        for holding in ranked:
+            if self.held <= enough:
+                return
+            self._end(holding, "bytes")
+
+    def _ranked(self, is_candidate: Callable[[Holding], bool]) -> list[Holding]:
+        """Return those that may be given up, the one to give up first at first.
+
+        A request that waits for its answer may have run, so that it is left alone.
+        """
+        now = asyncio.get_running_loop().time()
+        return sorted(
+            (
+                holding
+                for holding in self._holdings
+                if holding.phase is not Phase.ANSWER and is_candidate(holding)
+            ),
+            key=lambda holding: holding.size * (now - holding.since + MIN_AGE_S),
+            reverse=True,
+        )
+
+    def _end(self, holding: Holding, lacking: str) -> None:
+        now = asyncio.get_running_loop().time()
+        size, age, held = holding.size, now - holding.since, self.held
+        self.given_up[holding.phase] += 1
+        holding.give_up()
+        if now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            logger.bind(
+                held=held,
+                most=self.limits.held_bytes,
+                connections=len(self._holdings),
+                given_up=self.given_up.total(),
+            ).warning(
+                "too many {} of callers: gave up one that waited for {}, "
+                "with {} bytes held for {:.1f} s",
+                lacking,
+                holding.phase.value,
+                size,
+                age,
+            )
--- a/src/lagoontide/http1/request_reader.py
+++ b/src/lagoontide/http1/request_reader.py
@@ -11,7 +11,25 @@
 from lagoontide.http1.tcp import TcpConn
 from lagoontide.timers import run_timeout
 
-__all__ = ["BadRequest", "HttpLimits", "Request", "RequestReader", "wait_for_request"]
+__all__ = [
+    "BadRequest",
+    "HttpLimits",
+    "ParseLane",
+    "Request",
+    "RequestReader",
+    "wait_for_request",
+]
+
+# Other connections are served after a request was parsed for so long at a stretch.
+SLICE_S = 0.002
+# Parsing that takes longer in all, as of very small chunks, is done for one request at
+# a time.
+FREE_PARSE_S = 0.005
+EVENTS_PER_CHECK = 32
+MAX_LENGTH_DIGITS = 18
+# Bodies are kept in blocks of equal size, as a heap in which they grow and move is
+# larger than what they hold.
+BLOCK_BYTES = 64 << 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,9 +68,22 @@
 class BadRequest(Exception):
     """A request that is rejected while it is read; ``status`` is for the response."""
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(self, status: int, message: str, fields: Fields | None = None) -> None:
         super().__init__(message)
         self.status = status
+        self.fields = fields or []
+
+
+class ParseLane:
+    """Shares the processor between requests that take long to parse."""
+
+    def __init__(self) -> None:
+        self._lock = asyncio.Lock()
+
+    async def wait_for_turn(self) -> None:
+        """Wait until the others have had a turn, and all other work one, too."""
+        async with self._lock:
+            await asyncio.sleep(0)
 
 
 async def wait_for_request(tcp: TcpConn, limits: Callable[[], HttpLimits]) -> bytes:
@@ -78,11 +109,16 @@
 class RequestReader:
     """Reads one request, whose first bytes ``conn`` has received."""
 
-    def __init__(self, tcp: TcpConn, conn: h11.Connection, limits: HttpLimits) -> None:
+    def __init__(
+        self, tcp: TcpConn, conn: h11.Connection, limits: HttpLimits, lane: ParseLane
+    ) -> None:
         self._tcp = tcp
         self._conn = conn
         self._limits = limits
-        self._started_at = asyncio.get_running_loop().time()
+        self._lane = lane
+        self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
+        self._parse_seconds = 0.0
 
     async def read(self) -> Request | None:
         """Return the request, or None if the client sends no more."""
@@ -90,6 +126,7 @@
         if head is None:
             return None
         _check_framing(head.fields)
+        _check_announced_length(head.fields, self._limits.max_body_bytes)
         if self._conn.they_are_waiting_for_100_continue:
             data = self._conn.send(
                 h11.InformationalResponse(status_code=100, headers=[])
@@ -99,7 +136,6 @@
         return Request(head, body, self._started_at)
 
     async def _read_head(self) -> RequestHead | None:
-        loop = asyncio.get_running_loop()
         while True:
             event = self._next_event()
             match event:
@@ -110,7 +146,7 @@
                     return head
                 case h11.ConnectionClosed():
                     return None
-            wait = self._started_at + self._limits.head_timeout - loop.time()
+            wait = self._started_at + self._limits.head_timeout - self._loop.time()
             try:
                 data = await _read_within(self._tcp, wait)
             except TimeoutError:
@@ -118,24 +154,42 @@
             self._receive(data)
 
     async def _read_body(self) -> bytes:
-        body = bytearray()
+        body = _Body()
+        resumed_at, events = self._loop.time(), 0
         while True:
             event = self._next_event()
             match event:
                 case h11.Data():
-                    body += event.data
-                    if len(body) > self._limits.max_body_bytes:
+                    body.append(event.data)
+                    if body.size > self._limits.max_body_bytes:
                         raise BadRequest(413, "the body is too large")
                 case h11.EndOfMessage():
-                    return bytes(body)
+                    return body.join()
                 case h11.ConnectionClosed():
                     raise BadRequest(400, "the body was cut")
                 case _:
+                    self._parse_seconds += self._loop.time() - resumed_at
                     try:
                         data = await _read_within(self._tcp, self._limits.idle_timeout)
                     except TimeoutError:
                         raise BadRequest(408, "the body took too long") from None
+                    await self._wait_for_turn()
+                    resumed_at = self._loop.time()
                     self._receive(data)
+            events += 1
+            if events % EVENTS_PER_CHECK:
+                continue
+            if (seconds := self._loop.time() - resumed_at) > SLICE_S:
+                self._parse_seconds += seconds
+                await self._wait_for_turn()
+                resumed_at = self._loop.time()
+
+    async def _wait_for_turn(self) -> None:
+        if self._parse_seconds <= FREE_PARSE_S:
+            return
+        await self._lane.wait_for_turn()
+        if self._tcp.is_lost:
+            raise ConnectionResetError("client disconnected before its request ran")
 
     def _next_event(self) -> Any:
         try:
@@ -150,6 +204,25 @@
             raise BadRequest(exc.error_status_hint, str(exc)) from None
 
 
+class _Body:
+    """A body that is being read, in blocks."""
+
+    def __init__(self) -> None:
+        self.size = 0
+        self._blocks = [bytearray()]
+
+    def append(self, data: bytes) -> None:
+        self.size += len(data)
+        if len(self._blocks[-1]) + len(data) > BLOCK_BYTES:
+            self._blocks.append(bytearray())
+        self._blocks[-1] += data
+
+    def join(self) -> bytes:
+        """Return the whole body; this one is empty then."""
+        blocks, self._blocks = self._blocks, [bytearray()]
+        return b"".join(blocks)
+
+
 async def _read_within(tcp: TcpConn, timeout: float) -> bytes:
     """Return the next bytes; raises TimeoutError if none arrive in time."""
     try:
@@ -174,6 +247,13 @@
         raise BadRequest(431, f"a head of {size} bytes; {max_bytes} are allowed")
 
 
+def _check_announced_length(fields: Fields, max_bytes: int) -> None:
+    """Reject a body that is too large before any of it is read."""
+    for value in field_values(fields, b"content-length"):
+        if len(value) > MAX_LENGTH_DIGITS or int(value) > max_bytes:
+            raise BadRequest(413, "the body is too large")
+
+
 def _check_framing(fields: Fields) -> None:
     """Reject fields by which two parsers could find different body lengths.
 
--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -1,12 +1,14 @@
 """HTTP server with one task per connection."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import h11
 from loguru import logger
 
+from lagoontide.http1.holdings import ConnLimits, Holding, Holdings, Phase
 from lagoontide.http1.messages import (
     Fields,
     Response,
@@ -15,6 +17,7 @@
 from lagoontide.http1.request_reader import (
     BadRequest,
     HttpLimits,
+    ParseLane,
     Request,
     RequestReader,
     wait_for_request,
@@ -26,12 +29,18 @@
 __all__ = ["HttpLimits", "Listener", "Request", "ResponseWriter"]
 
 BACKLOG = 1024
+# Connections are accepted so many at a time, as each takes a descriptor before it is
+# counted.
+ACCEPT_BATCH = 16
+# Callers that are refused for want of memory come back after this time.
+REFUSED_RETRY_AFTER_S = 1
 # How long request bytes are still read after an error response. A close with unread
 # bytes resets the connection, and the client may lose the response (RFC 9112, 9.6).
 LINGER_S = 0.5
 
 
 Handler = Callable[[Request, "ResponseWriter"], Awaitable[None]]
+DEFAULT_CONN_LIMITS = ConnLimits()
 
 
 class ResponseWriter:
@@ -78,6 +87,11 @@
         """Whether the connection to the client has ended."""
         return self._tcp.is_lost or self._tcp.transport.is_closing()
 
+    def account_for(self, size: int) -> None:
+        """Account for the bytes that are kept of a response until it is sent."""
+        if self._tcp.holding is not None:
+            self._tcp.holding.set_buffered(size)
+
     async def send(self, response: Response) -> None:
         """Send a complete response."""
         length = (b"Content-Length", b"%d" % len(response.body))
@@ -134,17 +148,38 @@
     handle : callable
         Responds to a request; it is cancelled once the client disconnects.
     limits : callable
-        Returns the current limits.
+        Returns the current limits of a request.
+    conn_limits : ConnLimits
+        Limits of all connections together.
+
+    Attributes
+    ----------
+    holdings : Holdings
+        What is held for the connections.
     """
 
-    def __init__(self, handle: Handler, limits: Callable[[], HttpLimits]) -> None:
+    def __init__(
+        self,
+        handle: Handler,
+        limits: Callable[[], HttpLimits],
+        conn_limits: ConnLimits = DEFAULT_CONN_LIMITS,
+    ) -> None:
         self._handle = handle
         self._limits = limits
+        self.holdings = Holdings(conn_limits)
+        self._lane = ParseLane()
         self._server: asyncio.Server | None = None
         self._tasks = TaskSet()
-        self._idle: set[TcpConn] = set()
+        # In the order in which they became idle.
+        self._idle: dict[TcpConn, None] = {}
         self.is_draining = False
         self.in_flight = 0
+        self._idle_closed = 0
+
+    @property
+    def given_up(self) -> int:
+        """Number of connections given up so far, as too much was held for callers."""
+        return self._idle_closed + self.holdings.given_up.total()
 
     @property
     def connection_count(self) -> int:
@@ -159,14 +194,19 @@
     async def start(self, host: str, port: int) -> int:
         """Start listening; return the port."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: TcpConn(self._accept),
-            host,
-            port,
-            backlog=BACKLOG,
-            reuse_address=True,
-        )
-        return int(self._server.sockets[0].getsockname()[1])
+        sock = socket.socket()
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((host, port))
+            self._server = await loop.create_server(
+                lambda: TcpConn(self._accept), sock=sock, backlog=ACCEPT_BATCH
+            )
+            # The event loop has set the length of the queue to that of a batch.
+            sock.listen(BACKLOG)
+        except BaseException:
+            sock.close()
+            raise
+        return int(sock.getsockname()[1])
 
     def stop_accepting(self) -> None:
         """Stop accepting connections."""
@@ -180,7 +220,7 @@
         """
         for tcp in tuple(self._idle):
             if tcp.has_arrived():
-                self._idle.discard(tcp)
+                self._idle.pop(tcp, None)
             else:
                 tcp.close()
 
@@ -191,11 +231,30 @@
         await self._tasks.join()
 
     def _accept(self, tcp: TcpConn) -> None:
+        if len(self._tasks) >= self.holdings.limits.connections:
+            self._give_up_connection()
         self._tasks.start(self._serve_connection(tcp))
 
+    def _give_up_connection(self) -> None:
+        """Close the connection that was idle for longest, or else give one up."""
+        for tcp in self._idle:
+            if not tcp.has_arrived():
+                self._idle.pop(tcp)
+                self._idle_closed += 1
+                tcp.close()
+                return
+        self.holdings.give_up_one()
+
     async def _serve_connection(self, tcp: TcpConn) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        holding = tcp.holding = self.holdings.add(
+            lambda holding: _give_up(tcp, task, holding)
+        )
+        if tcp.has_unread:
+            holding.receive(tcp.unread_bytes)
         try:
-            await self._serve_requests(tcp)
+            await self._serve_requests(tcp, holding)
         except (OSError, asyncio.CancelledError):
             _reset(tcp)
         except Exception as exc:
@@ -204,17 +263,18 @@
                 "connection of a client failed: {!r:.200}", exc
             )
         finally:
-            self._idle.discard(tcp)
+            self._idle.pop(tcp, None)
+            holding.close()
             tcp.on_lost = None
             tcp.close()
 
-    async def _serve_requests(self, tcp: TcpConn) -> None:
+    async def _serve_requests(self, tcp: TcpConn, holding: Holding) -> None:
         data = b""
         while True:
             if not data:
-                self._idle.add(tcp)
+                self._idle[tcp] = None
                 data = await wait_for_request(tcp, self._limits)
-                self._idle.discard(tcp)
+                self._idle.pop(tcp, None)
             if not data:
                 return
             # The limits may have changed while the connection waited.
@@ -223,13 +283,13 @@
                 h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
             )
             conn.receive_data(data)
-            try:
-                req = await RequestReader(tcp, conn, limits).read()
-            except BadRequest as exc:
-                await _send_error(tcp, conn, exc)
+            req = await self._read_request(tcp, conn, holding, limits)
+            if isinstance(req, BadRequest):
+                await _send_error(tcp, conn, req)
                 return
             if req is None:
                 return
+            holding.set_received(len(req.body) + tcp.unread_bytes)
             has_body = req.head.method != b"HEAD"
             reply = ResponseWriter(tcp, conn, lambda: self.is_draining, has_body)
             await self._run_handler(tcp, req, reply)
@@ -242,6 +302,30 @@
                 # A response that began before the drain carries no "Connection: close".
                 return
             data, _ = conn.trailing_data
+            holding.set_received(len(data) + tcp.unread_bytes)
+
+    async def _read_request(
+        self,
+        tcp: TcpConn,
+        conn: h11.Connection,
+        holding: Holding,
+        limits: HttpLimits,
+    ) -> Request | BadRequest | None:
+        """Return the next request, why there is none, or None if no more is sent.
+
+        Nothing that was read is kept of a request that is rejected.
+        """
+        try:
+            return await RequestReader(tcp, conn, limits, self._lane).read()
+        except BadRequest as exc:
+            return BadRequest(exc.status, str(exc), exc.fields)
+        except asyncio.CancelledError:
+            if not holding.is_given_up:
+                raise
+        task = asyncio.current_task()
+        assert task is not None
+        task.uncancel()
+        return _out_of_memory()
 
     async def _run_handler(
         self, tcp: TcpConn, req: Request, reply: ResponseWriter
@@ -252,6 +336,8 @@
             raise ConnectionResetError("client disconnected before its request ran")
         tcp.on_lost = lambda: _cancel(task)
         self.in_flight += 1
+        assert tcp.holding is not None
+        tcp.holding.phase = Phase.ANSWER
         try:
             await self._handle(req, reply)
         except (Exception, asyncio.CancelledError) as exc:
@@ -263,9 +349,25 @@
             ).error("request failed: {!r:.200}", exc)
         finally:
             self.in_flight -= 1
+            tcp.holding.phase = Phase.REQUEST
+            tcp.holding.set_buffered(0)
             tcp.on_lost = None
 
 
+def _give_up(tcp: TcpConn, task: asyncio.Task[None], holding: Holding) -> None:
+    """End the wait of a connection for its request or its reader."""
+    if holding.phase is Phase.READER:
+        tcp.abort()
+    else:
+        tcp.discard_unread()
+        task.cancel()
+
+
+def _out_of_memory() -> BadRequest:
+    fields = [(b"Retry-After", b"%d" % REFUSED_RETRY_AFTER_S)]
+    return BadRequest(503, "not run: too many requests are being read", fields)
+
+
 def _reset(tcp: TcpConn) -> None:
     """Reset a connection: only that tells the client that a response is incomplete."""
     tcp.on_lost = None
@@ -281,7 +383,11 @@
         text = str(problem).encode("utf-8", "replace")
         reply = ResponseWriter(tcp, conn, lambda: True)
         await reply.send(
-            Response(problem.status, [(b"Content-Type", b"text/plain")], text)
+            Response(
+                problem.status,
+                [(b"Content-Type", b"text/plain"), *problem.fields],
+                text,
+            )
         )
     if tcp.transport.can_write_eof():
         tcp.transport.write_eof()
--- a/src/lagoontide/http1/tcp.py
+++ b/src/lagoontide/http1/tcp.py
@@ -3,14 +3,17 @@
 import asyncio
 import select
 import socket
+import threading
 from collections.abc import Callable
 
+from lagoontide.http1.holdings import Holding, Phase
 from lagoontide.timers import run_timeout
 
 __all__ = ["TcpConn", "connect_tcp"]
 
 # Unread bytes above which reading is paused, so that TCP slows the peer down.
-READ_HIGH_WATER_BYTES = 256 << 10
+READ_HIGH_WATER_BYTES = 64 << 10
+READ_BYTES = 64 << 10
 WRITE_HIGH_WATER_BYTES = 64 << 10
 # A peer that lost power sends neither FIN nor reset; the kernel detects it by
 # keepalive probes and by data that stays unacknowledged.
@@ -20,7 +23,17 @@
 USER_TIMEOUT_MS = 2500
 
 
-class TcpConn(asyncio.Protocol):
+class _ReadBuffer(threading.local):
+    """The buffer into which all connections of a thread are read, one at a time."""
+
+    def __init__(self) -> None:
+        self.view = memoryview(bytearray(READ_BYTES))
+
+
+_read_buffer = _ReadBuffer()
+
+
+class TcpConn(asyncio.BufferedProtocol):
     """A TCP connection that reports its loss immediately.
 
     Attributes
@@ -34,6 +47,8 @@
         Whether the connection ended other than by a clean FIN.
     last_byte_at : float or None
         Loop time at which bytes were last received.
+    holding : Holding or None
+        Accounts for the bytes that are held for the connection.
     """
 
     def __init__(self, on_open: Callable[["TcpConn"], None] | None = None) -> None:
@@ -41,6 +56,7 @@
         self.is_lost = False
         self.was_reset = False
         self.last_byte_at: float | None = None
+        self.holding: Holding | None = None
         self._on_open = on_open
         self._data = bytearray()
         self._read_waiter: asyncio.Future[None] | None = None
@@ -58,6 +74,11 @@
         """Whether received bytes are still unread."""
         return bool(self._data)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of received bytes that are unread."""
+        return len(self._data)
+
     def has_arrived(self) -> bool:
         """Return whether bytes or the peer's FIN wait to be read.
 
@@ -78,12 +99,18 @@
         if self._on_open is not None:
             self._on_open(self)
 
-    def data_received(self, data: bytes) -> None:
-        """See asyncio.Protocol."""
-        self._data += data
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """See asyncio.BufferedProtocol."""
+        return _read_buffer.view
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """See asyncio.BufferedProtocol."""
+        self._data += _read_buffer.view[:nbytes]
         self.last_byte_at = asyncio.get_running_loop().time()
         if len(self._data) > READ_HIGH_WATER_BYTES:
             self.transport.pause_reading()
+        if self.holding is not None:
+            self.holding.receive(nbytes)
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -106,6 +133,8 @@
         if self._write_waiter is not None and not self._write_waiter.done():
             self._write_waiter.set_result(None)
         self._write_waiter = None
+        if self.holding is not None:
+            self.holding.set_unsent(self.transport.get_write_buffer_size())
 
     async def read(self) -> bytes:
         """Return the received bytes; empty once the peer has closed cleanly.
@@ -140,8 +169,25 @@
         if self.transport.is_closing() or self.was_reset:
             raise ConnectionResetError("cannot write: connection closed")
         self.transport.write(data)
+        if self.holding is not None:
+            self.holding.set_unsent(self.transport.get_write_buffer_size())
         if self._write_waiter is not None:
-            await self._write_waiter
+            await self._wait_for_reader(self._write_waiter)
+
+    async def _wait_for_reader(self, waiter: asyncio.Future[None]) -> None:
+        holding = self.holding
+        if holding is None:
+            await waiter
+            return
+        phase, holding.phase = holding.phase, Phase.READER
+        try:
+            await waiter
+        finally:
+            holding.phase = phase
+
+    def discard_unread(self) -> None:
+        """Drop the bytes that were received and not read."""
+        self._data.clear()
 
     def close(self) -> None:
         """Close once all written bytes have been sent."""
--- a/src/lagoontide/platform/settings.py
+++ b/src/lagoontide/platform/settings.py
@@ -16,6 +16,7 @@
 
 SETTINGS_ENV_VAR = "LAGOONTIDE_CONFIG"
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1 << 20
 # Must match ``metrics`` in deploy/system.toml.
 METRICS_PORT = 9464
 
@@ -29,6 +30,8 @@
 class _Limits(msgspec.Struct):
     cpu_share: Positive = 1.0
     cores: Positive = 1.0
+    memory_mb: Positive = 512.0
+    max_fds: Annotated[int, Meta(ge=1, le=1 << 30)] = 4096
 
 
 class _Bounds(msgspec.Struct):
@@ -119,6 +122,8 @@
         store=_parse_address(data.platform.address),
         lease_ttl_min=store.ttl_min_ms / MS_PER_S,
         cpu_share=limits.cpu_share * limits.cores,
+        memory_bytes=limits.memory_mb * BYTES_PER_MB,
+        descriptors=limits.max_fds,
         bounds=Bounds(
             grace_period=bounds.grace_s,
             retry_ratio=bounds.retry_ratio,
--- a/tests/forward/test_handover.py
+++ b/tests/forward/test_handover.py
@@ -43,6 +43,9 @@
         self.is_started = False
         self.size = 0
 
+    def account_for(self, size):
+        pass
+
     async def start(self, head):
         self.is_started = True
 
--- /dev/null
+++ b/tests/http1/test_holdings.py
@@ -0,0 +1,142 @@
+"""Which connections are given up when callers occupy too much."""
+
+import asyncio
+
+import pytest
+
+from lagoontide.http1.holdings import (
+    MIN_CONNECTIONS,
+    MIN_HELD_BYTES,
+    SMALL_BYTES,
+    ConnLimits,
+    Holdings,
+    Phase,
+    make_conn_limits,
+)
+from tests.support.virtual import run_virtual
+
+LIMIT = 1000 * SMALL_BYTES
+LARGE = 300 * SMALL_BYTES
+
+
+class Crowd:
+    """Connections by name, and the names of those that were given up."""
+
+    def __init__(self, limit=LIMIT):
+        self.holdings = Holdings(ConnLimits(limit, 10))
+        self.given_up = []
+
+    def add(self, name, size=0, phase=Phase.REQUEST):
+        holding = self.holdings.add(lambda _: self.given_up.append(name))
+        holding.phase = phase
+        if size:
+            holding.receive(size)
+        return holding
+
+
+def play(scenario):
+    async def main():
+        await scenario(Crowd())
+
+    run_virtual(main())
+
+
+def test_the_oldest_of_equal_connections_is_given_up():
+    async def scenario(crowd):
+        for name in "abc":
+            crowd.add(name, LARGE)
+            await asyncio.sleep(1.0)
+        crowd.add("d", LARGE)
+        assert crowd.given_up == ["a"]
+        assert crowd.holdings.held == 3 * LARGE
+
+    play(scenario)
+
+
+def test_the_largest_of_new_connections_is_given_up():
+    async def scenario(crowd):
+        crowd.add("a", LARGE // 2)
+        crowd.add("b", 2 * LARGE)
+        crowd.add("c", LARGE)
+        assert crowd.given_up == ["b"]
+
+    play(scenario)
+
+
+# Guards against an answer that a target has made and that is thrown away.
+def test_request_that_waits_for_its_answer_is_left_alone():
+    async def scenario(crowd):
+        crowd.add("a", 3 * LARGE, Phase.ANSWER)
+        await asyncio.sleep(10.0)
+        crowd.add("b", LARGE)
+        assert crowd.given_up == ["b"]
+
+    play(scenario)
+
+
+# Guards against ordinary requests that are refused for a few large ones.
+def test_small_request_is_read_while_large_ones_take_all_room():
+    async def scenario(crowd):
+        crowd.add("a", LIMIT, Phase.ANSWER)
+        crowd.add("b", SMALL_BYTES)
+        assert crowd.given_up == []
+        for number in range(300):
+            crowd.add(f"c{number}", SMALL_BYTES)
+        assert crowd.given_up
+        assert crowd.holdings.held <= 1.25 * LIMIT
+
+    play(scenario)
+
+
+# Guards against a refusal of a request within all limits that exceeds the bound alone.
+def test_request_that_is_alone_is_read_whatever_its_size():
+    async def scenario(crowd):
+        holding = crowd.add("a", 2 * LIMIT)
+        crowd.add("idle")
+        assert crowd.given_up == []
+        holding.close()
+        assert crowd.holdings.held == 0
+
+    play(scenario)
+
+
+def test_reader_that_takes_no_bytes_is_given_up_before_one_that_does():
+    async def scenario(crowd):
+        slow, stuck = (
+            crowd.add(name, phase=Phase.READER) for name in ("slow", "stuck")
+        )
+        slow.set_unsent(LARGE)
+        stuck.set_unsent(LARGE)
+        await asyncio.sleep(5.0)
+        slow.set_unsent(LARGE - 1)
+        crowd.add("new", 2 * LARGE)
+        assert crowd.given_up == ["stuck"]
+
+    play(scenario)
+
+
+def test_nothing_is_accounted_for_after_the_end():
+    async def scenario(crowd):
+        holding = crowd.add("a", LARGE)
+        holding.set_buffered(5)
+        holding.give_up()
+        holding.receive(7)
+        holding.set_buffered(7)
+        holding.set_unsent(7)
+        assert (crowd.holdings.held, crowd.given_up) == (0, ["a"])
+        assert not crowd.holdings.give_up_one()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "descriptors", "held_mb", "connections"),
+    [(160, 1638, 22, 862), (552, 8192, 100, 4795), (300, 4100, 50, 2340)],
+)
+def test_limits_follow_the_machine(memory_mb, descriptors, held_mb, connections):
+    limits = make_conn_limits(memory_mb << 20, descriptors)
+    assert (limits.held_bytes >> 20, limits.connections) == (held_mb, connections)
+
+
+def test_a_small_machine_has_room_for_some_requests():
+    assert make_conn_limits(1, 1) == ConnLimits(MIN_HELD_BYTES, MIN_CONNECTIONS)
