Measure the choice of a target with the doubts about targets

Cause: the measurement's state had no endings, so that it failed since streams leave out targets in doubt. Change: it has them; nothing is filtered while no target is in doubt.

--- a/src/lagoontide/bench/choice.py
+++ b/src/lagoontide/bench/choice.py
@@ -14,10 +14,13 @@
 from typing import Any
 
 from lagoontide.forward.selection import candidates
+from lagoontide.routes.records import RouteKind
 from lagoontide.targets.choose import choose_engine_target, choose_lowest_cost
 from lagoontide.targets.directory import Directory
+from lagoontide.targets.endings import Endings
 from lagoontide.targets.health import Health
 from lagoontide.targets.load import Loads
+from lagoontide.targets.pools import Pools
 from lagoontide.targets.rate_limits import RateLimits
 from lagoontide.targets.rate_shares import RateShares
 from lagoontide.targets.records import Target, TargetState
@@ -111,9 +114,14 @@
         if kind == "limited" and place == 0:
             limits.observe(target, LIMIT_PER_S)
     state: Any = SimpleNamespace(
-        directory=directory, health=health, rate_shares=shares, rate_limits=limits
+        directory=directory,
+        health=health,
+        rate_shares=shares,
+        rate_limits=limits,
+        endings=Endings(directory, Pools(lambda name: 1, lambda: 1), clock),
     )
-    call: Any = SimpleNamespace(service="s", has_begun=False, version=None)
+    route = SimpleNamespace(kind=RouteKind.STREAM, may_repeat=True)
+    call: Any = SimpleNamespace(service="s", has_begun=False, version=None, route=route)
 
     def choose() -> object:
         targets = candidates(state, call, ())
--- a/src/lagoontide/forward/selection.py
+++ b/src/lagoontide/forward/selection.py
@@ -29,16 +29,10 @@
     """
     targets = state.directory.ready(call.service)
     if call.has_begun:
-        return [
-            target
-            for target in targets
-            if target.version == call.version and not state.endings.is_in_doubt(target)
-        ]
+        certain = state.endings.certain(targets)
+        return [target for target in certain if target.version == call.version]
     if call.route.kind is RouteKind.STREAM and call.route.may_repeat:
-        certain = [
-            target for target in targets if not state.endings.is_in_doubt(target)
-        ]
-        return certain or targets
+        return state.endings.certain(targets) or targets
     return targets
 
 
--- a/src/lagoontide/targets/endings.py
+++ b/src/lagoontide/targets/endings.py
@@ -1,7 +1,7 @@
 """Detection of targets whose process has ended, or may have."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from loguru import logger
@@ -89,6 +89,12 @@
         del self._doubted_until[target.key]
         return False
 
+    def certain(self, targets: Sequence[Target]) -> Sequence[Target]:
+        """Return those of some targets that are not in doubt."""
+        if not self._doubted_until:
+            return targets
+        return [target for target in targets if not self.is_in_doubt(target)]
+
     def _doubt(self, target: Target, reason: str) -> None:
         self._doubted_until[target.key] = self._clock() + DOUBT_S
         logger.bind(target=target.id, service=target.service).info(
