Test what callers get whose connections are given up

Refusals are 503 with Retry-After and have not run, announced bodies over the limit are refused at the head, the longest idle connection makes room, chunks of one byte are read.

--- /dev/null
+++ b/tests/http1/test_refusals.py
@@ -0,0 +1,160 @@
+"""What callers get whose connections are given up or whose requests are too large."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from lagoontide.http1.client import TargetConn
+from lagoontide.http1.holdings import ConnLimits
+from lagoontide.http1.messages import RequestHead, Response, field_value
+from lagoontide.http1.server import HttpLimits, Listener
+from lagoontide.http1.tcp import connect_tcp
+from lagoontide.platform.standins.ports import HOST
+
+BODY_BYTES = 1 << 20
+HELD_BYTES = 4 * BODY_BYTES
+LIMITS = HttpLimits(max_body_bytes=BODY_BYTES)
+STALLED = b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+
+
+class Server:
+    """A listener that records the paths of the requests that it handles."""
+
+    def __init__(self, conn_limits):
+        self.paths = []
+        self.listener = Listener(self._handle, lambda: LIMITS, conn_limits)
+
+    async def _handle(self, req, reply):
+        self.paths.append(req.head.path)
+        await reply.send(Response(200, [], b"%d" % len(req.body)))
+
+
+@contextlib.asynccontextmanager
+async def running(conn_limits):
+    server = Server(conn_limits)
+    server.port = await server.listener.start(HOST, 0)
+    try:
+        yield server
+    finally:
+        await server.listener.close()
+
+
+async def open_raw(port, data=b""):
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(data)
+    return reader, writer
+
+
+async def ask(port, body=b"x", fields=()):
+    conn = TargetConn(await connect_tcp(HOST, port, 1.0))
+    try:
+        head = RequestHead(b"POST", b"/ordinary", [(b"Host", b"a"), *fields])
+        return await conn.call(head, body)
+    finally:
+        conn.close()
+
+
+# Guards against a refusal that promises nothing, or that is untrue.
+def test_given_up_request_gets_503_with_retry_after_and_does_not_run():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 100)) as server:
+            crowd = []
+            for number in range(8):
+                data = STALLED % (number, BODY_BYTES) + b"x" * (BODY_BYTES - 1)
+                crowd.append(await open_raw(server.port, data))
+            await asyncio.sleep(0.3)
+            assert (await ask(server.port)).status == 200
+            refused = 0
+            for reader, writer in crowd:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(0.1):
+                        head = await reader.readuntil(b"\r\n\r\n")
+                        assert head.startswith(b"HTTP/1.1 503 ")
+                        assert b"Retry-After: 1\r\n" in head
+                        refused += 1
+                writer.close()
+            assert refused >= 4
+            assert server.listener.given_up == refused
+            assert server.paths == [b"/ordinary"]
+
+    asyncio.run(main())
+
+
+# Guards against bytes that are accounted for when nothing is held any more.
+@pytest.mark.parametrize("size", [0, 1, BODY_BYTES])
+def test_nothing_is_held_after_an_answer(size):
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 100)) as server:
+            conn = TargetConn(await connect_tcp(HOST, server.port, 1.0))
+            head = RequestHead(b"POST", b"/a", [(b"Host", b"a")])
+            for _ in range(3):
+                answer = await conn.call(head, b"x" * size)
+                assert answer.body == b"%d" % size
+                assert conn.prepare_reuse()
+                await asyncio.sleep(0.01)
+                assert server.listener.holdings.held == 0
+            conn.close()
+
+    asyncio.run(main())
+
+
+# Guards against a body over the limit that is read before it is refused.
+def test_announced_body_over_the_limit_is_refused_at_the_head():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 100)) as server:
+            for length in (BODY_BYTES + 1, 10**12, 10**17, 10**19, 10**30):
+                data = STALLED % (0, length)
+                reader, writer = await open_raw(server.port, data)
+                async with asyncio.timeout(5.0):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                assert head.split(b" ")[1] in (b"413", b"400")
+                assert length > 10**18 or head.split(b" ")[1] == b"413"
+                writer.close()
+            assert server.paths == []
+
+    asyncio.run(main())
+
+
+# Guards against a caller that cannot connect as others keep idle connections open.
+def test_connection_that_was_idle_for_longest_makes_room():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 4)) as server:
+            idle = []
+            for _ in range(4):
+                idle.append(await open_raw(server.port))
+                await asyncio.sleep(0.02)
+            assert (await ask(server.port)).status == 200
+            async with asyncio.timeout(5.0):
+                assert await idle[0][0].read() == b""
+            assert server.listener.given_up == 1
+            for _, writer in idle:
+                writer.close()
+
+    asyncio.run(main())
+
+
+# Guards against a request that is reset or refused for the way in which it is sent.
+def test_body_in_chunks_of_one_byte_is_read():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 4)) as server:
+            head = b"POST /tiny HTTP/1.1\r\nHost: a\r\n"
+            head += b"Transfer-Encoding: chunked\r\n\r\n"
+            body = b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n"
+            reader, writer = await open_raw(server.port, head + body)
+            answers = [await ask(server.port) for _ in range(3)]
+            assert [answer.status for answer in answers] == [200] * 3
+            assert b" 200 " in await reader.readline()
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_status_of_a_head_that_is_too_large():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 4)) as server:
+            answer = await ask(server.port, fields=[(b"X", b"x" * (40 << 10))])
+            assert answer.status == 431
+            assert field_value(answer.fields, b"connection") == b"close"
+
+    asyncio.run(main())
