--- a/src/lagoontide/logbook/calls.py
+++ b/src/lagoontide/logbook/calls.py
@@ -6,7 +6,7 @@
 
 from lagoontide.logbook.read import Line
 
-__all__ = ["describe_calls"]
+__all__ = ["describe_calls", "is_within"]
 
 MADE = "pieces made"
 S_PER_MS = 1e-3
@@ -56,7 +56,7 @@
     """
     found: defaultdict[tuple[str, str], Calls] = defaultdict(Calls)
     for line in lines:
-        if line.message == MADE and _is_within(line, since, until):
+        if line.message == MADE and is_within(line, since, until):
             service, target = line.fields.get("service"), line.fields.get("target")
             found[str(service), str(target)].add(line)
     yield (
@@ -72,7 +72,8 @@
         )
 
 
-def _is_within(line: Line, since: str, until: str) -> bool:
+def is_within(line: Line, since: str, until: str) -> bool:
+    """Return whether a line is of a span of time; "" is no bound."""
     if isinstance(line.order, float):
         is_after = not since or line.order >= float(since)
         return is_after and (not until or line.order <= float(until))
