--- a/tests/http1/test_refusals.py
+++ b/tests/http1/test_refusals.py
@@ -23,10 +23,13 @@
 
     def __init__(self, conn_limits):
         self.paths = []
+        self.release = asyncio.Event()
         self.listener = Listener(self._handle, lambda: LIMITS, conn_limits)
 
     async def _handle(self, req, reply):
         self.paths.append(req.head.path)
+        if field_value(req.head.fields, b"wait"):
+            await self.release.wait()
         await reply.send(Response(200, [], b"%d" % len(req.body)))
 
 
@@ -134,6 +137,34 @@
     asyncio.run(main())
 
 
+# Guards against descriptors that run out while all connections wait for their answers,
+# which none is given up for.
+def test_connection_beyond_the_limit_is_closed_while_all_others_wait_for_answers():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 4)) as server:
+            waiting = [
+                asyncio.create_task(ask(server.port, fields=[(b"Wait", b"1")]))
+                for _ in range(4)
+            ]
+            async with asyncio.timeout(5.0):
+                while server.listener.in_flight < 4:
+                    await asyncio.sleep(0.01)
+            for _ in range(3):
+                reader, writer = await open_raw(server.port, STALLED % (1, 1))
+                async with asyncio.timeout(5.0):
+                    with contextlib.suppress(ConnectionError):
+                        assert await reader.read() == b""
+                writer.close()
+            assert server.listener.connection_count == 4
+            assert server.listener.given_up == 3
+            server.release.set()
+            answers = await asyncio.gather(*waiting)
+            assert [answer.status for answer in answers] == [200] * 4
+            assert (await ask(server.port)).status == 200
+
+    asyncio.run(main())
+
+
 # Guards against a request that is reset or refused for the way in which it is sent.
 def test_body_in_chunks_of_one_byte_is_read():
     async def main():
