--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -226,6 +227,7 @@
                     process.kill()
         for process in self._processes:
             await process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def configure(self, routes, services, version=4, keys=(KEY,)):
         """Write the configuration, with one tenant."""
