Review: each case reads TROUBLE and names its record itself

Cause: the cases left both to their shared stand-ins, and three scripts that are no cases lay in a folder like a case. Change: as said; the scripts that are no cases lie beside the stand-ins.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """A route is added that has a stage and is no stream."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -15,6 +16,9 @@
     request_bytes,
 )
 
+RECORD = FOLDER / "record.txt"
+# TROUBLE=0: the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 REQUESTS = 5
 PIECES = 3
 EVENTS = 3
@@ -75,7 +79,7 @@
 
 async def run(has_trouble):
     """Run the case; return whether the rule was broken."""
-    async with Case(FOLDER) as case:
+    async with Case(RECORD) as case:
         case.configure([OLD], SERVICES)
         await case.start_replica("i-model", "model", f"chunked:{EVENTS}:0.01:1")
         await case.start_replica("i-plain", "plain", "sized:100")
@@ -101,4 +105,4 @@
         return short > 0
 
 
-main(run)
+main(run, TROUBLE)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 test -d target/deps
-for file in review/standins_2.py review/{6,7,8,9}/case.py review/extra_2/*.py; do
+for file in review/standins_2.py review/{6,7,8,9}/case.py review/{slow,ids,pipelined}_2.py; do
     python3 -S -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
--- a/review/extra_2/ids.py
+++ b/review/ids_2.py
@@ -1,11 +1,12 @@
 """Not a case. A replica's events have increasing ids that are not consecutive."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER))
 
 from standins_2 import (  # noqa: E402
     HOST,
@@ -16,6 +17,9 @@
     request_bytes,
 )
 
+RECORD = FOLDER / "record.txt"
+# TROUBLE=0: the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CALLERS = 8
 # The rule allows three.
 MAX_LOST = 3
@@ -61,7 +65,7 @@
 async def run(has_trouble):
     """Run the case; return whether the rule was broken."""
     step = STEP if has_trouble else 1
-    async with Case(FOLDER) as case:
+    async with Case(RECORD) as case:
         case.configure(ROUTES, {"model": {}, "plain": {}})
         names = ("i-one", "i-two")
         for name in names:
@@ -82,4 +86,4 @@
         return lost > MAX_LOST
 
 
-main(run)
+main(run, TROUBLE)
--- a/review/extra_2/pipelined.py
+++ b/review/pipelined_2.py
@@ -5,12 +5,13 @@
 
 import asyncio
 import contextlib
+import os
 import sys
 import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER))
 
 from standins_2 import (  # noqa: E402
     HOST,
@@ -20,6 +21,9 @@
     request_bytes,
 )
 
+RECORD = FOLDER / "record.txt"
+# TROUBLE=0: the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 300
 REQUESTS = 500
 CALLERS = 12
@@ -69,7 +73,7 @@
 
 async def run(has_trouble):
     """Run the script; return whether the rule was broken."""
-    async with Case(FOLDER) as case:
+    async with Case(RECORD) as case:
         case.configure([ROUTE], {"plain": {}})
         await case.start_replica("i-plain", "plain", "sized:100")
         _, front = await case.start_entry()
@@ -93,4 +97,4 @@
         return late >= MAX_LATE
 
 
-main(run)
+main(run, TROUBLE)
--- a/review/extra_2/slow.py
+++ b/review/slow_2.py
@@ -1,14 +1,18 @@
 """Not a case. Callers read nothing for four seconds after their requests."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER))
 
 from standins_2 import Case, SlowCaller, main  # noqa: E402
 
+RECORD = FOLDER / "record.txt"
+# TROUBLE=0: the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CALLERS = 8
 # The rule allows three.
 MAX_LOST = 3
@@ -29,7 +33,7 @@
 
 async def run(has_trouble):
     """Run the case; return whether the rule was broken."""
-    async with Case(FOLDER) as case:
+    async with Case(RECORD) as case:
         case.configure([ROUTE], {"plain": {}})
         await case.start_replica("i-plain", "plain", "sized:100")
         _, front = await case.start_entry()
@@ -57,4 +61,4 @@
         return lost > MAX_LOST
 
 
-main(run)
+main(run, TROUBLE)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -42,9 +42,9 @@
 class Record:
     """What was sent, answered and run, with seconds since the start of the case."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self._started_at = time.monotonic()
-        self._path = Path(folder) / "record.txt"
+        self._path = path
         self._path.write_text("")
 
     def write(self, text):
@@ -204,10 +204,15 @@
     """A small deployment: the store, entries and replicas, and what was recorded.
 
     Use as an asynchronous context manager; it ends all processes that it started.
+
+    Parameters
+    ----------
+    path : Path
+        File of the record.
     """
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, path):
+        self.record = Record(path)
         self.store = Store()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._processes = []
@@ -605,9 +610,8 @@
     await server.serve_forever()
 
 
-def main(run):
+def main(run, has_trouble):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, else with 2."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         is_broken = asyncio.run(asyncio.wait_for(run(has_trouble), 100))
     except Exception as exc:
