Test crowds whose clients come again, on the smallest machine

tests/crowds let each client send once and stay, on a machine whose descriptors allow 36 connections, and read the resident size only. It had no crowd whose clients come again after each refusal, so that the entry is busy with connections it has refused; none that leaves at once; none at the port for readiness; and nothing that the kernel keeps was counted.

The new ones run in a process of their own: 300 clients against 160 MB and 4,100 descriptors, the smallest machine of the deployments in force. Resident size and received, unread bytes together stay within that memory; an ordinary request is answered beside and after.

--- a/tests/crowds/site.py
+++ b/tests/crowds/site.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import os
+import socket
 import subprocess
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
@@ -25,23 +27,71 @@
 MAX_HEAD_BYTES = 8192
 TIMEOUT_S = 60.0
 POLL_S = 0.05
+SAMPLE_S = 0.02
+# Of a socket that listens: its queue counts connections.
+LISTEN_STATE = "0A"
 (ENTRY_HOST,) = loopback_addresses(1)
 
 
+@dataclass(frozen=True)
+class Machine:
+    """What the settings of an entry say of its machine."""
+
+    memory_mb: int = MEMORY_MB
+    max_fds: int = MAX_FDS
+
+
+TINY = Machine()
+# The smallest machine of an entry in the deployments that are in force.
+SMALLEST = Machine(160, 4100)
+
+
 class Site:
     """The addresses and the process of an entry."""
 
-    def __init__(self, port, process, targets):
+    def __init__(self, port, ready_port, process, targets):
         self.port = port
+        self.ready_port = ready_port
         self.process = process
         self.targets = targets
         self.most_fds = 0
+        self.most_occupied_mb = 0.0
+
+    async def sample(self):
+        """Keep the largest sum of resident and of received, unread bytes."""
+        while self.process.poll() is None:
+            occupied = self.resident_mb() + self.unread_mb()
+            self.most_occupied_mb = max(self.most_occupied_mb, occupied)
+            await asyncio.sleep(SAMPLE_S)
+
+    def unread_mb(self):
+        """Return what the kernel has received for the entry, of callers and targets.
+
+        That is also of connections that the entry has not accepted or closed yet.
+        """
+        host = _hex_host(ENTRY_HOST)
+        callers = {f"{host}:{port:04X}" for port in (self.port, self.ready_port)}
+        hosts = {target.address.partition(":") for target in self.targets}
+        targets = {f"{_hex_host(host)}:{int(port):04X}" for host, _, port in hosts}
+        total = 0
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            _, local, remote, state, queues, *_ = line.split()
+            if state != LISTEN_STATE and (local in callers or remote in targets):
+                total += int(queues.partition(":")[2], 16)
+        return total / (1 << 20)
+
+    def resident_mb(self):
+        return self._memory_mb("VmRSS")
 
     def peak_mb(self):
         """Return the largest resident size that the process has had."""
+        return self._memory_mb("VmHWM")
+
+    def _memory_mb(self, name):
         text = Path(f"/proc/{self.process.pid}/status").read_text()
-        (line,) = (line for line in text.splitlines() if line.startswith("VmHWM"))
-        return int(line.split()[1]) / 1024
+        lines = (line for line in text.splitlines() if line.startswith(name))
+        # A process that has just ended has none.
+        return sum(int(line.split()[1]) / 1024 for line in lines)
 
     def count_fds(self):
         number = len(os.listdir(f"/proc/{self.process.pid}/fd"))
@@ -68,6 +118,10 @@
             await asyncio.sleep(POLL_S)
 
 
+def _hex_host(host):
+    return bytes(reversed(socket.inet_aton(host))).hex().upper()
+
+
 def start_entry(settings):
     with settings.with_suffix(".log").open("wb") as out:
         return subprocess.Popen(
@@ -79,12 +133,18 @@
 
 
 @contextlib.asynccontextmanager
-async def run_site(folder):
-    """Run an entry, a store and targets for the duration of the block."""
+async def run_site(folder, machine=TINY, timeout_ms=2000):
+    """Run an entry, a store and targets for the duration of the block.
+
+    ``timeout_ms`` is that of each route.
+    """
     store = StoreStandin()
     limits = {"max_header_bytes": MAX_HEAD_BYTES, "max_body_bytes": MAX_BODY_BYTES}
     limits |= {"header_timeout_ms": 5000, "idle_timeout_ms": 30000}
-    store.put(CONFIGURATION_KEY, make_configuration(1, limits=limits))
+    value = msgspec.json.decode(make_configuration(1, limits=limits))
+    for route in value["routes"]:
+        route["timeout_ms"] = timeout_ms
+    store.put(CONFIGURATION_KEY, msgspec.json.encode(value))
     endpoint = StoreEndpoint(store)
     targets = [TargetStandin(f"plain-{number}", "plain") for number in range(3)]
     targets += [TargetStandin("eng-0", "engine", events=6)]
@@ -102,13 +162,18 @@
         ports = callers, ready, peers
         write_settings(path, "entry-0", ENTRY_HOST, ports, address, [], 4.0)
         data = msgspec.json.decode(path.read_bytes())
-        data["limits"] |= {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+        data["limits"] |= {
+            "memory_mb": machine.memory_mb,
+            "max_fds": machine.max_fds,
+        }
         path.write_bytes(msgspec.json.encode(data))
         process = start_entry(path)
         try:
-            site = Site(callers, process, targets)
+            site = Site(callers, ready, process, targets)
             await site.wait_until_served("first")
+            sampling = asyncio.create_task(site.sample())
             yield site
+            sampling.cancel()
         finally:
             process.kill()
             process.wait()
