Account for a connection until its socket is closed

Callers saw: beside 300 clients that send bodies far over the limit and come again once refused, an entry of 160 MB took 222 MB resident and 271 MB with received, unread bytes; beside 300 that connect, send and leave 271 MB.

Cause: what an entry holds for a connection was counted from its task's start until it was given up or answered. After that it read on for 0.5 s for a refusal, into buffers of up to 375 KB that no holding counted, beside a parser that was kept; a connection that was flushing its answer counted neither for bytes nor for descriptors. What a connection takes by itself, and what the kernel receives for it, accepted or not, was in no bound at all.

Change: a holding lives from the accept to the close of the socket. A refused connection keeps nothing: what it sends is dropped as it arrives, in turns. While descriptors are short, connections that are closing are ended first. Receive buffers are set to 16 KiB, the queue of new connections and the number of open ones follow from the memory, and each open one takes its part from the bytes that may be held.

--- a/src/lagoontide/http1/holdings.py
+++ b/src/lagoontide/http1/holdings.py
@@ -1,7 +1,8 @@
 """Bounds on what the connections of callers may occupy together.
 
-Callers need not keep to any limit. Each connection accounts for the bytes that are held
-for it; beyond the bound, the connections that hold most for longest are given up.
+Callers need not keep to any limit. Each connection accounts for what it occupies by
+itself and for the bytes that are held for it, from its first byte until its socket is
+closed; beyond the bound, the connections that hold most for longest are given up.
 """
 
 import asyncio
@@ -12,7 +13,13 @@
 
 from loguru import logger
 
-__all__ = ["ConnLimits", "Holding", "Holdings", "Phase", "make_conn_limits"]
+__all__ = [
+    "ConnLimits",
+    "Holding",
+    "Holdings",
+    "Phase",
+    "make_conn_limits",
+]
 
 MB = 1 << 20
 # What an entry needs without callers: code, configuration, targets, peers.
@@ -21,6 +28,17 @@
 # in an answer as long, on its way to the caller, and in a copy that is being made.
 COPIES = 5
 MIN_HELD_BYTES = 8 * MB
+# A connection by itself: its socket, its tasks and the parser of its request.
+CONN_BYTES = 32 << 10
+# The kernel keeps up to twice the size of a receive buffer that was set, and so much of
+# each connection that has not been accepted yet.
+KERNEL_FACTOR = 2
+RECEIVE_BUFFER_BYTES = 16 << 10
+ACCEPT_QUEUE = (64, 1024)
+# Shares of the memory beyond the reserved part: of connections, and of those of them
+# that have not been accepted yet.
+CONNECTIONS_SHARE = 0.5
+ACCEPT_QUEUE_SHARE = 0.15
 # Descriptors for files and the like (DEPLOY, Machines).
 RESERVED_FDS = 200
 # The others are shared with connections to targets, peers and the store.
@@ -43,6 +61,7 @@
     REQUEST = "its request"
     ANSWER = "its answer"
     READER = "its reader"
+    CLOSE = "its close"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,20 +71,50 @@
     Attributes
     ----------
     held_bytes : int
-        Bytes that may be held for all connections together.
+        Bytes that may be held for all connections together, if only a few are open.
     connections : int
         Connections that may be open at once.
+    accept_queue : int
+        Connections that may wait to be accepted.
+    receive_buffer : int
+        Size in bytes of the receive buffer of each socket; 0 for that of the system.
+    bytes_per_connection : int
+        Bytes of ``held_bytes`` that each open connection takes by itself.
     """
 
     held_bytes: int = 64 * MB
     connections: int = 2400
+    accept_queue: int = 1024
+    receive_buffer: int = 0
+    bytes_per_connection: int = 0
+
+    def held_bytes_beside(self, connections: int) -> int:
+        """Return the bytes that may be held for so many open connections."""
+        own = connections * self.bytes_per_connection
+        return max(self.held_bytes - own, min(self.held_bytes, MIN_HELD_BYTES))
 
 
 def make_conn_limits(memory_bytes: float, descriptors: int) -> ConnLimits:
-    """Return the bounds for a process with some memory and descriptors."""
-    held = int((memory_bytes - RESERVED_BYTES) / COPIES)
-    connections = int(CALLERS_FD_SHARE * (descriptors - RESERVED_FDS))
-    return ConnLimits(max(held, MIN_HELD_BYTES), max(connections, MIN_CONNECTIONS))
+    """Return the bounds for a process with some memory and descriptors.
+
+    Its memory has room for what it needs by itself, for receive buffers of connections
+    that are not accepted yet, for the connections, and for copies of what is held.
+    """
+    free = max(memory_bytes - RESERVED_BYTES, 0)
+    by_fds = CALLERS_FD_SHARE * (descriptors - RESERVED_FDS)
+    in_kernel = KERNEL_FACTOR * RECEIVE_BUFFER_BYTES
+    least, most = ACCEPT_QUEUE
+    queue = int(min(max(ACCEPT_QUEUE_SHARE * free / in_kernel, least), most))
+    conn_bytes = CONN_BYTES + in_kernel
+    by_memory = (CONNECTIONS_SHARE * free - queue * in_kernel) / conn_bytes
+    held = int((free - queue * in_kernel) / COPIES)
+    return ConnLimits(
+        max(held, MIN_HELD_BYTES),
+        max(int(min(by_fds, by_memory)), MIN_CONNECTIONS),
+        queue,
+        RECEIVE_BUFFER_BYTES,
+        conn_bytes // COPIES,
+    )
 
 
 class Holding:
@@ -87,7 +136,7 @@
     since : float
         Loop time at which the request began, or the peer last took bytes.
     is_given_up : bool
-        Whether ``give_up`` was called; nothing is accounted for then.
+        Whether ``give_up`` was called in the current phase.
     """
 
     def __init__(self, holdings: "Holdings", give_up: Callable[["Holding"], None]):
@@ -97,6 +146,7 @@
         self.since = 0.0
         self.phase = Phase.REQUEST
         self.is_given_up = False
+        self._is_closed = False
         self._holdings = holdings
         self._give_up = give_up
 
@@ -107,45 +157,54 @@
 
     def receive(self, size: int) -> None:
         """Account for bytes that have been received."""
-        if not self.is_given_up:
-            if not self.received:
-                self.since = asyncio.get_running_loop().time()
-            self.received += size
-            self._holdings.grow(size)
+        if not self.received:
+            self.since = asyncio.get_running_loop().time()
+        self.set_received(self.received + size)
 
     def set_received(self, size: int) -> None:
         """Account for what is left of the received bytes."""
-        if not self.is_given_up:
+        if not self._is_closed:
             change, self.received = size - self.received, size
             self._holdings.grow(change)
 
     def set_buffered(self, size: int) -> None:
         """Account for what is kept of the answer."""
-        if not self.is_given_up:
+        if not self._is_closed:
             change, self.buffered = size - self.buffered, size
             self._holdings.grow(change)
 
     def set_unsent(self, size: int) -> None:
         """Account for bytes that were written and are not sent yet."""
-        if not self.is_given_up:
+        if not self._is_closed:
             change, self.unsent = size - self.unsent, size
             if change < 0:
                 self.since = asyncio.get_running_loop().time()
             self._holdings.grow(change)
 
+    def start_closing(self) -> None:
+        """Enter the phase ``CLOSE``: all that is left is to send an answer."""
+        self.phase = Phase.CLOSE
+        self.is_given_up = False
+        self.since = asyncio.get_running_loop().time()
+        self.set_received(0)
+        self.set_buffered(0)
+
     def give_up(self) -> None:
-        """End what the connection waits for, and account for nothing more."""
-        self.close()
+        """End what the connection waits for, which drops all that is held for it."""
+        self.is_given_up = True
+        self._release()
         self._give_up(self)
 
     def close(self) -> None:
-        """Account for nothing more, as the connection is closed."""
-        if not self.is_given_up:
-            self.set_received(0)
-            self.set_buffered(0)
-            self.set_unsent(0)
-            self.is_given_up = True
-            self._holdings.remove(self)
+        """Account for nothing more, as the socket is closed."""
+        self._release()
+        self._is_closed = True
+        self._holdings.remove(self)
+
+    def _release(self) -> None:
+        self.set_received(0)
+        self.set_buffered(0)
+        self.set_unsent(0)
 
 
 class Holdings:
@@ -166,6 +225,14 @@
         self._holdings: set[Holding] = set()
         self._logged_at = float("-inf")
 
+    def __len__(self) -> int:
+        return len(self._holdings)
+
+    @property
+    def most(self) -> int:
+        """Bytes that may be held for the connections that are open."""
+        return self.limits.held_bytes_beside(len(self._holdings))
+
     def add(self, give_up: Callable[[Holding], None]) -> Holding:
         """Return the holding of a new connection."""
         holding = Holding(self, give_up)
@@ -179,18 +246,21 @@
     def grow(self, change: int) -> None:
         """Account for a change, and give connections up if too much is held then."""
         self.held += change
-        if change > 0 and self.held > self.limits.held_bytes:
+        if change > 0 and self.held > self.most:
             self._make_room()
 
     def give_up_one(self) -> bool:
         """Give up the connection that holds most for longest, if there is one."""
-        for holding in self._ranked(lambda holding: True)[:1]:
-            self._end(holding, "connections")
-            return True
-        return False
+        ranked = self._ranked(lambda holding: True)
+        if not ranked:
+            return False
+        # One that is closing takes up a descriptor for nothing but a refusal.
+        closing = (holding for holding in ranked if holding.phase is Phase.CLOSE)
+        self._end(next(closing, ranked[0]), "connections")
+        return True
 
     def _make_room(self) -> None:
-        limit = self.limits.held_bytes
+        limit = self.most
         if sum(holding.size > 0 for holding in self._holdings) <= 1:
             # A request that is alone is served, whatever its size.
             return
@@ -217,7 +287,9 @@
             (
                 holding
                 for holding in self._holdings
-                if holding.phase is not Phase.ANSWER and is_candidate(holding)
+                if holding.phase is not Phase.ANSWER
+                and not holding.is_given_up
+                and is_candidate(holding)
             ),
             key=lambda holding: holding.size * (now - holding.since + MIN_AGE_S),
             reverse=True,
@@ -232,7 +304,7 @@
             self._logged_at = now
             logger.bind(
                 held=held,
-                most=self.limits.held_bytes,
+                most=self.most,
                 connections=len(self._holdings),
                 given_up=self.given_up.total(),
             ).warning(
--- a/src/lagoontide/http1/request_reader.py
+++ b/src/lagoontide/http1/request_reader.py
@@ -9,12 +9,12 @@
 
 from lagoontide.http1.messages import Fields, RequestHead, field_values
 from lagoontide.http1.tcp import TcpConn
+from lagoontide.http1.turns import Turns
 from lagoontide.timers import run_timeout
 
 __all__ = [
     "BadRequest",
     "HttpLimits",
-    "ParseLane",
     "Request",
     "RequestReader",
     "wait_for_request",
@@ -74,18 +74,6 @@
         self.fields = fields or []
 
 
-class ParseLane:
-    """Shares the processor between requests that take long to parse."""
-
-    def __init__(self) -> None:
-        self._lock = asyncio.Lock()
-
-    async def wait_for_turn(self) -> None:
-        """Wait until the others have had a turn, and all other work one, too."""
-        async with self._lock:
-            await asyncio.sleep(0)
-
-
 async def wait_for_request(tcp: TcpConn, limits: Callable[[], HttpLimits]) -> bytes:
     """Return the first bytes of the next request; empty if the client sends none.
 
@@ -110,12 +98,12 @@
     """Reads one request, whose first bytes ``conn`` has received."""
 
     def __init__(
-        self, tcp: TcpConn, conn: h11.Connection, limits: HttpLimits, lane: ParseLane
+        self, tcp: TcpConn, conn: h11.Connection, limits: HttpLimits, turns: Turns
     ) -> None:
         self._tcp = tcp
         self._conn = conn
         self._limits = limits
-        self._lane = lane
+        self._turns = turns
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
         self._parse_seconds = 0.0
@@ -136,6 +124,7 @@
         return Request(head, body, self._started_at)
 
     async def _read_head(self) -> RequestHead | None:
+        latest = self._loop.time() + self._limits.head_timeout
         while True:
             event = self._next_event()
             match event:
@@ -146,9 +135,8 @@
                     return head
                 case h11.ConnectionClosed():
                     return None
-            wait = self._started_at + self._limits.head_timeout - self._loop.time()
             try:
-                data = await _read_within(self._tcp, wait)
+                data = await _read_within(self._tcp, latest - self._loop.time())
             except TimeoutError:
                 raise BadRequest(408, "the head took too long") from None
             self._receive(data)
@@ -173,7 +161,8 @@
                         data = await _read_within(self._tcp, self._limits.idle_timeout)
                     except TimeoutError:
                         raise BadRequest(408, "the body took too long") from None
-                    await self._wait_for_turn()
+                    if self._parse_seconds > FREE_PARSE_S:
+                        await self._wait_for_turn()
                     resumed_at = self._loop.time()
                     self._receive(data)
             events += 1
@@ -181,13 +170,12 @@
                 continue
             if (seconds := self._loop.time() - resumed_at) > SLICE_S:
                 self._parse_seconds += seconds
-                await self._wait_for_turn()
+                if self._parse_seconds > FREE_PARSE_S:
+                    await self._wait_for_turn()
                 resumed_at = self._loop.time()
 
     async def _wait_for_turn(self) -> None:
-        if self._parse_seconds <= FREE_PARSE_S:
-            return
-        await self._lane.wait_for_turn()
+        await self._turns.wait()
         if self._tcp.is_lost:
             raise ConnectionResetError("client disconnected before its request ran")
 
--- a/src/lagoontide/http1/response_writer.py
+++ b/src/lagoontide/http1/response_writer.py
@@ -9,7 +9,40 @@
 from lagoontide.http1.messages import Fields, Response, ResponseHead
 from lagoontide.http1.tcp import TcpConn
 
-__all__ = ["ResponseWriter"]
+__all__ = ["ResponseWriter", "encode_response"]
+
+
+def encode_response(
+    conn: h11.Connection, response: Response, is_last: bool, has_body: bool = True
+) -> bytes:
+    """Return the bytes of a complete response.
+
+    Parameters
+    ----------
+    is_last : bool
+        Whether the connection closes after this response.
+    has_body : bool
+        Whether the body is sent; false for HEAD requests.
+    """
+    length = (b"Content-Length", b"%d" % len(response.body))
+    events = [
+        _make_head(response.status, [*response.fields, length], is_last),
+        *([h11.Data(data=response.body)] if has_body else []),
+        h11.EndOfMessage(),
+    ]
+    return _encode(conn, *events)
+
+
+def _make_head(
+    status: int, fields: Fields, is_last: bool, reason: bytes = b""
+) -> h11.Response:
+    if is_last:
+        fields = [*fields, (b"Connection", b"close")]
+    return h11.Response(status_code=status, headers=fields, reason=reason)
+
+
+def _encode(conn: h11.Connection, *events: Any) -> bytes:
+    return b"".join(conn.send(event) or b"" for event in events)
 
 
 class ResponseWriter:
@@ -63,11 +96,8 @@
 
     async def send(self, response: Response) -> None:
         """Send a complete response."""
-        length = (b"Content-Length", b"%d" % len(response.body))
         await self._write(
-            self._make_head(response.status, [*response.fields, length]),
-            *([h11.Data(data=response.body)] if self._has_body else []),
-            h11.EndOfMessage(),
+            encode_response(self._conn, response, self._must_close(), self._has_body)
         )
         self.is_complete = True
 
@@ -77,33 +107,25 @@
             framing = (b"Transfer-Encoding", b"chunked")
         else:
             framing = (b"Content-Length", b"%d" % head.length)
-        await self._write(
-            self._make_head(head.status, [*head.fields, framing], head.reason)
-        )
+        fields = [*head.fields, framing]
+        event = _make_head(head.status, fields, self._must_close(), head.reason)
+        await self._write(_encode(self._conn, event))
 
     async def send_data(self, data: bytes) -> None:
         """Send a part of the body."""
         if self._has_body:
-            await self._write(h11.Data(data=data))
+            await self._write(_encode(self._conn, h11.Data(data=data)))
 
     async def finish(self) -> None:
         """End the body."""
-        await self._write(h11.EndOfMessage())
+        await self._write(_encode(self._conn, h11.EndOfMessage()))
         self.is_complete = True
 
     async def write_raw(self, data: bytes) -> None:
         """Send raw bytes that bypass HTTP framing; only simulated targets use this."""
         await self._tcp.write(data)
 
-    def _make_head(
-        self, status: int, fields: Fields, reason: bytes = b""
-    ) -> h11.Response:
-        if self._must_close():
-            fields = [*fields, (b"Connection", b"close")]
-        return h11.Response(status_code=status, headers=fields, reason=reason)
-
-    async def _write(self, *events: Any) -> None:
+    async def _write(self, data: bytes) -> None:
         self.is_started = True
-        data = b"".join(self._conn.send(event) or b"" for event in events)
         if data:
             await self._tcp.write(data)
--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP server with one task per connection."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -12,19 +13,18 @@
 from lagoontide.http1.request_reader import (
     BadRequest,
     HttpLimits,
-    ParseLane,
     Request,
     RequestReader,
     wait_for_request,
 )
-from lagoontide.http1.response_writer import ResponseWriter
+from lagoontide.http1.response_writer import ResponseWriter, encode_response
 from lagoontide.http1.tcp import TcpConn
+from lagoontide.http1.turns import Turns
 from lagoontide.logs import format_traceback
 from lagoontide.tasks import TaskSet
 
 __all__ = ["HttpLimits", "Listener", "Request", "ResponseWriter"]
 
-BACKLOG = 1024
 # Connections are accepted so many at a time, as each takes a descriptor before it is
 # counted.
 ACCEPT_BATCH = 16
@@ -65,11 +65,13 @@
         self._handle = handle
         self._limits = limits
         self.holdings = Holdings(conn_limits)
-        self._lane = ParseLane()
+        self._turns = Turns()
         self._server: asyncio.Server | None = None
         self._tasks = TaskSet()
         # In the order in which they became idle.
         self._idle: dict[TcpConn, None] = {}
+        # The tasks that read a request, which has not run.
+        self._reads: dict[TcpConn, asyncio.Task[None]] = {}
         self.is_draining = False
         self.in_flight = 0
         self._closed = 0
@@ -82,7 +84,7 @@
     @property
     def connection_count(self) -> int:
         """Number of open connections."""
-        return len(self._tasks)
+        return len(self.holdings)
 
     @property
     def busy_connection_count(self) -> int:
@@ -96,11 +98,17 @@
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind((host, port))
+            limits = self.holdings.limits
+            if limits.receive_buffer:
+                # Accepted connections inherit it, also before they are accepted.
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, limits.receive_buffer
+                )
             self._server = await loop.create_server(
                 lambda: TcpConn(self._accept), sock=sock, backlog=ACCEPT_BATCH
             )
             # The event loop has set the length of the queue to that of a batch.
-            sock.listen(BACKLOG)
+            sock.listen(limits.accept_queue)
         except BaseException:
             sock.close()
             raise
@@ -129,12 +137,14 @@
         await self._tasks.join()
 
     def _accept(self, tcp: TcpConn) -> None:
-        is_full = len(self._tasks) >= self.holdings.limits.connections
+        is_full = len(self.holdings) >= self.holdings.limits.connections
         if is_full and not self._give_up_connection():
             self._closed += 1
             tcp.abort()
             return
-        self._tasks.start(self._serve_connection(tcp))
+        holding = tcp.holding = self.holdings.add(lambda _: self._give_up(tcp))
+        tcp.on_closed = holding.close
+        self._tasks.start(self._serve_connection(tcp, holding))
 
     def _give_up_connection(self) -> bool:
         """Close the connection that was idle for longest, or else give one up.
@@ -149,16 +159,21 @@
                 return True
         return self.holdings.give_up_one()
 
-    async def _serve_connection(self, tcp: TcpConn) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        holding = tcp.holding = self.holdings.add(
-            lambda holding: _give_up(tcp, task, holding)
-        )
-        if tcp.has_unread:
-            holding.receive(tcp.unread_bytes)
+    def _give_up(self, tcp: TcpConn) -> None:
+        """End the wait of a connection for its request, its reader or its close."""
+        read = self._reads.get(tcp)
+        if read is None:
+            tcp.abort()
+        else:
+            tcp.discard_received()
+            read.cancel()
+
+    async def _serve_connection(self, tcp: TcpConn, holding: Holding) -> None:
         try:
-            await self._serve_requests(tcp, holding)
+            refusal = await self._serve_requests(tcp, holding)
+            holding.start_closing()
+            if refusal is not None:
+                await self._send_refusal(tcp, refusal)
         except (OSError, asyncio.CancelledError):
             _reset(tcp)
         except Exception as exc:
@@ -168,11 +183,14 @@
             )
         finally:
             self._idle.pop(tcp, None)
-            holding.close()
             tcp.on_lost = None
             tcp.close()
 
-    async def _serve_requests(self, tcp: TcpConn, holding: Holding) -> None:
+    async def _serve_requests(self, tcp: TcpConn, holding: Holding) -> bytes | None:
+        """Serve requests until the connection is to be closed.
+
+        Returns the refusal of the last one, or None if it was answered or none came.
+        """
         data = b""
         while True:
             if not data:
@@ -180,56 +198,63 @@
                 data = await wait_for_request(tcp, self._limits)
                 self._idle.pop(tcp, None)
             if not data:
-                return
+                return None
             # The limits may have changed while the connection waited.
             limits = self._limits()
             conn = h11.Connection(
                 h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
             )
             conn.receive_data(data)
-            req = await self._read_request(tcp, conn, holding, limits)
-            if isinstance(req, BadRequest):
-                await _send_error(tcp, conn, req)
-                return
+            reader = RequestReader(tcp, conn, limits, self._turns)
+            try:
+                req = await self._read_request(tcp, reader)
+            except BadRequest as exc:
+                return _encode_refusal(conn, exc)
             if req is None:
-                return
+                return None
             holding.set_received(len(req.body) + tcp.unread_bytes)
             has_body = req.head.method != b"HEAD"
             reply = ResponseWriter(tcp, conn, lambda: self.is_draining, has_body)
             await self._run_handler(tcp, req, reply)
             if not reply.is_complete:
                 tcp.abort()
-                return
+                return None
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
-                return
+                return None
             if self.is_draining:
                 # A response that began before the drain carries no "Connection: close".
-                return
+                return None
             data, _ = conn.trailing_data
             holding.set_received(len(data) + tcp.unread_bytes)
 
     async def _read_request(
-        self,
-        tcp: TcpConn,
-        conn: h11.Connection,
-        holding: Holding,
-        limits: HttpLimits,
-    ) -> Request | BadRequest | None:
-        """Return the next request, why there is none, or None if no more is sent.
-
-        Nothing that was read is kept of a request that is rejected.
-        """
+        self, tcp: TcpConn, reader: RequestReader
+    ) -> Request | None:
+        """Return the next request, or None if no more is sent; raises BadRequest."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._reads[tcp] = task
         try:
-            return await RequestReader(tcp, conn, limits, self._lane).read()
-        except BadRequest as exc:
-            return BadRequest(exc.status, str(exc), exc.fields)
+            return await reader.read()
         except asyncio.CancelledError:
-            if not holding.is_given_up:
+            if tcp.holding is None or not tcp.holding.is_given_up:
                 raise
-        task = asyncio.current_task()
-        assert task is not None
+        finally:
+            self._reads.pop(tcp, None)
         task.uncancel()
-        return _out_of_memory()
+        raise _out_of_memory()
+
+    async def _send_refusal(self, tcp: TcpConn, refusal: bytes) -> None:
+        """Send a refusal, and drop what arrives until the client has read it."""
+        tcp.discard_received()
+        if refusal:
+            await tcp.write(refusal)
+        if tcp.transport.can_write_eof():
+            tcp.transport.write_eof()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                while await tcp.wait_for_discarded():
+                    await self._turns.wait()
 
     async def _run_handler(
         self, tcp: TcpConn, req: Request, reply: ResponseWriter
@@ -258,15 +283,6 @@
             tcp.on_lost = None
 
 
-def _give_up(tcp: TcpConn, task: asyncio.Task[None], holding: Holding) -> None:
-    """End the wait of a connection for its request or its reader."""
-    if holding.phase is Phase.READER:
-        tcp.abort()
-    else:
-        tcp.discard_unread()
-        task.cancel()
-
-
 def _out_of_memory() -> BadRequest:
     fields = [(b"Retry-After", b"%d" % REFUSED_RETRY_AFTER_S)]
     return BadRequest(503, "not run: too many requests are being read", fields)
@@ -282,22 +298,12 @@
     task.cancel()
 
 
-async def _send_error(tcp: TcpConn, conn: h11.Connection, problem: BadRequest) -> None:
-    if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-        text = str(problem).encode("utf-8", "replace")
-        reply = ResponseWriter(tcp, conn, lambda: True)
-        await reply.send(
-            Response(
-                problem.status,
-                [(b"Content-Type", b"text/plain"), *problem.fields],
-                text,
-            )
-        )
-    if tcp.transport.can_write_eof():
-        tcp.transport.write_eof()
-    try:
-        async with asyncio.timeout(LINGER_S):
-            while await tcp.read():
-                pass
-    except TimeoutError:
-        return
+def _encode_refusal(conn: h11.Connection, problem: BadRequest) -> bytes:
+    """Return the bytes of a last answer; none if the answer has begun already."""
+    if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return b""
+    text = str(problem).encode("utf-8", "replace")
+    response = Response(
+        problem.status, [(b"Content-Type", b"text/plain"), *problem.fields], text
+    )
+    return encode_response(conn, response, is_last=True)
--- a/src/lagoontide/http1/tcp.py
+++ b/src/lagoontide/http1/tcp.py
@@ -49,6 +49,8 @@
         Loop time at which bytes were last received.
     holding : Holding or None
         Accounts for the bytes that are held for the connection.
+    on_closed : callable or None
+        Called once the socket is closed, when nothing is held any more.
     """
 
     def __init__(self, on_open: Callable[["TcpConn"], None] | None = None) -> None:
@@ -57,6 +59,8 @@
         self.was_reset = False
         self.last_byte_at: float | None = None
         self.holding: Holding | None = None
+        self.on_closed: Callable[[], None] | None = None
+        self._is_discarding = False
         self._on_open = on_open
         self._data = bytearray()
         self._read_waiter: asyncio.Future[None] | None = None
@@ -105,6 +109,10 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """See asyncio.BufferedProtocol."""
+        if self._is_discarding:
+            self.transport.pause_reading()
+            self._wake_reader()
+            return
         self._data += _read_buffer.view[:nbytes]
         self.last_byte_at = asyncio.get_running_loop().time()
         if len(self._data) > READ_HIGH_WATER_BYTES:
@@ -123,6 +131,8 @@
         self._mark_lost(was_reset=exc is not None or not self.is_lost)
         if self._write_waiter is not None and not self._write_waiter.done():
             self._write_waiter.set_result(None)
+        if self.on_closed is not None:
+            self.on_closed()
 
     def pause_writing(self) -> None:
         """See asyncio.Protocol."""
@@ -185,9 +195,21 @@
         finally:
             holding.phase = phase
 
-    def discard_unread(self) -> None:
-        """Drop the bytes that were received and not read."""
-        self._data.clear()
+    def discard_received(self) -> None:
+        """Drop what was received and not read, and whatever is received from now on."""
+        self._is_discarding = True
+        self._data = bytearray()
+
+    async def wait_for_discarded(self) -> bool:
+        """Wait until more bytes were dropped; return False once the peer has closed."""
+        if not self.is_lost and not self.transport.is_closing():
+            self.transport.resume_reading()
+            self._read_waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._read_waiter
+            finally:
+                self._read_waiter = None
+        return not self.is_lost
 
     def close(self) -> None:
         """Close once all written bytes have been sent."""
--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -170,3 +170,9 @@
     """Send as much of a body as the connection takes at once, and leave."""
     client.send_some(head(name, "Transfer-Encoding: chunked"))
     client.send_some(LARGE_CHUNK)
+
+
+async def idle_after_answer(client, name):
+    """Send a whole request of the largest size, and keep the connection."""
+    await client.send(head(name, f"Content-Length: {MAX_BODY_BYTES}"))
+    await client.send(b"x" * MAX_BODY_BYTES)
--- a/tests/crowds/test_returning_crowds.py
+++ b/tests/crowds/test_returning_crowds.py
@@ -71,6 +71,7 @@
         "endless_head",
         "waits_for_continue",
         "leaving",
+        "idle_after_answer",
     ],
 )
 def test_returning_crowd_leaves_the_entry_within_its_machine(tmp_path, behaviour):
--- a/tests/http1/test_refusals.py
+++ b/tests/http1/test_refusals.py
@@ -189,3 +189,23 @@
             assert field_value(answer.fields, b"connection") == b"close"
 
     asyncio.run(main())
+
+
+# Guards against a refused client whose further bytes fill the memory unnoticed.
+def test_nothing_is_kept_of_what_a_refused_client_sends():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 100)) as server:
+            data = STALLED % (0, 10**12)
+            reader, writer = await open_raw(server.port, data)
+            async with asyncio.timeout(5.0):
+                await reader.readuntil(b"\r\n\r\n")
+            for _ in range(64):
+                writer.write(b"x" * (16 << 10))
+                await asyncio.sleep(0)
+                assert server.listener.holdings.held == 0
+            writer.close()
+            async with asyncio.timeout(5.0):
+                while server.listener.connection_count:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(main())
