Keep nothing of a request on an idle connection

Cause: the frame that waits for the next request of a connection still referred to the last one, with its body, and a connection to a target to the events that it had sent.

Change: a request is served in a frame of its own; a connection to a target that is ready for reuse drops what it sent.

--- a/src/lagoontide/http1/client.py
+++ b/src/lagoontide/http1/client.py
@@ -202,6 +202,8 @@
         if self.tcp.transport.get_write_buffer_size():
             return False
         self._conn.start_next_cycle()
+        # They hold the body of the request.
+        self._sent_events = []
         self.idle_since = asyncio.get_running_loop().time()
         return True
 
--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import h11
 from loguru import logger
@@ -38,6 +39,19 @@
 DEFAULT_CONN_LIMITS = ConnLimits()
 
 
+@dataclass(frozen=True, slots=True)
+class _Served:
+    """A request was answered, and the connection is kept.
+
+    Attributes
+    ----------
+    rest : bytes
+        What was received after the request.
+    """
+
+    rest: bytes
+
+
 class Listener:
     """Accepts connections and passes their requests to a handler.
 
@@ -199,33 +213,48 @@
                 self._idle.pop(tcp, None)
             if not data:
                 return None
-            # The limits may have changed while the connection waited.
-            limits = self._limits()
-            conn = h11.Connection(
-                h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
-            )
-            conn.receive_data(data)
-            reader = RequestReader(tcp, conn, limits, self._turns)
-            try:
-                req = await self._read_request(tcp, reader)
-            except BadRequest as exc:
-                return _encode_refusal(conn, exc)
-            if req is None:
-                return None
-            holding.set_received(len(req.body) + tcp.unread_bytes)
-            has_body = req.head.method != b"HEAD"
-            reply = ResponseWriter(tcp, conn, lambda: self.is_draining, has_body)
-            await self._run_handler(tcp, req, reply)
-            if not reply.is_complete:
-                tcp.abort()
-                return None
-            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
-                return None
-            if self.is_draining:
-                # A response that began before the drain carries no "Connection: close".
-                return None
-            data, _ = conn.trailing_data
-            holding.set_received(len(data) + tcp.unread_bytes)
+            # Nothing of a request is kept by an idle connection.
+            match await self._serve_request(tcp, holding, data):
+                case _Served(rest):
+                    data = rest
+                    holding.set_received(len(data) + tcp.unread_bytes)
+                case refusal:
+                    return refusal
+
+    async def _serve_request(
+        self, tcp: TcpConn, holding: Holding, data: bytes
+    ) -> _Served | bytes | None:
+        """Serve a request, whose first bytes are given.
+
+        Returns what came after it, the refusal after which the connection is closed, or
+        None if it is closed without one.
+        """
+        # The limits may have changed while the connection waited.
+        limits = self._limits()
+        conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
+        )
+        conn.receive_data(data)
+        reader = RequestReader(tcp, conn, limits, self._turns)
+        try:
+            req = await self._read_request(tcp, reader)
+        except BadRequest as exc:
+            return _encode_refusal(conn, exc)
+        if req is None:
+            return None
+        holding.set_received(len(req.body) + tcp.unread_bytes)
+        has_body = req.head.method != b"HEAD"
+        reply = ResponseWriter(tcp, conn, lambda: self.is_draining, has_body)
+        await self._run_handler(tcp, req, reply)
+        if not reply.is_complete:
+            tcp.abort()
+            return None
+        if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+            return None
+        if self.is_draining:
+            # A response that began before the drain carries no "Connection: close".
+            return None
+        return _Served(conn.trailing_data[0])
 
     async def _read_request(
         self, tcp: TcpConn, reader: RequestReader
--- a/tests/http1/test_refusals.py
+++ b/tests/http1/test_refusals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import pytest
 
@@ -15,6 +16,7 @@
 BODY_BYTES = 1 << 20
 HELD_BYTES = 4 * BODY_BYTES
 LIMITS = HttpLimits(max_body_bytes=BODY_BYTES)
+CONNECTIONS = 10
 STALLED = b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
 
 
@@ -209,3 +211,26 @@
                     await asyncio.sleep(0.01)
 
     asyncio.run(main())
+
+
+# Guards against bodies that stay in memory until the next request of a connection.
+def test_idle_connections_keep_nothing_of_their_last_request():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 100)) as server:
+            head = RequestHead(b"POST", b"/a", [(b"Host", b"a")])
+            conns = []
+            tracemalloc.start()
+            for _ in range(CONNECTIONS):
+                conn = TargetConn(await connect_tcp(HOST, server.port, 1.0))
+                answer = await conn.call(head, bytes(BODY_BYTES))
+                assert answer.body == b"%d" % BODY_BYTES
+                assert conn.prepare_reuse()
+                conns.append(conn)
+            await asyncio.sleep(0.01)
+            # That of the last one may be in use by this test.
+            assert tracemalloc.get_traced_memory()[0] <= 2 * BODY_BYTES
+            tracemalloc.stop()
+            for conn in conns:
+                conn.close()
+
+    asyncio.run(main())
