Give pipelined requests a turn at a time

Callers saw: beside 300 clients with 500 pipelined requests each, ordinary callers waited for seconds, got 503, or nothing for 30 s.

Cause: a request that had arrived before the last one was answered was read and answered without ever waiting for the event loop, if its handler did not. All 500 of a connection ran in one go, and then those of the next.

Change: such a request takes a turn, as parsing that takes long does: one at a time, with all other work of the event loop in between.

--- a/src/lagoontide/http1/request_reader.py
+++ b/src/lagoontide/http1/request_reader.py
@@ -108,8 +108,17 @@
         self._started_at = self._loop.time()
         self._parse_seconds = 0.0
 
-    async def read(self) -> Request | None:
-        """Return the request, or None if the client sends no more."""
+    async def read(self, is_pipelined: bool = False) -> Request | None:
+        """Return the request, or None if the client sends no more.
+
+        Parameters
+        ----------
+        is_pipelined : bool
+            Whether it was sent before the last one was answered. It takes its turn, as
+            such requests are read and answered without any wait for the client.
+        """
+        if is_pipelined:
+            await self._wait_for_turn()
         head = await self._read_head()
         if head is None:
             return None
--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -205,7 +205,7 @@
 
         Returns the refusal of the last one, or None if it was answered or none came.
         """
-        data = b""
+        data, is_pipelined = b"", False
         while True:
             if not data:
                 self._idle[tcp] = None
@@ -214,15 +214,15 @@
             if not data:
                 return None
             # Nothing of a request is kept by an idle connection.
-            match await self._serve_request(tcp, holding, data):
+            match await self._serve_request(tcp, holding, data, is_pipelined):
                 case _Served(rest):
-                    data = rest
+                    data, is_pipelined = rest, bool(rest) or tcp.has_unread
                     holding.set_received(len(data) + tcp.unread_bytes)
                 case refusal:
                     return refusal
 
     async def _serve_request(
-        self, tcp: TcpConn, holding: Holding, data: bytes
+        self, tcp: TcpConn, holding: Holding, data: bytes, is_pipelined: bool
     ) -> _Served | bytes | None:
         """Serve a request, whose first bytes are given.
 
@@ -237,7 +237,7 @@
         conn.receive_data(data)
         reader = RequestReader(tcp, conn, limits, self._turns)
         try:
-            req = await self._read_request(tcp, reader)
+            req = await self._read_request(tcp, reader, is_pipelined)
         except BadRequest as exc:
             return _encode_refusal(conn, exc)
         if req is None:
@@ -257,14 +257,14 @@
         return _Served(conn.trailing_data[0])
 
     async def _read_request(
-        self, tcp: TcpConn, reader: RequestReader
+        self, tcp: TcpConn, reader: RequestReader, is_pipelined: bool
     ) -> Request | None:
         """Return the next request, or None if no more is sent; raises BadRequest."""
         task = asyncio.current_task()
         assert task is not None
         self._reads[tcp] = task
         try:
-            return await reader.read()
+            return await reader.read(is_pipelined)
         except asyncio.CancelledError:
             if tcp.holding is None or not tcp.holding.is_given_up:
                 raise
--- a/tests/http1/test_refusals.py
+++ b/tests/http1/test_refusals.py
@@ -16,7 +16,10 @@
 BODY_BYTES = 1 << 20
 HELD_BYTES = 4 * BODY_BYTES
 LIMITS = HttpLimits(max_body_bytes=BODY_BYTES)
+PIPELINED = b"GET /pipelined HTTP/1.1\r\nHost: a\r\n\r\n"
+PIPELINED_REQUESTS = 500
 CONNECTIONS = 10
+MAX_TURNS = 4
 STALLED = b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
 
 
@@ -193,6 +196,43 @@
     asyncio.run(main())
 
 
+# Guards against callers that wait for all requests of another connection.
+def test_other_callers_are_answered_between_pipelined_requests():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 100)) as server:
+            crowd = [
+                await open_raw(server.port, PIPELINED * PIPELINED_REQUESTS)
+                for _ in range(CONNECTIONS)
+            ]
+            async with asyncio.timeout(5.0):
+                while not server.paths:
+                    await asyncio.sleep(0)
+            before = len(server.paths)
+            assert (await ask(server.port)).status == 200
+            between = server.paths.index(b"/ordinary") - before
+            assert between <= MAX_TURNS * CONNECTIONS
+            for _, writer in crowd:
+                writer.close()
+
+    asyncio.run(main())
+
+
+# Guards against requests of a pipeline that are answered out of order, or not at all.
+def test_all_pipelined_requests_are_answered_in_order():
+    async def main():
+        async with running(ConnLimits(HELD_BYTES, 100)) as server:
+            requests = [STALLED % (n, n) + b"x" * n for n in range(PIPELINED_REQUESTS)]
+            reader, writer = await open_raw(server.port, b"".join(requests))
+            async with asyncio.timeout(20.0):
+                for number in range(PIPELINED_REQUESTS):
+                    await reader.readuntil(b"\r\n\r\n")
+                    body = await reader.readexactly(len(b"%d" % number))
+                    assert body == b"%d" % number
+            writer.close()
+
+    asyncio.run(main())
+
+
 # Guards against a refused client whose further bytes fill the memory unnoticed.
 def test_nothing_is_kept_of_what_a_refused_client_sends():
     async def main():
