Bound what connections at the ports for probes and metrics occupy

Cause: these ports had bounds of their own with the defaults, 64 MB and 2,400 connections, whatever the memory of the machine, on top of those of callers.

Both ports move to gateway/probes.py.

--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -17,11 +17,11 @@
 from lagoontide.gateway.origins import resume_window
 from lagoontide.gateway.peer_sync import PeerSync
 from lagoontide.gateway.platform import Platform
+from lagoontide.gateway.probes import Probes
 from lagoontide.gateway.settings import GatewaySettings
 from lagoontide.gateway.store_view import StoreView
 from lagoontide.http1.holdings import make_conn_limits
-from lagoontide.http1.messages import Response
-from lagoontide.http1.server import HttpLimits, Listener, Request, ResponseWriter
+from lagoontide.http1.server import HttpLimits, Listener
 from lagoontide.mesh.messages import MESSAGES as MESH_MESSAGES
 from lagoontide.mesh.origin_peers import OriginPeers
 from lagoontide.mesh.peers import Mesh
@@ -110,8 +110,9 @@
         )
         bounds = make_conn_limits(cfg.memory_bytes, cfg.descriptors)
         self.callers = Listener(self.forwarder.handle, self._wire_limits, bounds)
-        self._probe_listener = Listener(self._handle_probe, HttpLimits)
-        self._metrics_listener = Listener(self._handle_probe, HttpLimits)
+        self._probes = Probes(
+            platform.ready_path, lambda: self.is_ready, lambda: self.metrics.render()
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -130,9 +131,8 @@
     async def start(self) -> None:
         """Start all HTTP listeners."""
         await self.callers.start(*self.cfg.callers)
-        await self._probe_listener.start(*self.cfg.ready)
-        if self.cfg.metrics_port:
-            await self._start_metrics_listener()
+        metrics = (self.cfg.host, self.cfg.metrics_port)
+        await self._probes.start(self.cfg.ready, metrics)
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the background tasks, to be run until the entry closes."""
@@ -178,8 +178,7 @@
         """Close all listeners and connections."""
         self.dispatcher.close()
         await self.callers.close()
-        await self._probe_listener.close()
-        await self._metrics_listener.close()
+        await self._probes.close()
         self.mesh.close()
         self._mesh_server.close()
         self.state.endings.close()
@@ -382,19 +381,3 @@
         yield lambda: self.mesh.add_addresses(
             entry.address for entry in self.store_view.entries.values()
         )
-
-    async def _start_metrics_listener(self) -> None:
-        try:
-            await self._metrics_listener.start(self.cfg.host, self.cfg.metrics_port)
-        except OSError as exc:
-            logger.error("metrics listener failed to start: {}", exc)
-
-    async def _handle_probe(self, req: Request, reply: ResponseWriter) -> None:
-        if req.head.path == self._platform.ready_path:
-            await reply.send(Response(200 if self.is_ready else 503))
-        elif req.head.path == b"/metrics":
-            fields = [(b"Content-Type", b"text/plain; version=0.0.4")]
-            await reply.send(Response(200, fields, self.metrics.render()))
-        else:
-            logger.info("probe of unknown path {!r}", req.head.path[:80])
-            await reply.send(Response(404))
--- a/src/lagoontide/http1/holdings.py
+++ b/src/lagoontide/http1/holdings.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 __all__ = [
+    "PROBE_CONN_LIMITS",
     "ConnLimits",
     "Holding",
     "Holdings",
@@ -94,6 +95,16 @@
         return max(self.held_bytes - own, min(self.held_bytes, MIN_HELD_BYTES))
 
 
+# Of a port for probes, which come one at a time. What they occupy is part of
+# RESERVED_BYTES.
+PROBE_CONN_LIMITS = ConnLimits(
+    held_bytes=MB // 2,
+    connections=32,
+    accept_queue=32,
+    receive_buffer=RECEIVE_BUFFER_BYTES,
+)
+
+
 def make_conn_limits(memory_bytes: float, descriptors: int) -> ConnLimits:
     """Return the bounds for a process with some memory and descriptors.
 
