--- a/tests/crowds/test_returning_crowds.py
+++ b/tests/crowds/test_returning_crowds.py
@@ -15,6 +15,23 @@
 from tests.crowds.returning import Counts
 from tests.crowds.site import ENTRY_HOST, SMALLEST, run_site
 
+BEHAVIOURS = [
+    "whole_body",
+    "body_by_pieces",
+    "large_chunks",
+    "unfinished_chunk",
+    "tiny_chunks",
+    "chunk_extensions",
+    "announced_over_limit",
+    "sent_over_limit",
+    "one_chunk_over_limit",
+    "unread_answers",
+    "pipelined",
+    "endless_head",
+    "waits_for_continue",
+    "leaving",
+    "idle_after_answer",
+]
 CLIENTS = 300
 SEND_S = 6.0
 # Beside clients with many requests on a connection, each caller waits for a few turns
@@ -54,26 +71,7 @@
 
 
 # Guards against memory that grows with the number of clients that are refused.
-@pytest.mark.parametrize(
-    "behaviour",
-    [
-        "whole_body",
-        "body_by_pieces",
-        "large_chunks",
-        "unfinished_chunk",
-        "tiny_chunks",
-        "chunk_extensions",
-        "announced_over_limit",
-        "sent_over_limit",
-        "one_chunk_over_limit",
-        "unread_answers",
-        "pipelined",
-        "endless_head",
-        "waits_for_continue",
-        "leaving",
-        "idle_after_answer",
-    ],
-)
+@pytest.mark.parametrize("behaviour", BEHAVIOURS)
 def test_returning_crowd_leaves_the_entry_within_its_machine(tmp_path, behaviour):
     asyncio.run(check_crowd(tmp_path, behaviour))
 
