--- a/src/lagoontide/http1/response_writer.py
+++ b/src/lagoontide/http1/response_writer.py
@@ -96,6 +96,7 @@
 
     async def send(self, response: Response) -> None:
         """Send a complete response."""
+        self.is_started = True
         await self._write(
             encode_response(self._conn, response, self._must_close(), self._has_body)
         )
@@ -107,6 +108,7 @@
             framing = (b"Transfer-Encoding", b"chunked")
         else:
             framing = (b"Content-Length", b"%d" % head.length)
+        self.is_started = True
         fields = [*head.fields, framing]
         event = _make_head(head.status, fields, self._must_close(), head.reason)
         await self._write(_encode(self._conn, event))
@@ -126,6 +128,5 @@
         await self._tcp.write(data)
 
     async def _write(self, data: bytes) -> None:
-        self.is_started = True
         if data:
             await self._tcp.write(data)
