Wait at a stop for answers that callers have not taken yet

Cause: a request counted as over once its answer was written, also if up to 64 KiB of it still waited in the process, which then ended. What was unsent was counted at each write only; it stayed in the account of a connection after it was sent.

Change: a stop waits, within the grace period, until nothing is unsent. What is unsent is measured again then, and before a connection is given up for it.

--- a/src/lagoontide/gateway/stop.py
+++ b/src/lagoontide/gateway/stop.py
@@ -36,7 +36,8 @@
     """Drain the gateway; return whether no request was left in flight.
 
     New requests are served while the balancer may still route callers here. Those in
-    flight are then awaited until shortly before the end of the grace period.
+    flight, and answers that callers read slowly, are then awaited until shortly before
+    the end of the grace period.
 
     Parameters
     ----------
@@ -56,7 +57,7 @@
     gateway.callers.close_idle()
     # The store may not answer, so this runs while requests drain, not afterwards.
     deregistration = asyncio.create_task(gateway.registration.unregister())
-    while gateway.callers.busy_connection_count and loop.time() < exit_at:
+    while not gateway.callers.is_quiet and loop.time() < exit_at:
         await asyncio.sleep(POLL_INTERVAL_S)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout_at(exit_at):
--- a/src/lagoontide/http1/holdings.py
+++ b/src/lagoontide/http1/holdings.py
@@ -135,6 +135,8 @@
     ----------
     give_up : callable
         Ends what the connection waits for; never called in phase ``ANSWER``.
+    measure_unsent : callable, optional
+        Returns the bytes that were written and are not sent yet.
 
     Attributes
     ----------
@@ -150,7 +152,12 @@
         Whether ``give_up`` was called in the current phase.
     """
 
-    def __init__(self, holdings: "Holdings", give_up: Callable[["Holding"], None]):
+    def __init__(
+        self,
+        holdings: "Holdings",
+        give_up: Callable[["Holding"], None],
+        measure_unsent: Callable[[], int] | None = None,
+    ) -> None:
         self.received = 0
         self.buffered = 0
         self.unsent = 0
@@ -160,6 +167,7 @@
         self._is_closed = False
         self._holdings = holdings
         self._give_up = give_up
+        self._measure_unsent = measure_unsent
 
     @property
     def size(self) -> int:
@@ -192,6 +200,11 @@
                 self.since = asyncio.get_running_loop().time()
             self._holdings.grow(change)
 
+    def update_unsent(self) -> None:
+        """Account for what was sent meanwhile, which nothing tells of."""
+        if self.unsent and self._measure_unsent is not None:
+            self.set_unsent(self._measure_unsent())
+
     def start_closing(self) -> None:
         """Enter the phase ``CLOSE``: all that is left is to send an answer."""
         self.phase = Phase.CLOSE
@@ -244,9 +257,19 @@
         """Bytes that may be held for the connections that are open."""
         return self.limits.held_bytes_beside(len(self._holdings))
 
-    def add(self, give_up: Callable[[Holding], None]) -> Holding:
-        """Return the holding of a new connection."""
-        holding = Holding(self, give_up)
+    def unsent(self) -> int:
+        """Return the bytes that were written for all connections and are not sent."""
+        for holding in self._holdings:
+            holding.update_unsent()
+        return sum(holding.unsent for holding in self._holdings)
+
+    def add(
+        self,
+        give_up: Callable[[Holding], None],
+        measure_unsent: Callable[[], int] | None = None,
+    ) -> Holding:
+        """Return the holding of a new connection; see ``Holding``."""
+        holding = Holding(self, give_up, measure_unsent)
         self._holdings.add(holding)
         return holding
 
@@ -271,6 +294,8 @@
         return True
 
     def _make_room(self) -> None:
+        for holding in self._holdings:
+            holding.update_unsent()
         limit = self.most
         if sum(holding.size > 0 for holding in self._holdings) <= 1:
             # A request that is alone is served, whatever its size.
--- a/src/lagoontide/http1/server.py
+++ b/src/lagoontide/http1/server.py
@@ -105,6 +105,11 @@
         """Number of connections on which a request is being read or answered."""
         return len(self._tasks) - len(self._idle)
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether all requests that began are answered, and the answers sent."""
+        return not self.busy_connection_count and not self.holdings.unsent()
+
     async def start(self, host: str, port: int) -> int:
         """Start listening; return the port."""
         loop = asyncio.get_running_loop()
@@ -156,7 +161,9 @@
             self._closed += 1
             tcp.abort()
             return
-        holding = tcp.holding = self.holdings.add(lambda _: self._give_up(tcp))
+        holding = tcp.holding = self.holdings.add(
+            lambda _: self._give_up(tcp), tcp.transport.get_write_buffer_size
+        )
         tcp.on_closed = holding.close
         self._tasks.start(self._serve_connection(tcp, holding))
 
--- a/tests/http1/test_server_ends.py
+++ b/tests/http1/test_server_ends.py
@@ -157,3 +157,32 @@
         await listener.close()
 
     asyncio.run(main())
+
+
+# Guards against a stop that breaks off answers which callers read slowly, and against
+# answers that count as held after they were read.
+def test_listener_is_not_quiet_while_an_answer_is_unsent():
+    async def handle(req, reply):
+        await reply.send(Response(200, [], bytes(32 << 10)))
+
+    async def main():
+        listener, port = await start_listener(handle)
+        loop = asyncio.get_running_loop()
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(("127.0.0.1", port))
+            client.setblocking(False)
+            async with asyncio.timeout(10.0):
+                # Until the kernel takes no more. The writer waits only beyond 64 KiB.
+                while not listener.holdings.unsent():
+                    await loop.sock_sendall(client, REQUEST % (b"a", 1))
+                    await asyncio.sleep(0.01)
+                await wait_for(lambda: not listener.busy_connection_count)
+                assert listener.holdings.unsent()
+                assert not listener.is_quiet
+                while not listener.is_quiet:
+                    await loop.sock_recv(client, 1 << 16)
+            assert listener.holdings.held == 0
+        await listener.close()
+
+    asyncio.run(main())
