Give requests of every kind the inputs of their stages

Cause: stages stood in the loop of streams alone: waiting for inputs, their handles, their release, making them again after a 409, for a second attempt or a successor, and their bytes in the choice of a target. The loop of all other requests knew nothing of them, and the forwarder picked one by the kind of the route.

Evidence: the line of such a request has the forecast of its stages in choices and no step "inputs" in timeline, and no line "pieces made" belongs to it. With the route in the first configuration it is the same, so its change is not the cause.

Change: one loop for all kinds (forward/delivery.py), one place for a send with its stall timer and the release of inputs (until_handover). unary.py and stream.py keep what differs: how an answer is delivered, and whether another target can still give it. Bytes in other failure domains cost the same in both ways to choose a target; the last stage is made near the target that the kind would choose; the time of a target counts to its whole answer where that is what callers wait for.

Tests that replace functions of the old loops name the new modules, and a handler that a test puts in takes the inputs too; what they check is unchanged.

--- a/src/lagoontide/forward/event_relay.py
+++ b/src/lagoontide/forward/event_relay.py
@@ -135,7 +135,7 @@
             self._progress.first_event_at = self._loop.time()
             self._call.record_step("first_event")
             taken = self._progress.first_event_at - self._response.sent_at
-            self._inputs.record_first_event_time(taken)
+            self._inputs.record_target_time(taken)
         self._on_content()
         # A caller that reads slowly is no silence of the target.
         self._timer.stop()
--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -214,7 +214,7 @@
     ) -> Outcome:
         if call.route.kind is RouteKind.STREAM:
             return await forward_stream(self._state, call, reply, inputs, self._rng)
-        return await forward_unary(self._state, call, reply, self._rng)
+        return await forward_unary(self._state, call, reply, inputs, self._rng)
 
 
 def _ended(
--- a/src/lagoontide/forward/handover.py
+++ b/src/lagoontide/forward/handover.py
@@ -1,22 +1,30 @@
 """Handover of a request from a silent target to a reserved successor."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from typing import TypeVar
 
 from lagoontide.errors import TargetFailed
+from lagoontide.forward.attempt import record_losses
 from lagoontide.forward.call import Call, ForwardingState
+from lagoontide.forward.inputs import Inputs
 from lagoontide.targets.choose import Choice
+from lagoontide.targets.records import Target
 from lagoontide.timers import RunTimer
 
-__all__ = ["HandedOver", "Reservation", "Retake", "StallTimer", "make_stall_timer"]
+__all__ = ["HandedOver", "Reservation", "Retake", "StallTimer", "until_handover"]
 
 # A request that stays at its silent target looks for a successor again after this.
 RETRY_INTERVAL_S = 0.1
 # Longest pause of a request whose successors refuse it; each refusal takes a unit of
 # the retry budget.
 MAX_PAUSE_S = 1.0
+# A target fetches its inputs before it begins to run a request (PROTOCOL, Stages). They
+# are released after this time, as they occupy memory that other requests wait for.
+INPUT_FETCH_S = 0.12
 
+ResultT = TypeVar("ResultT")
 Reserve = Callable[[], Choice | None]
 
 
@@ -153,27 +161,56 @@
             self._wait.reschedule(self._loop.time())
 
 
-def make_stall_timer(
+async def until_handover(
     state: ForwardingState,
     call: Call,
-    wait: asyncio.Timeout,
+    target: Target,
+    inputs: Inputs,
+    patience: float,
     choose: Callable[[], Choice | None],
-    prepare: Callable[[], bool] = lambda: True,
-) -> StallTimer:
-    """Return the timer of a send.
+    send: Callable[[StallTimer], Awaitable[ResultT]],
+) -> ResultT:
+    """Return the result of one send, unless a successor takes over.
+
+    Records losses of the target, and releases the inputs once it has fetched them.
 
     Parameters
     ----------
+    patience : float
+        Seconds without progress until a successor is looked for.
     choose : callable
         Returns an untried target, or None.
-    prepare : callable
-        Starts to make what a successor needs; returns whether it is ready.
+    send : callable
+        Sends the request; starts the timer anew at each progress.
+
+    Raises
+    ------
+    HandedOver
+        If a successor is reserved while the target is silent.
     """
-    return StallTimer(
+    wait = asyncio.timeout(None)
+    timer = StallTimer(
         wait,
-        lambda: _reserve_successor(state, call, choose, prepare),
+        lambda: _reserve_successor(state, call, choose, inputs.prepare),
         lambda choice: _release_successor(state, call, choice),
     )
+    loop = asyncio.get_running_loop()
+    release_timer = loop.call_later(INPUT_FETCH_S, inputs.release)
+    try:
+        with record_losses(state.health, target):
+            async with wait:
+                if call.can_retry(after=1):
+                    timer.start(patience)
+                try:
+                    return await send(timer)
+                finally:
+                    timer.stop()
+    except TimeoutError:
+        state.health.record_loss(target)
+        raise timer.handed_over(step="wait", peer=target.id) from None
+    finally:
+        timer.close()
+        release_timer.cancel()
 
 
 def _reserve_successor(
--- a/src/lagoontide/forward/inputs.py
+++ b/src/lagoontide/forward/inputs.py
@@ -40,8 +40,14 @@
     def release(self) -> None:
         """Free the results; a target has fetched them."""
 
-    def record_first_event_time(self, seconds: float) -> None:
-        """Record the seconds that a target took until its first event."""
+    def record_target_time(self, seconds: float) -> None:
+        """Record how long a target took until its first event, or its whole answer.
+
+        Parameters
+        ----------
+        seconds : float
+            Since the request was sent to it.
+        """
 
     def close(self) -> None:
         """Cancel the stages in progress and free all results."""
@@ -71,7 +77,7 @@
     def release(self) -> None:
         """See Inputs."""
 
-    def record_first_event_time(self, seconds: float) -> None:
+    def record_target_time(self, seconds: float) -> None:
         """See Inputs."""
 
     def close(self) -> None:
--- a/src/lagoontide/forward/selection.py
+++ b/src/lagoontide/forward/selection.py
@@ -1,15 +1,29 @@
-"""Targets that may get a request within the rate limits that they name."""
+"""Targets that may get a request, the best of them, and turns at limited ones."""
 
 import asyncio
-from collections.abc import Collection, Sequence
+import random
+from collections.abc import Collection, Mapping, Sequence
 
 from lagoontide.forward.call import Call, ForwardingState
 from lagoontide.routes.records import RouteKind
 from lagoontide.routes.urgency import levels_below_highest
-from lagoontide.targets.choose import Choice, usable
+from lagoontide.targets.choose import (
+    Choice,
+    choose_engine_target,
+    choose_lowest_cost,
+    choose_stream_target,
+    usable,
+)
 from lagoontide.targets.records import Target
 
-__all__ = ["candidates", "is_beyond_limits", "ready_targets", "wait_for_turn"]
+__all__ = [
+    "candidates",
+    "choose_target",
+    "is_beyond_limits",
+    "is_decode_heavy",
+    "ready_targets",
+    "wait_for_turn",
+]
 
 # A request waits for its turn at a limited target for at most this share of the time
 # to its objective, or of all the time left to it if that is more, and the less the less
@@ -18,6 +32,10 @@
 TIME_WAIT_SHARE = 0.2
 # A stream that is taken up again has no other targets than those of its version.
 BEGUN_WAIT_SHARE = 0.5
+# A request is decode-heavy, a long stream, if its output tokens exceed this share of
+# its prompt tokens.
+DECODE_HEAVY_SHARE = 0.2
+NO_INPUT_BYTES: Mapping[str, float] = {}
 
 
 def ready_targets(state: ForwardingState, call: Call) -> Sequence[Target]:
@@ -36,6 +54,47 @@
     return targets
 
 
+def choose_target(
+    state: ForwardingState,
+    call: Call,
+    tried: Collection[str],
+    rng: random.Random,
+    inputs: Mapping[str, float] = NO_INPUT_BYTES,
+) -> Choice | None:
+    """Return the best target for a request at present, or None if there is none.
+
+    Parameters
+    ----------
+    tried : collection of str
+        Ids of targets to leave out.
+    inputs : mapping
+        Bytes of stage results that the target has to fetch, by failure domain.
+    """
+    targets = candidates(state, call, tried)
+    is_stream = call.route.kind is RouteKind.STREAM
+    parts = call.metadata.prompt_parts if is_stream else ()
+    if not parts:
+        return choose_lowest_cost(
+            targets, state.loads, state.health, state.failure_domain, rng, inputs
+        )
+    if is_decode_heavy(call):
+        return choose_stream_target(targets, state.streams, state.health)
+    return choose_engine_target(
+        targets,
+        [(part.id, part.tokens) for part in parts],
+        state.loads,
+        state.health,
+        inputs,
+        state.streams,
+    )
+
+
+def is_decode_heavy(call: Call) -> bool:
+    """Return whether a request's output is long in relation to its prompt."""
+    metadata = call.metadata
+    return metadata.output_tokens > DECODE_HEAVY_SHARE * metadata.prompt_tokens
+
+
 def candidates(
     state: ForwardingState, call: Call, tried: Collection[str]
 ) -> list[Target]:
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -1,31 +1,15 @@
 """Forwarding of requests that get a single response, not an event stream."""
 
 import asyncio
-import contextlib
 import random
-from collections.abc import Callable
 
-from loguru import logger
-
-from lagoontide.errors import TargetFailed, TargetUnreachable
-from lagoontide.forward.attempt import (
-    SendOptions,
-    TargetResponse,
-    record_losses,
-    start_attempt,
-)
+from lagoontide.errors import TargetFailed
+from lagoontide.forward.attempt import SendOptions, TargetResponse, start_attempt
 from lagoontide.forward.call import Call, ForwardingState
-from lagoontide.forward.guard import RequestWithheld
-from lagoontide.forward.handover import (
-    HandedOver,
-    Reservation,
-    Retake,
-    StallTimer,
-    make_stall_timer,
-)
+from lagoontide.forward.delivery import Choose, deliver
+from lagoontide.forward.handover import StallTimer, until_handover
+from lagoontide.forward.inputs import Inputs
 from lagoontide.forward.outcome import Answered, Outcome, Relayed
-from lagoontide.forward.retry_after import pick_limited_retry_after
-from lagoontide.forward.selection import candidates, wait_for_turn
 from lagoontide.http1.messages import (
     Response,
     ResponseHead,
@@ -33,20 +17,17 @@
     is_success,
 )
 from lagoontide.http1.server import ResponseWriter
-from lagoontide.targets.choose import Choice, choose_lowest_cost
+from lagoontide.targets.choose import Choice
 from lagoontide.targets.records import Target
 from lagoontide.timers import Stopwatch
 
 __all__ = [
     "MAX_ERROR_BODY_BYTES",
-    "describe_choice",
     "forward_unary",
     "is_server_error",
     "read_response",
 ]
 
-# A refusal after this many sends in total ends the request.
-MAX_SENDS_ON_REFUSAL = 3
 # Longer responses are relayed as they arrive, after which no retry is possible.
 MAX_BUFFERED_BYTES = 1 << 20
 # Error responses are short, and passed on completely or not at all.
@@ -66,195 +47,117 @@
     return status >= MIN_SERVER_ERROR_STATUS
 
 
-def describe_choice(state: ForwardingState, choice: Choice, targets: int) -> str:
-    """Return the chosen target and the values behind the choice, for the log.
-
-    Parameters
-    ----------
-    targets : int
-        Number of targets of the service that accept work.
-    """
-    target = choice.target
-    record = state.health.record_of(target)
-    limit = state.rate_limits.describe(target)
-    return (
-        f"{target.id} of {targets}: {choice.reason}, cost {choice.cost:.3g}, "
-        f"load {state.loads.total_of(target):.3g}, mean {record.mean_seconds:.3f} s, "
-        f"failures {record.failure_rate:.2f}, revision {target.revision}"
-        f"{limit and f', {limit}'}"
-    )
-
-
 async def forward_unary(
-    state: ForwardingState, call: Call, reply: ResponseWriter, rng: random.Random
-) -> Outcome:
-    """Forward a request, and retry on other targets where that is allowed."""
-    with contextlib.closing(Reservation(state, call)) as reservation:
-        return await _forward(state, call, reply, rng, reservation)
-
-
-async def _forward(
     state: ForwardingState,
     call: Call,
     reply: ResponseWriter,
+    inputs: Inputs,
     rng: random.Random,
-    reservation: Reservation,
 ) -> Outcome:
-    tried: set[str] = set()
-    failure: Answered | None = None
-    reason = "no target"
-    withheld: RequestWithheld | None = None
-    successor: Choice | None = None
-    retake: Retake | None = None
+    """Forward a request, and retry on other targets where that is allowed."""
+    delivery = _UnaryDelivery(state, call, reply, inputs)
+    return await deliver(state, call, inputs, delivery, rng)
 
-    def choose() -> Choice | None:
-        return choose_lowest_cost(
-            candidates(state, call, tried),
-            state.loads,
-            state.health,
-            state.failure_domain,
-            rng,
-        )
 
-    while True:
-        is_retry = call.send_tracker.sends > 0
-        choice, successor = successor, None
-        if choice is None:
-            choice = choose()
-            if choice is None and not is_retry:
-                choice = await wait_for_turn(state, call, tried)
-                if choice is not None:
-                    reservation.hold(choice)
-            if choice is None or (is_retry and not state.budget.take(call.service)):
-                if retake is None:
-                    break
-                await retake.pause()
-                tried.clear()
-                continue
-        target = choice.target
-        tried.add(target.id)
-        ready = len(state.directory.ready(call.service))
-        call.choices.append(describe_choice(state, choice, ready))
-        options = SendOptions(has_turn=choice.has_turn)
-        log = logger.bind(request=call.metadata.request_id, target=target.id)
-        try:
-            async with state.guard.watch(call, target) as run:
-                answer = await _try_target(state, call, target, options, reply, choose)
-                run.is_complete = _is_complete_success(answer)
-        except RequestWithheld as exc:
-            reason, withheld = str(exc), exc
-            break
-        except TargetUnreachable as exc:
-            reason = str(exc)
-            log.info("request did not run at the target: {}", exc)
-            if call.send_tracker.sends >= MAX_SENDS_ON_REFUSAL:
-                if retake is None:
-                    break
-                await retake.pause()
-            continue
-        except TargetFailed as exc:
-            reason = str(exc)
-            log.warning("request may have run at the target: {}", exc)
-            call.attempts += 1
-            if reply.is_started:
-                return Relayed(is_complete=False, reason=reason)
-            if isinstance(exc, HandedOver):
-                successor, retake = exc.successor, Retake()
-                reservation.hold(successor, is_successor=True)
-            else:
-                retake = None
-        else:
-            if isinstance(answer, Relayed) or not is_server_error(
-                answer.response.status
-            ):
-                return answer
-            failure = answer
-            reason = f"status {answer.response.status}"
-            call.attempts += 1
-            log.info("target responded with status {}", answer.response.status)
-        if not call.can_retry():
-            break
-    if withheld is not None:
-        after = withheld.retry_after
-    else:
-        after = pick_limited_retry_after(state, call, rng)
-    return failure or call.send_tracker.failure_outcome(reason, after)
+class _UnaryDelivery:
+    """Delivers a single response; see lagoontide.forward.delivery.Delivery."""
 
+    max_refused_sends = 3
 
-def _is_complete_success(answer: Answered | Relayed) -> bool:
-    match answer:
-        case Answered(response):
-            return is_success(response.status)
-        case Relayed(is_complete):
-            return is_complete
+    def __init__(
+        self, state: ForwardingState, call: Call, reply: ResponseWriter, inputs: Inputs
+    ) -> None:
+        self._state = state
+        self._call = call
+        self._reply = reply
+        self._inputs = inputs
+        self._error: Answered | None = None
 
+    @property
+    def can_move(self) -> bool:
+        """See Delivery."""
+        return not self._reply.is_started
 
-async def _try_target(
-    state: ForwardingState,
-    call: Call,
-    target: Target,
-    options: SendOptions,
-    reply: ResponseWriter,
-    choose: Callable[[], Choice | None],
-) -> Answered | Relayed:
-    """Send the request to one target, and record its load and health."""
-    watch = Stopwatch(state.run_clock)
-    state.loads.begin(target)
-    try:
-        with record_losses(state.health, target):
-            answer = await _send_until_handover(
-                state, call, target, options, reply, choose
-            )
-    finally:
-        state.loads.end(target)
-    status = answer.response.status if isinstance(answer, Answered) else 0
-    if status == UNAVAILABLE_STATUS and state.rate_limits.pauses.left(target):
-        # A penalty would outlast the pause.
-        return answer
-    failed = is_server_error(status)
-    state.health.record_response(target, watch.seconds(), failed)
-    return answer
+    def make_options(self, inputs: tuple[str, ...], has_turn: bool) -> SendOptions:
+        """See Delivery."""
+        return SendOptions(inputs=inputs, has_turn=has_turn)
 
+    async def send(
+        self, target: Target, options: SendOptions, choose: Choose
+    ) -> Outcome:
+        """See Delivery; records the target's load and health."""
+        state = self._state
 
-async def _send_until_handover(
-    state: ForwardingState,
-    call: Call,
-    target: Target,
-    options: SendOptions,
-    reply: ResponseWriter,
-    choose: Callable[[], Choice | None],
-) -> Answered | Relayed:
-    def choose_successor() -> Choice | None:
-        return None if reply.is_started else choose()
+        def choose_successor() -> Choice | None:
+            return choose() if self.can_move else None
 
-    wait = asyncio.timeout(None)
-    timer = make_stall_timer(state, call, wait, choose_successor)
-    try:
-        async with wait:
-            if call.can_retry(after=1):
-                timer.start(_attempt_timeout(state, call))
+        async def send(timer: StallTimer) -> Answered | Relayed:
+            response = await start_attempt(state, self._call, target, options)
             try:
-                response = await start_attempt(state, call, target, options)
-                try:
-                    return await read_response(response, reply, timer)
-                finally:
-                    response.close()
+                if is_success(response.head.status):
+                    self._inputs.release()
+                outcome = await read_response(response, self._reply, timer)
             finally:
-                timer.stop()
-    except TimeoutError:
-        raise timer.handed_over(step="wait", peer=target.id) from None
-    finally:
-        timer.close()
-
+                response.close()
+            self._record_time(response, outcome)
+            return outcome
 
-def _attempt_timeout(state: ForwardingState, call: Call) -> float:
-    """Return the seconds without a whole response until a successor is looked for."""
-    peers = state.directory.ready(call.service)
-    typical = state.health.median_time(peers, call.route.objective)
-    return max(
-        ATTEMPT_TIMEOUT_FACTOR * typical,
-        MIN_ATTEMPT_TIMEOUT_SHARE * call.route.objective,
-    )
+        watch = Stopwatch(state.run_clock)
+        state.loads.begin(target)
+        try:
+            outcome = await until_handover(
+                state,
+                self._call,
+                target,
+                self._inputs,
+                self._patience(),
+                choose_successor,
+                send,
+            )
+        finally:
+            state.loads.end(target)
+        status = outcome.response.status if isinstance(outcome, Answered) else 0
+        if status == UNAVAILABLE_STATUS and state.rate_limits.pauses.left(target):
+            # A penalty would outlast the pause.
+            return outcome
+        failed = is_server_error(status)
+        state.health.record_response(target, watch.seconds(), failed)
+        return outcome
+
+    def describe_failure(self) -> str:
+        """See Delivery."""
+        return "request may have run at the target"
+
+    def failure_of(self, outcome: Outcome) -> str:
+        """See Delivery."""
+        match outcome:
+            case Answered(response) if is_server_error(response.status):
+                self._error = outcome
+                return f"status {response.status}"
+        return ""
+
+    def partial_outcome(self, reason: str) -> Outcome | None:
+        """See Delivery."""
+        if self._reply.is_started:
+            return Relayed(is_complete=False, reason=reason)
+        return self._error
+
+    def _record_time(
+        self, response: TargetResponse, outcome: Answered | Relayed
+    ) -> None:
+        """Record how long the target took, unless its caller may have delayed it."""
+        if isinstance(outcome, Answered) and is_success(outcome.response.status):
+            now = asyncio.get_running_loop().time()
+            self._inputs.record_target_time(now - response.sent_at)
+
+    def _patience(self) -> float:
+        """Return the seconds without a whole response until a successor is sought."""
+        state, objective = self._state, self._call.route.objective
+        peers = state.directory.ready(self._call.service)
+        typical = state.health.median_time(peers, objective)
+        return max(
+            ATTEMPT_TIMEOUT_FACTOR * typical, MIN_ATTEMPT_TIMEOUT_SHARE * objective
+        )
 
 
 async def read_response(
--- a/src/lagoontide/gateway/gateway.py
+++ b/src/lagoontide/gateway/gateway.py
@@ -12,7 +12,7 @@
 from lagoontide.forward.forwarder import Forwarder
 from lagoontide.forward.guard import Guard
 from lagoontide.forward.retries import RetryBudget
-from lagoontide.forward.stream import choose_engine
+from lagoontide.forward.selection import choose_target
 from lagoontide.gateway.metrics import GatewayMetrics
 from lagoontide.gateway.origins import resume_window
 from lagoontide.gateway.peer_sync import PeerSync
@@ -347,7 +347,7 @@
 
     def _make_stage_inputs(self, call: Call) -> StageInputs:
         def target_domain() -> str:
-            choice = choose_engine(self.state, call, set(), self._rng)
+            choice = choose_target(self.state, call, set(), self._rng)
             return choice.target.failure_domain if choice else ""
 
         return StageInputs(
--- a/src/lagoontide/pieces/calibration.py
+++ b/src/lagoontide/pieces/calibration.py
@@ -5,7 +5,7 @@
 
 __all__ = ["Calibration"]
 
-# Time of a target to its first event, before any observation.
+# Time of a target to its first event or whole answer, before any observation.
 DEFAULT_TARGET_TIME_S = 0.15
 # Time constant of the means. Once this long has passed without an observation, the
 # deviation from the default halves in each further period: service has to be back to
@@ -40,14 +40,14 @@
         return self._factor.value(self._clock())
 
     def target_time(self, route: str) -> float:
-        """Return the expected seconds of a route's targets to the first event."""
+        """Return the expected seconds that a route's targets take."""
         estimate = self._target_times.get(route)
         return (
             DEFAULT_TARGET_TIME_S if estimate is None else estimate.value(self._clock())
         )
 
     def observe_target_time(self, route: str, seconds: float) -> None:
-        """Record the seconds that a target took to its first event."""
+        """Record the seconds that a target took to its first event or whole answer."""
         now = self._clock()
         estimate = self._target_times.setdefault(
             route, DecayingMean(DEFAULT_TARGET_TIME_S, now)
--- a/src/lagoontide/pieces/inputs.py
+++ b/src/lagoontide/pieces/inputs.py
@@ -149,7 +149,7 @@
         for index in tuple(self._tasks):
             self._discard(index)
 
-    def record_first_event_time(self, seconds: float) -> None:
+    def record_target_time(self, seconds: float) -> None:
         """See Inputs."""
         self._calibration.observe_target_time(self._call.route.name, seconds)
 
--- a/src/lagoontide/targets/choose.py
+++ b/src/lagoontide/targets/choose.py
@@ -54,6 +54,7 @@
 TOKENS_PER_STREAM = 1800.0
 # A hash may round to 1.0; its logarithm is 0, and the score divides by it.
 LARGEST_BELOW_ONE = 1.0 - 2.0**-53
+NO_INPUTS: Mapping[str, float] = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,10 +95,18 @@
     health: Health,
     failure_domain: str,
     rng: random.Random,
+    inputs: Mapping[str, float] = NO_INPUTS,
 ) -> Choice | None:
     """Return the target with the lowest cost, or None if there is no target.
 
-    The cost grows with the load per slot, the health penalty and the distance.
+    The cost grows with the load per slot, the health penalty, the distance and the
+    inputs that are far from the target.
+
+    Parameters
+    ----------
+    inputs : mapping
+        Bytes that the target has to fetch first, by the failure domain that holds
+        them.
     """
     if not targets:
         return None
@@ -106,6 +115,8 @@
 
     def cost(target: Target) -> float:
         waiting = 1.0 + loads.total_of(target) / max(1, target.slots)
+        fetched_tokens = CHARGED_TOKEN_WEIGHT * _transfer_tokens(inputs, target)
+        waiting += fetched_tokens / FIXED_COST_TOKENS
         far = 1.0 if target.failure_domain == failure_domain else CROSS_DOMAIN_FACTOR
         penalty = penalties[target.id]
         return waiting * far * (penalty if penalty >= MIN_PENALTY else 1.0)
@@ -164,6 +175,12 @@
     return Choice(least, streams.total_of(least), "fewest streams per slot")
 
 
+def _transfer_tokens(inputs: Mapping[str, float], target: Target) -> float:
+    """Return the cost, in tokens, of the inputs from other failure domains."""
+    far = sum(inputs.values()) - inputs.get(target.failure_domain, 0.0)
+    return far * TOKENS_PER_CROSS_DOMAIN_BYTE
+
+
 def choose_engine_target(
     targets: Sequence[Target],
     parts: Sequence[tuple[str, int]],
@@ -200,7 +217,6 @@
     # The first of several shared parts is shared by many requests and so cached at
     # all targets; longer shared parts are cached at their home only.
     common_tokens = shared[0][1] if len(shared) > 1 else 0
-    input_bytes = sum(inputs.values())
     penalties = health.penalties(targets)
 
     shared_tokens = sum(tokens for _, tokens in shared)
@@ -208,8 +224,7 @@
     def cost(target: Target) -> float:
         kept = shared_tokens if target is home else common_tokens
         prefill_tokens = total - kept + loads.total_of(target) * TOKENS_PER_LOAD_UNIT
-        far = input_bytes - inputs.get(target.failure_domain, 0.0)
-        charged_tokens = shared_tokens - kept + far * TOKENS_PER_CROSS_DOMAIN_BYTE
+        charged_tokens = shared_tokens - kept + _transfer_tokens(inputs, target)
         stream_delay = streams.total_of(target) * TOKENS_PER_STREAM
         work = (
             prefill_tokens
--- a/tests/forward/test_event_relay.py
+++ b/tests/forward/test_event_relay.py
@@ -51,7 +51,7 @@
         call = SimpleNamespace(
             record_step=ignore, can_retry=lambda after: False, has_begun=False
         )
-        inputs = SimpleNamespace(record_first_event_time=ignore, release=lambda: None)
+        inputs = SimpleNamespace(record_target_time=ignore, release=lambda: None)
         timer = SimpleNamespace(stop=lambda: None, start=ignore)
         reply, progress = Reply(), Progress(last_event_id)
         events = EventRelay(
--- a/tests/gateway/test_early_ends.py
+++ b/tests/gateway/test_early_ends.py
@@ -80,7 +80,7 @@
 def test_unexpected_exception_before_the_answer_is_a_visible_failure(
     monkeypatch, has_sent, status
 ):
-    async def fail(state, call, reply, rng):
+    async def fail(state, call, reply, inputs, rng):
         if has_sent:
             call.send_tracker.register_send()
         raise KeyError("gone")
@@ -103,7 +103,7 @@
 # Guards against an answer that an unexpected exception cuts and that looks complete.
 @pytest.mark.parametrize("length", [None, 10])
 def test_unexpected_exception_within_the_answer_resets_it(monkeypatch, length):
-    async def fail(state, call, reply, rng):
+    async def fail(state, call, reply, inputs, rng):
         await reply.start(ResponseHead(200, [], length=length))
         await reply.send_data(b"part")
         await asyncio.sleep(0.05)
@@ -122,7 +122,7 @@
 # Guards against a request that is dropped like one whose caller has left, as a task on
 # which it waits was cancelled.
 def test_cancelled_inner_task_is_an_internal_error(monkeypatch):
-    async def fail(state, call, reply, rng):
+    async def fail(state, call, reply, inputs, rng):
         inner = asyncio.ensure_future(asyncio.sleep(3600))
         asyncio.get_running_loop().call_soon(inner.cancel)
         await inner
@@ -137,7 +137,7 @@
 
 # Guards against a timeout of some inner step that is reported as the request's own.
 def test_timeout_of_an_inner_step_is_an_internal_error(monkeypatch):
-    async def fail(state, call, reply, rng):
+    async def fail(state, call, reply, inputs, rng):
         call.send_tracker.register_send()
         raise TimeoutError
 
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from lagoontide.forward import forwarder, unary as unary_module
+from lagoontide.forward import (
+    delivery as delivery_module,
+    forwarder,
+    selection as selection_module,
+    unary as unary_module,
+)
 from lagoontide.forward.inputs import NoInputs
 from lagoontide.http1.server import ResponseWriter
 from lagoontide.platform.standins.deployment import send, start_deployment
@@ -235,8 +240,8 @@
         await asyncio.Event().wait()
 
     async def scenario(small):
-        monkeypatch.setattr(unary_module, "candidates", lambda *args: [])
-        monkeypatch.setattr(unary_module, "wait_for_turn", wait_for_turn)
+        monkeypatch.setattr(selection_module, "candidates", lambda *args: [])
+        monkeypatch.setattr(delivery_module, "wait_for_turn", wait_for_turn)
         monkeypatch.setattr(unary_module, "start_attempt", hang)
         monkeypatch.setattr(
             RateShares, "refund", lambda shares, target: refunded.append(target.id)
