Reject requests whose pieces don't match the stages of their route

Cause: a number of pieces that a request lacks for a stage counted as 0, and surplus numbers were ignored. Beside a change of the configuration the target of such a request was given only some of its inputs (MIXED). Found by reading; the tests show it.

Change: such a request gets 503 with Retry-After; it has not run. One that names no pieces, or whose route has no stages, runs as before.

--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -133,6 +133,16 @@
         """Seconds until the final response is due."""
         return self.deadline - asyncio.get_running_loop().time()
 
+    @property
+    def matches_stages(self) -> bool:
+        """Whether the request names a number of pieces for each stage of its route.
+
+        A caller that knows another version of the configuration may name more or fewer,
+        and its target would be given only some inputs. No number at all stands for 0.
+        """
+        counts, stages = self.metadata.piece_counts, self.route.stages
+        return not stages or len(counts) == len(stages) or not any(counts)
+
     def can_retry(self, after: int = 0) -> bool:
         """Return whether another target may be tried.
 
--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -180,6 +180,12 @@
         self._state.budget.record_request(call.service)
         if refusal is not None:
             return refusal
+        if not call.matches_stages:
+            return NotRun(
+                f"the request has pieces of {len(call.metadata.piece_counts)} stages, "
+                f"its route {len(call.route.stages)} stages",
+                pick_retry_after(self._rng),
+            )
         if is_beyond_limits(self._state, call):
             after = pick_limited_retry_after(self._state, call, self._rng)
             return NotRun("all targets at their rate limits or pausing", after)
--- a/tests/gateway/test_staged_kinds.py
+++ b/tests/gateway/test_staged_kinds.py
@@ -219,6 +219,41 @@
     run(scenario, kind)
 
 
+# Guards against requests that run with only some of their inputs, as their caller and
+# this entry know different versions of the configuration (MIXED).
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("counts", [b"2", b"2,3,1"])
+def test_request_does_not_run_with_pieces_of_other_stages_than_those_of_its_route(
+    kind, counts
+):
+    async def scenario(small):
+        extra = [(b"X-Lagoontide-Pieces", counts), FIELDS[1]]
+        answer = await send(small.ports[0], "/new/a", "r1", extra=extra)
+        assert answer.status == 503
+        assert field_value(answer.fields, b"retry-after")
+        assert not runs_of(small, kind)
+        assert not any(target.calls for target in small.targets_of("stage"))
+
+    run(scenario, kind)
+
+
+# Guards against requests that are refused for naming pieces while their route has no
+# stages, or that run without inputs once it has.
+@pytest.mark.parametrize("kind", KINDS)
+def test_request_with_pieces_runs_without_inputs_until_its_route_has_stages(kind):
+    async def scenario(small):
+        answer = await send(small.ports[0], "/new/a", "r1", extra=FIELDS)
+        assert answer.status == 200
+        await configure(small, 3, make_routes(kind))
+        answer = await send(small.ports[0], "/new/a", "r2", extra=FIELDS)
+        assert answer.status == 200
+        first, second = runs_of(small, kind)
+        assert first.inputs == ()
+        assert inputs_of(small, second) == whole_inputs("r2")
+
+    run(scenario, kind, stages=[])
+
+
 async def end_by_refusal(small, kind):
     for target in targets_of(small, kind):
         target.fault, target.faults_left = TargetFault.FULL, 100
