Check that the stages of a route are an acyclic graph

Cause: the indexes in a stage's "after" were taken as they are. One out of range, or stages that need each other, made each request of the route end in an internal error; -1 meant the last stage; one that is named twice gave its results twice to each piece (MIXED). Found by reading: the store accepts valid versions only, so that callers have not seen it.

Change: such a version is malformed like one with an unknown kind of route, and the one before stays in force; the error names the route. A stage that is named twice gives its results once.

Measured: 5 tests of tests/platform/test_decoders.py fail before and pass now.

--- a/src/lagoontide/platform/configuration.py
+++ b/src/lagoontide/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decoding of the operators' configuration from the platform's store."""
 
+from graphlib import CycleError, TopologicalSorter
 from typing import Any
 
 import msgspec
@@ -138,15 +139,34 @@
         objective=data.target_latency_ms / MS_PER_S,
         priority=data.priority,
         max_attempts=max(1, data.max_attempts),
-        stages=tuple(
-            Stage(item.service, tuple(item.after), item.bytes) for item in data.stages
-        ),
+        stages=_to_stages(data),
         allows_anonymous=data.allow_anonymous,
         is_resumable=data.resume_streams,
         max_event_gap=data.gap_target_ms / MS_PER_S,
     )
 
 
+def _to_stages(data: _Route) -> tuple[Stage, ...]:
+    """Return the stages of a route; raises ValueError if they are no acyclic graph."""
+    # A stage that is named twice gives its results once.
+    needs = {index: set(item.after) for index, item in enumerate(data.stages)}
+    for index, after in needs.items():
+        if unknown := after - needs.keys():
+            raise ValueError(
+                f"route {data.name!r:.80}, stage {index}: no stages {sorted(unknown)}"
+            )
+    try:
+        TopologicalSorter(needs).prepare()
+    except CycleError as exc:
+        raise ValueError(
+            f"route {data.name!r:.80}: stages {exc.args[1]} need each other"
+        ) from exc
+    return tuple(
+        Stage(item.service, tuple(sorted(needs[index])), item.bytes)
+        for index, item in enumerate(data.stages)
+    )
+
+
 def _to_service(data: _Service) -> Service:
     return Service(
         name=data.name,
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -54,6 +54,26 @@
     assert config.accounts[0].keys == {"key-one"}
 
 
+def configuration_with_stages(*after):
+    value = msgspec.json.decode(make_configuration(7))
+    value["routes"][0]["stages"] = [{"service": "stage", "after": x} for x in after]
+    return msgspec.json.encode(value)
+
+
+# Guards against a version that is applied although each request of a route would fail,
+# as its stages need stages that are not there, or each other.
+@pytest.mark.parametrize("after", [([0],), ([], [2]), ([-1], []), ([1], [0])])
+def test_stages_that_are_no_acyclic_graph_are_malformed(after):
+    with pytest.raises(WireError, match="route 'safe'"):
+        decode_config(configuration_with_stages(*after))
+
+
+# Guards against pieces that are given an input twice (MIXED).
+def test_stage_that_is_named_twice_gives_its_results_once():
+    config = decode_config(configuration_with_stages([], [0, 0]))
+    assert [stage.after for stage in config.routes[0].stages] == [(), (0,)]
+
+
 def test_unknown_configuration_fields_are_ignored():
     config = decode_config(make_configuration(7, surprise={"a": 1}))
     assert config.version == 7
