Refuse requests at once whose stages run nowhere

Cause: a stage whose service has no settings for pieces was ordered again and again from an owner that could not take it, until the deadline of the request, and this entry counted as suspect each time. Found by reading.

Change: admission asks whether each service runs pieces, and rejects the request with 503 otherwise.

Measured: the test ends after 1 s without an answer before, and passes now.

--- a/src/lagoontide/pieces/inputs.py
+++ b/src/lagoontide/pieces/inputs.py
@@ -78,6 +78,9 @@
 
     def admit(self) -> None:
         """See Inputs."""
+        for service in sorted(self._graph.services):
+            if self._service_of(service).piece_settings is None:
+                raise InputsFailed(f"service {service!r:.80} runs no pieces")
         forecast = make_forecast(
             self._call,
             self._graph,
--- a/tests/gateway/test_staged_kinds.py
+++ b/tests/gateway/test_staged_kinds.py
@@ -254,6 +254,19 @@
     run(scenario, kind, stages=[])
 
 
+# Guards against requests that are held until their deadline, as a stage names a service
+# that runs no pieces.
+def test_request_whose_stage_runs_nowhere_is_refused_at_once():
+    async def scenario(small):
+        asked = send(small.ports[0], "/new/a", "r1", extra=FIELDS, deadline_ms=5000)
+        async with asyncio.timeout(1.0):
+            answer = await asked
+        assert answer.status == 503
+        assert b"runs no pieces" in answer.body
+
+    run(scenario, "safe", stages=[STAGES[0] | {"service": "plain"}, STAGES[1]])
+
+
 async def end_by_refusal(small, kind):
     for target in targets_of(small, kind):
         target.fault, target.faults_left = TargetFault.FULL, 100
