Ask whether leaving targets have ended with their response

Cause: the end of the connection is all that ends such a response. Whether the target had ended was asked of targets only that take new work: the question was whether one has ended unannounced. Asked at the very moment of the kill, a target that is dying may still accept connections: its listening socket may be closed last.

Change: has_stopped asks any target, 0.05 s after the connection ended. Crash records keep has_ended, which asks at once and only about unannounced ends.

--- a/src/lagoontide/forward/attempt.py
+++ b/src/lagoontide/forward/attempt.py
@@ -116,7 +116,7 @@
             raise TargetFailed(
                 f"response body interrupted: {exc!r}", step="body", peer=self.target.id
             ) from exc
-        if self.head.ends_with_connection and await self._endings.has_ended(
+        if self.head.ends_with_connection and await self._endings.has_stopped(
             self.target
         ):
             # Nothing else tells the end of such a body from the end of its target.
--- a/src/lagoontide/targets/endings.py
+++ b/src/lagoontide/targets/endings.py
@@ -15,6 +15,9 @@
 
 # A crashed target refuses connections at once; a silent network does not answer.
 CHECK_TIMEOUT_S = 0.3
+# The kernel closes the sockets of a process that ends one by one; the one that listens
+# may be the last.
+EXIT_S = 0.05
 # Connections that break within this time broke for the same reason.
 BURST_S = 0.02
 # For this long a target that was found ended is not asked again.
@@ -37,7 +40,7 @@
 
     A broken connection alone does not show it: the network may have reset the
     connection, or the target may have closed it. A target has ended if it refuses new
-    connections although its registration says that it takes work.
+    connections, and unannounced if its registration says that it takes work.
 
     Parameters
     ----------
@@ -114,6 +117,21 @@
 
     async def has_ended(self, target: Target) -> bool:
         """Return whether a target, whose connection broke, has ended unannounced."""
+        if not self._directory.is_accepting_work(target):
+            return False
+        refuses = await self._refuses_connections(target)
+        # It may have announced its end meanwhile.
+        return refuses and self._directory.is_accepting_work(target)
+
+    async def has_stopped(self, target: Target) -> bool:
+        """Return whether a target, whose connection broke, has ended in whatever way.
+
+        One that is leaving, or whose registration is gone, still listens until it ends.
+        """
+        await asyncio.sleep(EXIT_S)
+        return await self._refuses_connections(target)
+
+    async def _refuses_connections(self, target: Target) -> bool:
         check = self._checks.get(target.key)
         if check is None or not self._covers(check):
             task = asyncio.create_task(self._check(target))
@@ -146,15 +164,14 @@
                 del self._checks[key]
 
     async def _check(self, target: Target) -> bool:
-        if not self._directory.is_accepting_work(target):
-            return False
         is_listening = await self._pools.pool_of(target).check_listening(
             CHECK_TIMEOUT_S
         )
-        has_ended = is_listening is False and self._directory.is_accepting_work(target)
-        if has_ended:
+        refuses = is_listening is False
+        is_unannounced = refuses and self._directory.is_accepting_work(target)
+        if is_unannounced:
             self._doubt(target, "it refused a connection")
-        if has_ended and target.key not in self._ended:
+        if is_unannounced and target.key not in self._ended:
             self._ended.add(target.key)
             self.count += 1
         logger.bind(target=target.id, service=target.service).info(
@@ -165,4 +182,4 @@
                 None: "the target does not answer",
             }[is_listening],
         )
-        return has_ended
+        return refuses
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -154,3 +154,73 @@
             cutting.close()
 
     asyncio.run(main())
+
+
+class LeavingTarget(CuttingTarget):
+    """Announces that it leaves, sends a part of its response and ends.
+
+    Attributes
+    ----------
+    announce : callable
+        Announces that it leaves.
+    """
+
+    def __init__(self, body, announce, ends):
+        super().__init__(body, "none", is_reset=False, ends=False)
+        self.announce = announce
+        self.ends_process = ends
+        self.cut_at = len(body) // 2 if ends else len(body)
+
+    async def _serve(self, reader, writer):
+        await self.announce()
+        await super()._serve(reader, writer)
+        if self.ends_process:
+            # The kernel may close the socket that listens after the connections.
+            await asyncio.sleep(0.01)
+            self.close()
+
+
+# Guards against a response without a length that ends with a target that was leaving,
+# and is taken for a complete one (ORDER).
+@pytest.mark.parametrize("ends", [False, True])
+@pytest.mark.parametrize("announcement", ["draining", "removed"])
+@pytest.mark.parametrize(
+    ("path", "service", "body"),
+    [
+        ("/once/a", "plain", PLAIN_BODY),
+        ("/safe/a", "plain", PLAIN_BODY),
+        ("/events/a", "engine", b"".join(EVENTS)),
+        ("/staged/a", "engine", b"".join(EVENTS)),
+    ],
+)
+def test_response_of_a_leaving_target_is_complete_only_if_the_target_goes_on(
+    path, service, body, announcement, ends
+):
+    async def main():
+        async with start_deployment(1) as small:
+            for target in small.targets_of(service):
+                small.store.delete(TARGETS_PREFIX + target.id)
+            key = f"{TARGETS_PREFIX}leaving"
+            directory = small.gateways[0].state.directory
+
+            async def announce():
+                if announcement == "removed":
+                    small.store.delete(key)
+                else:
+                    entry = encode_registration(
+                        service, address, "z1", 8, state="draining"
+                    )
+                    small.store.put(key, entry)
+                while directory.ready(service):
+                    await asyncio.sleep(0.005)
+
+            leaving = LeavingTarget(body, announce, ends)
+            await leaving.listen()
+            address = f"127.0.0.1:{leaving.port}"
+            small.store.put(key, encode_registration(service, address, "z1", 8))
+            while [item.id for item in directory.ready(service)] != ["leaving"]:
+                await asyncio.sleep(0.005)
+            assert await is_answered(small.ports[0], path, 1) is not ends
+            leaving.close()
+
+    asyncio.run(main())
