Take entries that lack a field for entries of other writers

Cause: another writer's entry under a target's id lacked slots, cold_left_ms, seq and born. Three had defaults and one was not read, so that the entry was used, with the service that it named, until the target's next write.

Change: every field that the protocol lists for an entry is required, and counts are 0 or more. Any other entry is treated as an unreadable one.

The tests' own entries, and those of the stand-ins, lacked fields and have them all now; the list of ignored fields loses seq, which is read.

--- a/src/lagoontide/platform/directory.py
+++ b/src/lagoontide/platform/directory.py
@@ -25,16 +25,21 @@
 
 
 class _Registration(msgspec.Struct):
-    """``zone`` is the failure domain; the target's id is in the key only."""
+    """An entry of a target, which names none unless it is complete.
+
+    ``zone`` is the failure domain; the target's id is in the key only. ``born`` is not
+    among the fields listed there.
+    """
 
     service: str
     address: HostPort
     zone: str
     state: str
     version: str
-    slots: Int64 = 1
+    slots: Int64
+    cold_left_ms: Number
+    seq: Int64
     born: Int64 = 0
-    cold_left_ms: Number = 0.0
 
 
 _decoder = JsonDecoder(_Registration, "registration of a target", "directory")
@@ -60,6 +65,8 @@
     with wire_errors(f"registration of target {name!r:.80}", value, "directory"):
         if not VALID_ID.fullmatch(name):
             raise ValueError("the id cannot be sent in a field")
+        if min(data.slots, data.seq, data.born) < 0:
+            raise ValueError("a count is negative")
         host, _, port = data.address.rpartition(":")
         return Target(
             id=name,
--- a/src/lagoontide/platform/standins/runs.py
+++ b/src/lagoontide/platform/standins/runs.py
@@ -71,6 +71,7 @@
         "version": version,
         "slots": slots,
         "state": state,
+        "cold_left_ms": 0,
         "seq": 1,
         "born": born,
     }
--- a/tests/gateway/test_outside_input.py
+++ b/tests/gateway/test_outside_input.py
@@ -27,6 +27,7 @@
     "slots": 1,
     "born": 1,
     "cold_left_ms": 1.0,
+    "seq": 1,
 }
 ENTRY = {"address": "127.0.0.1:9", "capacity": 1.0, "failure_domain": "z1"}
 QUARANTINE = [["t-1", 1, ["request:a", "b"], ["b"], True, 1.0]]
--- a/tests/platform/named_fields.py
+++ b/tests/platform/named_fields.py
@@ -215,7 +215,6 @@
     "X-Lagoontide-Kv-Backup": "backups of KV caches are not used",
     "Kv-From": "moves of KV caches are not used",
     "Kv-Fetch": "fetches of KV caches are not used",
-    "_Registration.seq": "changes with each write; the store's revision orders them",
     "_Report.stage": "does not change what the stage calls need",
     "_Report.models": "of engines, which are not asked for reports",
     "_Report.name": "of a model",
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -107,6 +107,7 @@
             "slots": 1,
             "born": 1,
             "cold_left_ms": 1.5,
+            "seq": 1,
         },
     ),
     "configuration": (
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -91,9 +91,36 @@
     "zone": "z",
     "state": "draining",
     "version": "v1.2",
+    "slots": 8,
+    "cold_left_ms": 250,
+    "seq": 4,
 }
 
 
+# Guards against a target that an entry of another writer names, which lacks a field or
+# has one of another type (ROUTE).
+@pytest.mark.parametrize("field", REGISTRATION)
+@pytest.mark.parametrize("change", ["missing", None, [], {}, True, "other type"])
+def test_registration_names_a_target_only_with_each_field_as_it_should_be(
+    field, change
+):
+    entry = dict(REGISTRATION)
+    if change == "missing":
+        del entry[field]
+    elif change == "other type":
+        entry[field] = 3 if isinstance(entry[field], str) else "3"
+    else:
+        entry[field] = change
+    with pytest.raises(WireError):
+        decode_target("i-1", msgspec.json.encode(entry), 3)
+
+
+@pytest.mark.parametrize("field", ["slots", "seq", "born"])
+def test_registration_with_a_negative_count_names_no_target(field):
+    with pytest.raises(WireError):
+        decode_target("i-1", msgspec.json.encode(REGISTRATION | {field: -1}), 3)
+
+
 @pytest.mark.parametrize("version", [None, 3, ["v1"]])
 def test_registration_without_a_readable_version_raises_wire_error(version):
     without = {key: REGISTRATION[key] for key in REGISTRATION if key != "version"}
@@ -105,7 +132,7 @@
 
 def test_target_registration_is_decoded():
     target = decode_target("i-1", msgspec.json.encode(REGISTRATION), 3)
-    assert target.version == "v1.2"
+    assert (target.version, target.slots, target.cold_left) == ("v1.2", 8, 0.25)
     assert (target.host, target.port, target.state) == (
         "1.2.3.4",
         5,
