Accept event ids that increase by more than one

Cause: any id beyond the one after the last counted as a gap, within a response too, where nothing can be lost. The protocol promises ids that increase, no more.

Change: only the first id of a response can show that events are missing, if it is further from the caller's last event than any two events that the caller has. Where a caller takes a stream up, the steps before are not known and no gap is seen.

Stand-in targets have steps between ids.

--- a/src/lagoontide/forward/event_relay.py
+++ b/src/lagoontide/forward/event_relay.py
@@ -25,11 +25,39 @@
 
 @dataclass(slots=True)
 class Progress:
-    """What the caller has received of the stream so far."""
+    """What the caller has received of the stream so far.
+
+    Attributes
+    ----------
+    longest_step : int or None
+        Largest difference between an event's id and the one before; None if the caller
+        took the stream up and has no event of this response yet.
+    """
 
     last_event_id: int | None
     is_started: bool = False
     first_event_at: float = 0.0
+    longest_step: int | None = None
+
+    def record_id(self, event_id: int) -> None:
+        """Record the id of the next event."""
+        # Ids count from 1, or count what an event holds.
+        step = event_id - (self.last_event_id or 0)
+        self.longest_step = max(step, self.longest_step or 1)
+        self.last_event_id = event_id
+
+    def has(self, event_id: int) -> bool:
+        """Return whether the caller has an event."""
+        return self.last_event_id is not None and event_id <= self.last_event_id
+
+    def lacks_events_before(self, event_id: int) -> bool:
+        """Return whether events are missing if another target goes on with this id.
+
+        Ids increase, by how much is up to the target (PROTOCOL, Requests).
+        """
+        if self.last_event_id is None or self.longest_step is None:
+            return False
+        return event_id - self.last_event_id > self.longest_step
 
 
 class StreamInterrupted(TargetFailed):
@@ -66,6 +94,7 @@
         self._timer = timer
         self._loop = asyncio.get_running_loop()
         self._comment_bytes = 0
+        self._has_ids = False
 
     async def run(self) -> None:
         """Relay all events; raises TargetFailed if the stream is interrupted."""
@@ -96,10 +125,6 @@
         data = b"".join(event.data for event in new_events)
         if any(event.has_content for event in new_events):
             self._comment_bytes = 0
-            # What is being written counts as received: it must not be sent twice.
-            self._progress.last_event_id = _last_event_id(
-                new_events, self._progress.last_event_id
-            )
             await self._relay_content(data)
             return
         # Comments show that the connection is alive, not that work progresses.
@@ -114,19 +139,20 @@
     def _select_new(self, events: list[Event]) -> tuple[list[Event], str]:
         """Return the events of one read that the caller lacks, and what is wrong.
 
-        They end at a gap. One read may hold any number of events; each is compared with
-        the one before.
+        What is returned counts as received: it must not be sent twice. No event is lost
+        within a response, so that only its first id can show that some are missing.
         """
-        last = self._progress.last_event_id
+        progress = self._progress
         new_events: list[Event] = []
         for event in events:
-            if event.id is not None and last is not None:
-                if event.id > last + 1:
-                    gap = f"gap in event ids: received {event.id} after {last}"
-                    return new_events, gap
-                if event.id <= last:
+            if event.id is not None:
+                if not self._has_ids and progress.lacks_events_before(event.id):
+                    last = progress.last_event_id
+                    return new_events, f"gap in event ids: {event.id} after {last}"
+                self._has_ids = True
+                if progress.has(event.id):
                     continue
-            last = last if event.id is None else event.id
+                progress.record_id(event.id)
             new_events.append(event)
         return new_events, ""
 
@@ -161,7 +187,3 @@
 
     def _interrupted(self, reason: str, step: str = "stream") -> StreamInterrupted:
         return StreamInterrupted(reason, step=step, peer=self._response.target.id)
-
-
-def _last_event_id(events: list[Event], last: int | None) -> int | None:
-    return next((event.id for event in reversed(events) if event.id is not None), last)
--- a/src/lagoontide/platform/standins/targets.py
+++ b/src/lagoontide/platform/standins/targets.py
@@ -59,7 +59,7 @@
     cancelled_requests : int
         Number of requests cancelled because the caller disconnected.
     sends_event_ids : bool
-        Whether events carry an ``id:`` line.
+        Whether events carry an ``id:`` line; ``id_step`` apart from one to the next.
     runs : Counter
         Executions of each request, by id, and of each piece, as ``ID/STAGE/PIECE``.
     advertised_address : str
@@ -110,6 +110,7 @@
     needs_inputs: bool = False
     cancelled_requests: int = 0
     sends_event_ids: bool = True
+    id_step: int = 1
     fault: TargetFault = TargetFault.NONE
     faults_left: int = 0
     events_before_fault: int = 2
@@ -267,10 +268,8 @@
     async def _serve(self, req: Request, reply: ResponseWriter) -> None:
         fields = req.head.fields
         request_id = (field_value(fields, REQUEST_ID.lower()) or b"").decode()
-        response_fields: Fields = [
-            (REQUEST_ID, request_id.encode()),
-            *self._state_fields,
-        ]
+        echo = (REQUEST_ID, request_id.encode())
+        response_fields: Fields = [echo, *self._state_fields]
         expected_id = field_value(fields, TARGET.lower())
         if expected_id is not None and expected_id.decode() != self.id:
             await reply.send(Response(MISDIRECTED_STATUS, response_fields))
@@ -326,7 +325,7 @@
         fault: TargetFault,
     ) -> None:
         last_event = field_value(req.head.fields, LAST_EVENT.lower())
-        first = int(last_event) + 1 if last_event else 1
+        first = int(last_event) // self.id_step + 1 if last_event else 1
         token_counts = field_value(req.head.fields, TOKEN_COUNTS.lower())
         total = int(token_counts.split(b",")[1]) if token_counts else self.events
         is_silent = fault is TargetFault.SILENT
@@ -338,7 +337,8 @@
         for number in range(first, total + 1):
             await asyncio.sleep(self.work)
             is_due = number - first == self.events_before_fault
-            event = make_event(number, self.version, self.sends_event_ids)
+            event_id = number * self.id_step
+            event = make_event(event_id, self.version, self.sends_event_ids)
             if is_silent and is_due:
                 await send_late(reply, event, self.silence, self.silent_at)
                 continue
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -166,6 +166,26 @@
     run_scenario(scenario)
 
 
+# Guards against streams that are not continued as their ids increase by more than one.
+def test_broken_stream_with_steps_between_its_ids_is_resumed_whole():
+    async def scenario(small):
+        for target in small.targets_of("engine"):
+            target.id_step = 4
+        found = set()
+        for number in range(8):
+            small.targets_of("engine")[0].fault = TargetFault.RUNS_AND_CUTS
+            small.targets_of("engine")[0].faults_left = 1
+            answer = await send(small.ports[0], "/events/a", f"r{number}")
+            assert events(answer) == [b"id: %d" % n for n in range(4, 25, 4)]
+            found.add(runs(small, f"r{number}"))
+        assert 2 in found
+        extra = [(b"Last-Event-Id", b"8")]
+        answer = await send(small.ports[0], "/events/a", "again", extra=extra)
+        assert events(answer) == [b"id: %d" % n for n in range(12, 25, 4)]
+
+    run_scenario(scenario)
+
+
 def test_broken_stream_without_resume_is_cut_off():
     async def scenario(small):
         set_fault(small, "engine", TargetFault.RUNS_AND_CUTS, times=2)
