Tell callers that read slowly from callers that are gone

Cause: TCP_USER_TIMEOUT, set to notice peers without power, also ends connections whose window is closed, though the peer acknowledges the probes of it.

Change: a watch asks TCP_INFO each 0.5 s while written bytes wait. Nothing acknowledged for 2.5 s ends a connection as before; a peer that acknowledges and reads nothing has 30 s. Connections to targets have the same watch. The option is left where the kernel tells nothing.

--- a/src/lagoontide/http1/tcp.py
+++ b/src/lagoontide/http1/tcp.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from lagoontide.http1.holdings import Holding, Phase
+from lagoontide.http1.peer_watch import PeerWatch, read_tcp_info
 from lagoontide.timers import run_timeout
 
 __all__ = ["TcpConn", "connect_tcp"]
@@ -15,11 +16,13 @@
 READ_HIGH_WATER_BYTES = 64 << 10
 READ_BYTES = 64 << 10
 WRITE_HIGH_WATER_BYTES = 64 << 10
-# A peer that lost power sends neither FIN nor reset; the kernel detects it by
-# keepalive probes and by data that stays unacknowledged.
+# A peer that lost power sends neither FIN nor reset. The kernel detects it by keepalive
+# probes, ``PeerWatch`` by data that stays unacknowledged.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Only where the kernel does not tell what a peer has acknowledged, as this also ends
+# connections of peers that read nothing.
 USER_TIMEOUT_MS = 2500
 
 
@@ -66,6 +69,7 @@
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport | None = None
+        self._watch: PeerWatch | None = None
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -99,7 +103,17 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        _enable_keepalive(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            _enable_keepalive(sock)
+            if read_tcp_info(sock) is None:
+                sock.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+                )
+            else:
+                self._watch = PeerWatch(
+                    sock, transport.get_write_buffer_size, self.abort
+                )
         if self._on_open is not None:
             self._on_open(self)
 
@@ -128,6 +142,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See asyncio.Protocol."""
+        if self._watch is not None:
+            self._watch.stop()
         self._mark_lost(was_reset=exc is not None or not self.is_lost)
         if self._write_waiter is not None and not self._write_waiter.done():
             self._write_waiter.set_result(None)
@@ -179,6 +195,8 @@
         if self.transport.is_closing() or self.was_reset:
             raise ConnectionResetError("cannot write: connection closed")
         self.transport.write(data)
+        if self._watch is not None:
+            self._watch.start()
         if self.holding is not None:
             self.holding.set_unsent(self.transport.get_write_buffer_size())
         if self._write_waiter is not None:
@@ -241,14 +259,11 @@
 _LINGER_RESET = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
 
 
-def _enable_keepalive(sock: socket.socket | None) -> None:
-    if sock is None:
-        return
+def _enable_keepalive(sock: socket.socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
 async def connect_tcp(host: str, port: int, timeout: float) -> TcpConn:
