Bound what is kept of answers that are not complete

Cause: up to 1 MiB of each answer is kept, so that its request can still move. These connections wait for a target and are never given up, so that others were, down to requests of a few bytes.

Change: answers that are not complete take 0.4 of the bytes held for callers at most. One beyond it is passed on as it arrives; up to 32 KiB are always kept.

--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -28,7 +28,8 @@
     "read_response",
 ]
 
-# Longer responses are relayed as they arrive, after which no retry is possible.
+# Longer responses are relayed as they arrive, after which no retry is possible. So are
+# shorter ones while too much is kept of others.
 MAX_BUFFERED_BYTES = 1 << 20
 # Error responses are short, and passed on completely or not at all.
 MAX_ERROR_BODY_BYTES = 256 << 10
@@ -178,7 +179,7 @@
     async for data in chunks:
         body += data
         reply.account_for(len(body))
-        if len(body) > MAX_BUFFERED_BYTES:
+        if len(body) > MAX_BUFFERED_BYTES or not reply.may_buffer:
             # From here on the request can no longer move.
             timer.stop()
             await reply.start(
--- a/src/lagoontide/http1/holdings.py
+++ b/src/lagoontide/http1/holdings.py
@@ -51,6 +51,9 @@
 # that a few large requests do not crowd out ordinary ones.
 SMALL_BYTES = 32 << 10
 SMALL_EXTRA_SHARE = 0.25
+# Share of the bound that answers may take which are kept until they are complete: their
+# requests may have run, so that they cannot be given up for others.
+ANSWERS_SHARE = 0.4
 # Added to the time for which bytes are held, so that of new ones the largest count.
 MIN_AGE_S = 0.1
 LOG_INTERVAL_S = 1.0
@@ -169,6 +172,11 @@
         self._give_up = give_up
         self._measure_unsent = measure_unsent
 
+    @property
+    def may_buffer(self) -> bool:
+        """Whether what is kept of the answer may go on to grow."""
+        return self.buffered <= SMALL_BYTES or self._holdings.has_room_for_answers
+
     @property
     def size(self) -> int:
         """Bytes that are held."""
@@ -190,6 +198,7 @@
         """Account for what is kept of the answer."""
         if not self._is_closed:
             change, self.buffered = size - self.buffered, size
+            self._holdings.buffered += change
             self._holdings.grow(change)
 
     def set_unsent(self, size: int) -> None:
@@ -238,6 +247,8 @@
     ----------
     held : int
         Bytes that are held.
+    buffered : int
+        Those of them that are kept of answers until these are complete.
     given_up : Counter
         Connections given up so far, by what they waited for.
     """
@@ -245,6 +256,7 @@
     def __init__(self, limits: ConnLimits) -> None:
         self.limits = limits
         self.held = 0
+        self.buffered = 0
         self.given_up: Counter[Phase] = Counter()
         self._holdings: set[Holding] = set()
         self._logged_at = float("-inf")
@@ -257,6 +269,11 @@
         """Bytes that may be held for the connections that are open."""
         return self.limits.held_bytes_beside(len(self._holdings))
 
+    @property
+    def has_room_for_answers(self) -> bool:
+        """Whether more may be kept of answers that are not complete."""
+        return self.buffered <= ANSWERS_SHARE * self.most
+
     def unsent(self) -> int:
         """Return the bytes that were written for all connections and are not sent."""
         for holding in self._holdings:
--- a/src/lagoontide/http1/response_writer.py
+++ b/src/lagoontide/http1/response_writer.py
@@ -94,6 +94,11 @@
         if self._tcp.holding is not None:
             self._tcp.holding.set_buffered(size)
 
+    @property
+    def may_buffer(self) -> bool:
+        """Whether more of a response may be kept until it is complete."""
+        return self._tcp.holding is None or self._tcp.holding.may_buffer
+
     async def send(self, response: Response) -> None:
         """Send a complete response."""
         self.is_started = True
--- a/tests/crowds/site.py
+++ b/tests/crowds/site.py
@@ -133,10 +133,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_site(folder, machine=TINY, timeout_ms=2000):
+async def run_site(
+    folder, machine=TINY, timeout_ms=2000, kind=TargetStandin, max_conns=50
+):
     """Run an entry, a store and targets for the duration of the block.
 
-    ``timeout_ms`` is that of each route.
+    ``timeout_ms`` is that of each route, ``kind`` the class of plain targets, each of
+    which takes ``max_conns`` connections.
     """
     store = StoreStandin()
     limits = {"max_header_bytes": MAX_HEAD_BYTES, "max_body_bytes": MAX_BODY_BYTES}
@@ -144,9 +147,10 @@
     value = msgspec.json.decode(make_configuration(1, limits=limits))
     for route in value["routes"]:
         route["timeout_ms"] = timeout_ms
+    value["services"][0]["max_conns"] = max_conns
     store.put(CONFIGURATION_KEY, msgspec.json.encode(value))
     endpoint = StoreEndpoint(store)
-    targets = [TargetStandin(f"plain-{number}", "plain") for number in range(3)]
+    targets = [kind(f"plain-{number}", "plain") for number in range(3)]
     targets += [TargetStandin("eng-0", "engine", events=6)]
     async with contextlib.AsyncExitStack() as stack:
         await endpoint.start()
--- a/tests/forward/test_handover.py
+++ b/tests/forward/test_handover.py
@@ -39,6 +39,8 @@
 class FakeReply:
     """Counts the bytes of an answer; writes never wait."""
 
+    may_buffer = True
+
     def __init__(self):
         self.is_started = False
         self.size = 0
--- a/tests/http1/test_holdings.py
+++ b/tests/http1/test_holdings.py
@@ -180,3 +180,28 @@
     limits = make_conn_limits(1, 1)
     assert limits.connections == MIN_CONNECTIONS
     assert limits.held_bytes_beside(MIN_CONNECTIONS) == MIN_HELD_BYTES
+
+
+# Guards against answers in progress that take all the room, as their requests cannot be
+# given up, and crowd out ordinary ones.
+def test_answers_are_kept_only_within_their_share():
+    async def scenario(crowd):
+        answers = [crowd.add(name, 0, Phase.ANSWER) for name in "abcdef"]
+        kept = 0
+        for holding in answers:
+            if holding.may_buffer and crowd.holdings.has_room_for_answers:
+                holding.set_buffered(LARGE)
+                kept += 1
+        assert kept == 2
+        assert not answers[0].may_buffer
+        answers[5].set_buffered(SMALL_BYTES)
+        assert answers[5].may_buffer
+        crowd.add("ordinary", LARGE // 3)
+        assert crowd.given_up == []
+        answers[0].close()
+        answers[1].set_buffered(0)
+        answers[5].give_up()
+        assert crowd.holdings.buffered == 0
+        assert answers[2].may_buffer
+
+    play(scenario)
