Lend turns to requests without pieces whose route has stages

Cause: whether a turn that another entry lends can be used at once was taken from the stages of the route, where the pieces of the request decide. One without pieces was refused at a target's rate limit. Found by reading; the test shows it.

Change: is_beyond_limits asks whether the request has pieces.

--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -133,6 +133,11 @@
         """Seconds until the final response is due."""
         return self.deadline - asyncio.get_running_loop().time()
 
+    @property
+    def has_pieces(self) -> bool:
+        """Whether any piece has to be made before the request can run."""
+        return any(self.metadata.piece_counts[: len(self.route.stages)])
+
     @property
     def matches_stages(self) -> bool:
         """Whether the request names a number of pieces for each stage of its route.
--- a/src/lagoontide/forward/selection.py
+++ b/src/lagoontide/forward/selection.py
@@ -141,8 +141,8 @@
     wait = state.rate_shares.shortest_wait(ready)
     if not ready or wait <= _max_wait(call):
         return False
-    if not call.route.stages and any(map(state.rate_shares.lender, ready)):
-        # Without stages in between, a borrowed turn can be used at once.
+    if not call.has_pieces and any(map(state.rate_shares.lender, ready)):
+        # Without pieces to make before, a borrowed turn can be used at once.
         return False
     call.choices.append(
         f"all {len(ready)} targets at their rate limits: turn in {wait:.2f} s, "
