--- a/src/lagoontide/forward/handover.py
+++ b/src/lagoontide/forward/handover.py
@@ -168,7 +168,7 @@
     inputs: Inputs,
     patience: float,
     choose: Callable[[], Choice | None],
-    send: Callable[[StallTimer], Awaitable[ResultT]],
+    attempt: Callable[[StallTimer], Awaitable[ResultT]],
 ) -> ResultT:
     """Return the result of one send, unless a successor takes over.
 
@@ -180,8 +180,8 @@
         Seconds without progress until a successor is looked for.
     choose : callable
         Returns an untried target, or None.
-    send : callable
-        Sends the request; starts the timer anew at each progress.
+    attempt : callable
+        Sends the request and reads its answer; starts the timer anew at each progress.
 
     Raises
     ------
@@ -202,7 +202,7 @@
                 if call.can_retry(after=1):
                     timer.start(patience)
                 try:
-                    return await send(timer)
+                    return await attempt(timer)
                 finally:
                     timer.stop()
     except TimeoutError:
--- a/src/lagoontide/forward/stream.py
+++ b/src/lagoontide/forward/stream.py
@@ -122,7 +122,7 @@
         def choose_successor() -> Choice | None:
             return choose() if self.can_move else None
 
-        async def send(timer: StallTimer) -> Outcome:
+        async def attempt(timer: StallTimer) -> Outcome:
             nonlocal response
             response = await start_attempt(state, call, target, options)
             if not is_success(response.head.status):
@@ -141,7 +141,7 @@
                 self._inputs,
                 _first_event_timeout(call),
                 choose_successor,
-                send,
+                attempt,
             )
         finally:
             if response is not None:
--- a/src/lagoontide/forward/unary.py
+++ b/src/lagoontide/forward/unary.py
@@ -92,7 +92,7 @@
         def choose_successor() -> Choice | None:
             return choose() if self.can_move else None
 
-        async def send(timer: StallTimer) -> Answered | Relayed:
+        async def attempt(timer: StallTimer) -> Answered | Relayed:
             response = await start_attempt(state, self._call, target, options)
             try:
                 if is_success(response.head.status):
@@ -113,7 +113,7 @@
                 self._inputs,
                 self._patience(),
                 choose_successor,
-                send,
+                attempt,
             )
         finally:
             state.loads.end(target)
