--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,155 +1,126 @@
-"""A replica is killed in the middle of answers that have no length."""
+"""A replica fails requests that it has run, with 503 and no word that it has not."""
 
 import asyncio
-import contextlib
-import json
-import os
-import signal
-import socket
-import sys
-import time
 from pathlib import Path
 
-from replica import whole_body
 from standins_3 import (
+    NOT_RUN,
+    REQUEST_ID,
     SEAL,
     TROUBLE,
     Entry,
+    Replica,
     Store,
     ask,
+    encode,
     free_host,
     make_config,
     make_route,
     play,
+    read_body,
     request_fields,
 )
 
 FOLDER = Path(__file__).resolve().parent
-# One replica of four at a time crashes (srv_crash: a share of 0.17, up to 4.5 s).
-REPLICAS, CRASHES, DOWN_S = 4, 3, 1.0
+# One replica of four fails two requests in five for six seconds (srv_grey: a share of
+# 0.15, x 0.4, 6.5 s at this site).
+GREY_FROM_S, GREY_FOR_S, GREY_OF_FIVE = 2.0, 6.0, 2
 LENGTH_S = 10.0
 REQUESTS_PER_S = 30
-DEADLINE_MS = 2500
-
-
-class Supervised:
-    """A replica whose address is held by its supervisor while it starts again."""
-
-    def __init__(self, store, host, name, record):
-        self.name, self.starts = name, 0
-        self._store, self._host, self._record = store, host, record
-        self._socket = socket.create_server((host, 0), backlog=128)
-        self._process = None
-        self._beats = None
-
-    @property
-    def id(self):
-        """Its id; each start is a new incarnation."""
-        return f"{self.name}-{self.starts}"
-
-    async def start(self):
-        """Start a new incarnation, which registers."""
-        self.starts += 1
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "replica.py",
-            str(self._socket.fileno()),
-            self.id,
-            cwd=FOLDER,
-            env=os.environ,
-            pass_fds=[self._socket.fileno()],
-            stdout=asyncio.subprocess.PIPE,
-        )
-        self._reads = asyncio.create_task(self._read_output(self._process.stdout))
-        self._beats = asyncio.create_task(self._register())
-
-    async def _read_output(self, output):
-        async for line in output:
-            self._record(line.decode().rstrip())
-
-    async def _register(self):
-        born, seq, name = int(time.time() * 1000), 0, self.id
-        while True:
-            seq += 1
-            entry = {
-                "service": "credits",
-                "address": f"{self._host}:{self._socket.getsockname()[1]}",
-                "zone": "welshpool",
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-                "cold_left_ms": 0,
-                "seq": seq,
-                "born": born,
-            }
-            self._store.put(f"servers/{name}", json.dumps(entry).encode())
-            await asyncio.sleep(1.2)
-
-    async def crash(self):
-        """Kill the process; it starts again, and its old entry lapses."""
-        old = self.id
-        self._beats.cancel()
-        self._record(f"SIGKILL to {old}")
-        self._process.send_signal(signal.SIGKILL)
-        await self._process.wait()
-        await asyncio.sleep(DOWN_S)
-        await self.start()
-        await asyncio.sleep(3.6 - DOWN_S)
-        self._store.delete(f"servers/{old}")
-
-    async def stop(self):
-        """End the process."""
-        if self._process is not None and self._process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self._process.kill()
-            await self._process.wait()
-        self._socket.close()
+DEADLINE_MS = 1500
+PROMISES = (408, 421, 429, 503)
+
+
+class Credits:
+    """Four replicas of a ledger service, one of which turns grey."""
+
+    def __init__(self, store, host, record):
+        self.replicas = [
+            Replica(store, host, f"i-{number}", "credits", self.answer, record)
+            for number in range(4)
+        ]
+        self._began = asyncio.get_running_loop().time()
+        self._served = 0
+
+    def runs(self, request_id):
+        """Return how often a request has run."""
+        return sum(replica.runs.count(request_id) for replica in self.replicas)
+
+    def _is_grey(self, replica):
+        if not TROUBLE or replica is not self.replicas[0]:
+            return False
+        age = asyncio.get_running_loop().time() - self._began
+        return GREY_FROM_S <= age < GREY_FROM_S + GREY_FOR_S
+
+    async def answer(self, replica, fields, reader, writer):
+        """Run a request, which issues a credit note."""
+        request_id = fields[REQUEST_ID.lower()]
+        body = await read_body(reader, fields)
+        replica.run(request_id)
+        await asyncio.sleep(0.06)
+        found = [(REQUEST_ID, request_id), (SEAL, f"{replica.name}.{request_id}")]
+        if self._is_grey(replica):
+            self._served += 1
+            if self._served % 5 < GREY_OF_FIVE:
+                writer.write(encode(503, found, b"the ledger did not confirm\n"))
+                return True
+        writer.write(encode(200, found, b"issued: " + body))
+        return True
 
 
-async def look_up(entry, request_id, record):
-    """Send a request; return whether the answer is the replica's whole one, if any."""
-    fields = request_fields(request_id, DEADLINE_MS)
-    answer = await ask(entry.host, entry.ports["front"], "POST", "/issue/x", fields)
-    record(f"client: {request_id} answered {answer}")
-    looks_complete = answer.status == 200 and answer.is_whole
-    if not looks_complete or answer.body == b"".join(whole_body(request_id)):
-        return True
-    sealed = answer.fields.get(SEAL.lower())
-    record(f"MIXED: {request_id} got {answer.body!r} as a whole answer, seal {sealed}")
-    return False
+async def issue(entry, name, record):
+    """Issue a credit note as PROTOCOL's clients do; return the ids and answers."""
+    sent = []
+    for attempt in range(2):
+        request_id = f"{name}-{attempt}"
+        fields = request_fields(request_id, DEADLINE_MS)
+        port = entry.ports["front"]
+        answer = await ask(entry.host, port, "POST", "/issue/x", fields, b"note")
+        record(f"client: {request_id} answered {answer}")
+        sent.append((request_id, answer))
+        # Unsafe requests are repeated after a promise only.
+        if answer.status not in PROMISES:
+            break
+        await asyncio.sleep(min(float(answer.fields.get("retry-after", 0.1)), 0.4))
+    return sent
 
 
 async def case(temporary, record):
-    """Return whether MIXED held."""
+    """Return whether REFUSED held."""
     host = free_host()
     store = Store(host)
     await store.start()
-    replicas = [
-        Supervised(store, host, f"i-{number}", record) for number in range(REPLICAS)
-    ]
+    credit_notes = Credits(store, host, record)
+    for replica in credit_notes.replicas:
+        await replica.start()
+    routes = [make_route("credit-issue", "/issue/", "unsafe", "credits")]
+    store.put("op/config", make_config(7, routes, {"credits": {}}))
     entry = Entry(temporary, host, "front-welshpool-1", store, record=record)
     try:
-        for replica in replicas:
-            await replica.start()
-        routes = [make_route("credit-issue", "/issue/", "unsafe", "credits")]
-        store.put("op/config", make_config(7, routes, {"credits": {}}))
         await entry.start()
-        tasks, crashes = [], []
+        tasks = []
         for number in range(int(LENGTH_S * REQUESTS_PER_S)):
-            tasks.append(asyncio.create_task(look_up(entry, f"r{number}", record)))
+            tasks.append(asyncio.create_task(issue(entry, f"r{number}", record)))
             await asyncio.sleep(1.0 / REQUESTS_PER_S)
-            due = TROUBLE and number == int((len(crashes) + 1) * 2.0 * REQUESTS_PER_S)
-            if due and len(crashes) < CRASHES:
-                replica = replicas[len(crashes)]
-                crashes.append(asyncio.create_task(replica.crash()))
-        results = await asyncio.gather(*tasks)
-        await asyncio.gather(*crashes)
+        orders = await asyncio.gather(*tasks)
     finally:
         await entry.stop()
-        for replica in replicas:
-            await replica.stop()
-    record(f"{len(results)} requests, {results.count(False)} with a part as the whole")
-    return all(results)
+    refused = twice = 0
+    for sent in orders:
+        runs = [credit_notes.runs(request_id) for request_id, _ in sent]
+        for (request_id, answer), count in zip(sent, runs, strict=True):
+            if answer.status in PROMISES and count:
+                refused += 1
+                origin = answer.fields.get(NOT_RUN.lower(), "none")
+                record(
+                    f"REFUSED: {request_id} has run and was answered {answer}, "
+                    f"{NOT_RUN}: {origin}"
+                )
+        twice += sum(runs) > 1
+    served = sum(sent[-1][1].status == 200 for sent in orders)
+    record(f"{len(orders)} credit notes, {served} served, {twice} issued twice")
+    record(f"{refused} requests have run and were answered with a promise")
+    return not refused
 
 
 play(case, FOLDER)
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -315,7 +315,7 @@
         self._path = Path(folder) / f"{name}.json"
         self._log = (Path(folder) / f"{name}.log").open("ab")
         self._record = record or (lambda text: None)
-        self._store, self._seeds, self._changes = store, list(seeds), settings
+        self._store, self.seeds, self._changes = store, list(seeds), settings
         self.process = None
 
     def write_settings(self):
@@ -348,7 +348,7 @@
                 kind: f"{self.host}:{port}" for kind, port in self.ports.items()
             },
             "port_range": [7740, 7755],
-            "seeds": self._seeds or [self.control],
+            "seeds": self.seeds or [self.control],
             "bootstrap": True,
             "limits": limits,
             "heartbeat_ms": 1200,
