Review cases name their record, and the report has a line for each entry

Cause: the name record.txt stood in the common stand-ins only, and the report put several entries into one line.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -123,4 +123,4 @@
     return not refused
 
 
-play(case, FOLDER)
+play(case, FOLDER / "record.txt")
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -164,4 +164,4 @@
     return not concerned
 
 
-play(case, FOLDER)
+play(case, FOLDER / "record.txt")
--- a/review/born_3.py
+++ b/review/born_3.py
@@ -115,4 +115,4 @@
     return not wrong
 
 
-play(case, FOLDER)
+play(case, FOLDER / "record.txt")
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -30,16 +30,16 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to ``record.txt``."""
+    """Writes what was sent, answered and run to a file."""
 
-    def __init__(self, folder):
-        self._file = (Path(folder) / "record.txt").open("w", buffering=1)
+    def __init__(self, path):
+        self._fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
         self._began = time.monotonic()
 
     def __call__(self, text):
         """Write a line with the seconds since the start."""
         line = f"{time.monotonic() - self._began:8.3f} {text}"
-        print(line, file=self._file)
+        os.write(self._fd, f"{line}\n".encode())
 
 
 def free_host():
@@ -523,12 +523,13 @@
     return json.dumps(config | others).encode()
 
 
-def play(case, folder):
+def play(case, path):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it can't run.
 
-    The case gets a temporary folder and the record, and returns whether the rule held.
+    The case gets a temporary folder and the record, which is written to a path, and
+    returns whether the rule held.
     """
-    record = Record(folder)
+    record = Record(path)
     record(f"TROUBLE={int(TROUBLE)}")
 
     async def main():
