forward: answer "not run" only where every send is proven not to have run

Callers saw: a request of an unsafe route, or of a stream that can't be resumed, ran and was answered 408, 429 or 503 by its target; the entry passed the status on. A 421 without more was taken for a proof: the request went on to a second target, which ran it too, and the caller got 503.

Cause: SendTracker proves "not run" for the entry's own answers only. The status of a target's answer, kept, relayed as it arrives or of a stream, went past it, and decode_response counted status 421 as a proof.

Change: start_attempt, through which every answer of a target comes, decides from the head. Proofs are X-Lagoontide-Not-Executed and a 421 of a target that names another instance. Without one, Call.may_answer withholds a status that promises "not run" from callers of requests that may run only once: they get 502. A bare 421 ends or moves a request as one that may have run.

--- a/src/lagoontide/forward/attempt.py
+++ b/src/lagoontide/forward/attempt.py
@@ -82,6 +82,18 @@
         # An earlier byte belongs to the previous request on the connection.
         return None if last is None or last < self.sent_at else last
 
+    @property
+    def is_from_another_target(self) -> bool:
+        """Whether another target has the address, which does not run the request."""
+        answered_by = self.metadata.answered_by
+        is_named = answered_by is not None and answered_by != self.target.id
+        return self.metadata.is_misdirected and is_named
+
+    @property
+    def has_not_run(self) -> bool:
+        """Whether the response proves that the request did not run and never will."""
+        return self.metadata.has_not_run or self.is_from_another_target
+
     async def read_head(
         self, state: ForwardingState, request_id: str, is_new_conn: bool
     ) -> None:
@@ -167,7 +179,7 @@
     TargetUnreachable
         If the request provably did not run; InputsGone if stages must be redone.
     TargetFailed
-        If the request may have run.
+        If the request may have run and has no response that its caller may be given.
     """
     loop = asyncio.get_running_loop()
     call.last_target, call.last_byte_at = target.id, None
@@ -195,9 +207,11 @@
     is_open = False
     try:
         await _send(state, call, response, conn, options)
-        if response.metadata.has_not_run:
+        if response.has_not_run:
             call.send_tracker.mark_not_run(number)
             _raise_refusal(state, response)
+        if response.metadata.is_misdirected or not call.may_answer(response.metadata):
+            _raise_unproven(state, response)
         is_open = True
     except (OSError, InvalidResponse, InvalidField) as exc:
         raise TargetFailed(
@@ -247,9 +261,25 @@
     """
     target = response.target
     response.settle()
-    if response.metadata.is_misdirected:
-        state.directory.mark_leaving(target, "another target has its address")
+    _observe_misdirected(state, response)
     kind = InputsGone if response.metadata.lacks_inputs else TargetUnreachable
     raise kind(
         f"refused with status {response.head.status}", step="send", peer=target.id
     )
+
+
+def _raise_unproven(state: ForwardingState, response: TargetResponse) -> NoReturn:
+    """Raise the error for a status that says "not run" without a proof."""
+    response.settle()
+    _observe_misdirected(state, response)
+    kind = TargetPauses if response.metadata.pause else TargetFailed
+    raise kind(
+        f"status {response.head.status} does not prove that the request did not run",
+        step="head",
+        peer=response.target.id,
+    )
+
+
+def _observe_misdirected(state: ForwardingState, response: TargetResponse) -> None:
+    if response.metadata.is_misdirected:
+        state.directory.mark_leaving(response.target, "another target has its address")
--- a/src/lagoontide/forward/call.py
+++ b/src/lagoontide/forward/call.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from lagoontide.forward.fields import FieldCodec, RequestMetadata
+from lagoontide.forward.fields import FieldCodec, RequestMetadata, ResponseMetadata
 from lagoontide.forward.outcome import SendTracker
 from lagoontide.forward.retries import RetryBudget
 from lagoontide.http1.server import Request
@@ -148,6 +148,16 @@
         counts, stages = self.metadata.piece_counts, self.route.stages
         return not stages or len(counts) == len(stages) or not any(counts)
 
+    def may_answer(self, response: ResponseMetadata) -> bool:
+        """Return whether the caller may be given a target's response.
+
+        The caller of a request that may run only once sends it again if its status
+        promises that it has not run. Only the SendTracker can prove that.
+        """
+        if self.route.may_repeat or not response.promises_not_run:
+            return True
+        return self.send_tracker.has_not_run
+
     def can_retry(self, after: int = 0) -> bool:
         """Return whether another target may be tried.
 
--- a/src/lagoontide/forward/fields.py
+++ b/src/lagoontide/forward/fields.py
@@ -94,8 +94,13 @@
         Whether it states that the request did not run and never will.
     is_sealed : bool
         Whether it carries the target's seal.
+    promises_not_run : bool
+        Whether its status tells callers that the request did not run and never will,
+        which only ``has_not_run`` or ``answered_by`` can prove.
+    answered_by : str or None
+        Id of the target that answered; None if it is not named.
     is_misdirected : bool
-        Whether the address now belongs to another target.
+        Whether the target says that it is not the one the request is meant for.
     lacks_inputs : bool
         Whether stage results that the request refers to are gone.
     is_encoded : bool
@@ -115,6 +120,8 @@
     request_id: str | None
     has_not_run: bool
     is_sealed: bool
+    promises_not_run: bool = False
+    answered_by: str | None = None
     is_misdirected: bool = False
     lacks_inputs: bool = False
     is_encoded: bool = False
--- a/src/lagoontide/forward/outcome.py
+++ b/src/lagoontide/forward/outcome.py
@@ -123,6 +123,11 @@
         """Record the proof that a send did not run and never will."""
         self._unresolved.discard(number)
 
+    @property
+    def has_not_run(self) -> bool:
+        """Whether every send so far is proven not to have run."""
+        return not self._unresolved
+
     def failure_outcome(
         self,
         reason: str,
@@ -134,6 +139,6 @@
 
         It is NotRun only if every send is proven not to have run.
         """
-        if self._unresolved:
-            return Unknown(reason, is_timeout, end)
-        return NotRun(reason, retry_after, end)
+        if self.has_not_run:
+            return NotRun(reason, retry_after, end)
+        return Unknown(reason, is_timeout, end)
--- a/src/lagoontide/platform/fields.py
+++ b/src/lagoontide/platform/fields.py
@@ -42,6 +42,7 @@
 PIECE_KEY = b"X-Lagoontide-Piece-Key"
 RESPONSE_SEAL = b"X-Lagoontide-Response-Seal"
 NOT_RUN = b"X-Lagoontide-Not-Executed"
+INSTANCE = b"X-Lagoontide-Instance-Id"
 RATE_LIMIT = b"Server-Limit"
 COLD = b"X-Lagoontide-Cold-Ms"
 LEAVING = b"Server-Leaving"
@@ -76,6 +77,7 @@
         REQUEST_ID,
         RESPONSE_SEAL,
         NOT_RUN,
+        INSTANCE,
         RATE_LIMIT,
         COLD,
         LEAVING,
@@ -95,6 +97,8 @@
 MAX_UNKNOWN_FIELDS = 50
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
+# Callers send a request again after these, also one that may run only once.
+NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, UNAVAILABLE_STATUS})
 INPUTS_GONE_STATUS = 409
 MS_PER_S = 1000.0
 MAX_REQUEST_ID_CHARS = 200
@@ -169,9 +173,10 @@
         rate_limit, unreadable = decode_rate_limit(fields)
         return ResponseMetadata(
             request_id=_field_text(fields, REQUEST_ID),
-            has_not_run=_field_text(fields, NOT_RUN) is not None
-            or head.status == MISDIRECTED_STATUS,
+            has_not_run=_field_text(fields, NOT_RUN) is not None,
             is_sealed=_field_text(fields, RESPONSE_SEAL) is not None,
+            promises_not_run=head.status in NOT_RUN_STATUSES,
+            answered_by=_decode_instance(fields),
             is_misdirected=head.status == MISDIRECTED_STATUS,
             lacks_inputs=head.status == INPUTS_GONE_STATUS,
             is_encoded=encoding is not None and encoding.lower() != b"identity",
@@ -239,6 +244,12 @@
     return values[0].decode("latin-1")
 
 
+def _decode_instance(fields: Fields) -> str | None:
+    """Return the id of the target that answered; None if not exactly one is named."""
+    values = [value.strip() for value in field_values(fields, INSTANCE.lower())]
+    return values[0].decode("latin-1") if len(values) == 1 and values[0] else None
+
+
 def _decode_cold(fields: Fields) -> float | None:
     """Return the seconds for which a target stays cold; None if that is unreadable."""
     values = [value.strip() for value in field_values(fields, COLD.lower())]
