forward: refuse pieces that can't be given their inputs

With the last stage of a row omitted, nothing was made and the target ran with no inputs.

Cause: a stage without pieces returned an empty result at once, which the stage after it, or the target, took for all of its inputs; what is before it was never started. matches_stages compares only how many numbers there are.

Change: routes/omissions.py decides: a stage with pieces needs one with pieces before it, if it follows any, and one after it, if any follows. The forwarder refuses others with 400 before any stage call or send; with 503 while the store is silent, as the stages may have changed since.

--- a/src/lagoontide/forward/forwarder.py
+++ b/src/lagoontide/forward/forwarder.py
@@ -29,6 +29,7 @@
 from lagoontide.http1.messages import Fields, Response, field_value
 from lagoontide.http1.server import Request, ResponseWriter
 from lagoontide.logs import format_traceback
+from lagoontide.routes.omissions import find_broken_stage
 from lagoontide.routes.records import Account, RouteKind
 from lagoontide.routes.route_table import RouteTable, pick_service
 from lagoontide.timers import Deadline
@@ -172,7 +173,7 @@
         )
 
     async def _forward(self, call: Call, reply: ResponseWriter) -> Outcome:
-        refusal = self._state.guard.refusal(call)
+        refusal = self._check_stages(call) or self._state.guard.refusal(call)
         if refusal is None:
             refusal = await fix_version(self._state, call, self._rng)
         # Counted here, as a stream may be taken up at another service than the one
@@ -180,12 +181,6 @@
         self._state.budget.record_request(call.service)
         if refusal is not None:
             return refusal
-        if not call.matches_stages:
-            return NotRun(
-                f"the request has pieces of {len(call.metadata.piece_counts)} stages, "
-                f"its route {len(call.route.stages)} stages",
-                pick_retry_after(self._rng),
-            )
         if is_beyond_limits(self._state, call):
             after = pick_limited_retry_after(self._state, call, self._rng)
             return NotRun("all targets at their rate limits or pausing", after)
@@ -215,6 +210,24 @@
         finally:
             inputs.close()
 
+    def _check_stages(self, call: Call) -> NotRun | Rejected | None:
+        """Return the outcome of a request whose stages can't run; None for others."""
+        counts, stages = call.metadata.piece_counts, call.route.stages
+        if not call.matches_stages:
+            # It follows another version of the configuration, which may come here.
+            return NotRun(
+                f"the request has pieces of {len(counts)} stages, "
+                f"its route {len(stages)} stages",
+                pick_retry_after(self._rng),
+            )
+        reason = find_broken_stage(stages, counts) if call.has_pieces else ""
+        if not reason:
+            return None
+        if self._state.is_cut_off():
+            # The stages may have changed since.
+            return NotRun(reason, pick_retry_after(self._rng))
+        return Rejected(400, reason)
+
     async def _forward_by_kind(
         self, call: Call, reply: ResponseWriter, inputs: Inputs
     ) -> Outcome:
