timers: count delays of the event loop wherever they fall in a wait

A stage call or a question to another entry that was sent late had only the rest of its limit left for the answer.

Cause: RunTimer looked only at the lateness of its own callback. A delay that ended just before the limit left one or two rounds of the loop, and a connect needs five from the poll that finds it accepted.

Change: while timers are pending, a watch of the loop adds up by how much it is held up, every 0.1 s; a RunTimer adds what came since its begin, bounded as before. It then lets six rounds of the loop pass before it calls back.

--- a/src/lagoontide/timers.py
+++ b/src/lagoontide/timers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+import threading
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -23,15 +24,22 @@
 READ_S = 0.05
 # A time of which this process did not run for a larger share was not measured.
 MAX_STOPPED_SHARE = 0.25
+# The loop's lateness is looked at this often. A delay is seen but for this time and
+# MAX_LATENESS_S; looking more often takes an idle process more processor time.
+TICK_S = 0.1
+# Rounds of the event loop from the poll that finds a peer's answer, or an accepted
+# connection, until the task that waits for it goes on; two more, as the first poll
+# after a stop signal finds nothing, and as a callback is run in the round after it.
+READ_ROUNDS = 6
 # A process that is late for long is not waited for without end.
 MAX_EXTENSIONS = 8
 
 
 class RunTimer:
-    """Calls back after some seconds, not counting a delay of this process at the end.
+    """Calls back after some seconds in which this process ran.
 
-    A timer that fires late starts again for as long as it was late, and at most for its
-    whole time, so that what has arrived is read first.
+    Time by which the event loop was held up meanwhile is added, at most the whole time
+    at once. Then what has arrived by now is read first.
     """
 
     def __init__(self, seconds: float, callback: Callable[[], None]) -> None:
@@ -39,20 +47,46 @@
         self._seconds = max(0.0, seconds)
         self._callback = callback
         self._extensions_left = MAX_EXTENSIONS
-        self._handle = self._loop.call_later(self._seconds, self._fire)
+        self._rounds_left = READ_ROUNDS
+        self._watch = _watch_loop()
+        self._watch.pending_timers += 1
+        self._stopped_before = self._watch.clock.stopped()
+        self._is_pending = True
+        self._handle: asyncio.Handle = self._schedule(self._seconds)
 
     def cancel(self) -> None:
         """Do not call back."""
         self._handle.cancel()
+        self._end()
+
+    def _schedule(self, seconds: float) -> asyncio.TimerHandle:
+        handle = self._loop.call_later(seconds, self._fire)
+        self._due_at = handle.when()
+        return handle
 
     def _fire(self) -> None:
-        lateness = self._loop.time() - self._handle.when()
-        if lateness <= MAX_LATENESS_S or not self._extensions_left:
+        stopped = self._watch.clock.stopped()
+        held_up = max(self._loop.time() - self._due_at, stopped - self._stopped_before)
+        self._stopped_before = stopped
+        if held_up > MAX_LATENESS_S and self._extensions_left:
+            self._extensions_left -= 1
+            longest = max(self._seconds, MAX_LATENESS_S)
+            self._handle = self._schedule(min(held_up, longest))
+        else:
+            self._read_first()
+
+    def _read_first(self) -> None:
+        if self._rounds_left:
+            self._rounds_left -= 1
+            self._handle = self._loop.call_soon(self._read_first)
+        else:
+            self._end()
             self._callback()
-            return
-        self._extensions_left -= 1
-        left = min(lateness, max(self._seconds, MAX_LATENESS_S))
-        self._handle = self._loop.call_later(left, self._fire)
+
+    def _end(self) -> None:
+        if self._is_pending:
+            self._is_pending = False
+            self._watch.pending_timers -= 1
 
 
 class Deadline:
@@ -126,6 +160,47 @@
         self._tick_due_at = now + next_in
 
 
+class _LoopWatch:
+    """Measures by how much an event loop is held up while timers of it are pending."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.clock = RunClock(loop.time)
+        self.pending_timers = 0
+        self.is_ticking = False
+
+    def start(self) -> None:
+        """Tick until no timer is pending."""
+        self.is_ticking = True
+        self.clock.tick(TICK_S)
+        self.loop.call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        if self.pending_timers:
+            self.start()
+        else:
+            self.is_ticking = False
+            self.clock.tick(math.inf)
+
+
+class _Local(threading.local):
+    watch: _LoopWatch | None = None
+
+
+_local = _Local()
+
+
+def _watch_loop() -> _LoopWatch:
+    """Return the watch of the running event loop, which ticks from now on."""
+    loop = asyncio.get_running_loop()
+    watch = _local.watch
+    if watch is None or watch.loop is not loop:
+        watch = _local.watch = _LoopWatch(loop)
+    if not watch.is_ticking:
+        watch.start()
+    return watch
+
+
 class Stopwatch:
     """Measures how long another process takes."""
 
