targets: choose from what a registration says now

Callers may have seen: a request sent to the service or address that a target had before.

Cause: Directory.put kept the cached list of ready targets unless id, start or state changed; the list holds the records themselves, so that a registration which changed its service, address, failure domain, version, slots or cold time alone was not followed.

Change: the list is dropped whenever anything but the revision differs.

Measured: the 7 cases of the new test fail on the code before, and pass. Found by reading; no harm to a caller was seen.

--- a/src/lagoontide/targets/directory.py
+++ b/src/lagoontide/targets/directory.py
@@ -124,9 +124,11 @@
             target.version,
         ):
             self._by_service = None
+        if known is None or replace(known, revision=target.revision) != target:
+            # The cached list holds the targets themselves.
+            self._ready = None
         if known is not None and (known.key, known.state) == (target.key, target.state):
             return
-        self._ready = None
         logger.bind(target=target.id, revision=target.revision).info(
             "target state: {}, address: {}, service: {}",
             target.state,
--- a/tests/targets/test_directory.py
+++ b/tests/targets/test_directory.py
@@ -1,5 +1,9 @@
 """Tests of the directory over deleted and expired registrations and restarts."""
 
+from dataclasses import replace
+
+import pytest
+
 from lagoontide.store.revision_store import Revision
 from lagoontide.targets.directory import REREGISTRATION_GRACE_S, Directory
 from lagoontide.targets.records import Target, TargetState
@@ -37,6 +41,31 @@
     assert ids(directory) == ["i"]
 
 
+# Guards against requests to the service or the address that a target had before, as the
+# list of ready targets is kept beside a registration that changes them alone.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": "other"},
+        {"host": "h2"},
+        {"port": 2},
+        {"failure_domain": "z2"},
+        {"version": "v2"},
+        {"slots": 9},
+        {"cold_left": 1.0},
+    ],
+)
+def test_a_registration_that_changes_one_field_is_what_is_chosen_from(changes):
+    directory = Directory(Clock())
+    directory.put(make_target(revision=1))
+    assert ids(directory) == ["i"]
+    later = replace(make_target(revision=2), **changes)
+    directory.put(later)
+    assert directory.ready(later.service) == (later,)
+    assert directory.at_address(later.address) == later
+    assert later.service == "s" or directory.ready("s") == ()
+
+
 def test_a_deleted_target_is_removed_at_once_while_the_store_is_up():
     directory = Directory(Clock())
     directory.put(make_target())
